--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Replicated log, elections, snapshots and member changes.
+ */
+package io.lavenderroad.control;
--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/Clock.java
@@ -0,0 +1,27 @@
+package io.lavenderroad.core;
+
+/**
+ * Source of time for every part of the system. Tests inject a fake, so that no verdict
+ * depends on the speed of the machine.
+ */
+@FunctionalInterface
+public interface Clock {
+
+	/**
+	 * Returns the current time.
+	 * @return milliseconds since the Unix epoch
+	 */
+	long millis();
+
+	/**
+	 * Returns a clock that starts at the wall-clock time of this call and then advances
+	 * with the monotonic timer of the machine, so that it never jumps backwards.
+	 * @return the system clock
+	 */
+	static Clock system() {
+		long startMillis = System.currentTimeMillis();
+		long startNanos = System.nanoTime();
+		return () -> startMillis + (System.nanoTime() - startNanos) / 1_000_000;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Clock, verdicts, errors, settings, plug-in kernel and wire protocol.
+ */
+package io.lavenderroad.core;
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The lavenderroadd daemon.
+ */
+package io.lavenderroad.daemon;
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Relay tree, endpoint registry and configuration subscriptions.
+ */
+package io.lavenderroad.distribution;
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Mesh configuration, templates, rendering and binding.
+ */
+package io.lavenderroad.model;
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Proxy beside each backend server.
+ */
+package io.lavenderroad.node;
--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decision functions for moves, balancing, limits and retries.
+ */
+package io.lavenderroad.policy;
--- /dev/null
+++ b/tool/src/main/java/io/lavenderroad/tool/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The lavenderroad operator tool.
+ */
+package io.lavenderroad.tool;
