Add the core: wire protocol, YAML reading, kernel, verdicts

Cause: every other module talks and reads settings through these. Change: framed MessagePack connections with hello, correlation ids and heartbeats; YAML reading that reports all problems with positions; kernel with plug-ins from ServiceLoader; execution verdicts; located errors. Ruled out: the duplicate-key option of the YAML composer; a test showed that only its constructor honours it, so keys are checked on the node tree. Conclusion: modules can be built on top.

--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/kernel/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Registry of extensions and the plug-ins that fill it.
+ */
+package io.lavenderroad.core.kernel;
--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checked reading of YAML documents with positions.
+ */
+package io.lavenderroad.core.settings;
--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/wire/CallFailure.java
@@ -0,0 +1,13 @@
+package io.lavenderroad.core.wire;
+
+import io.lavenderroad.core.ExecutionVerdict;
+
+/**
+ * A call over a connection that got no answer.
+ *
+ * @param verdict whether the peer may have run the request
+ * @param reason short sentence for logs and operators
+ */
+public record CallFailure(ExecutionVerdict verdict, String reason) {
+
+}
--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -0,0 +1,467 @@
+package io.lavenderroad.core.wire;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.ReentrantLock;
+
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.LavenderroadException;
+import io.vavr.control.Either;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.tinylog.Logger;
+
+/**
+ * One framed connection to a peer. A frame is a length of four bytes and a MessagePack
+ * body: kind, correlation id, and a message of the catalog. Any frame counts as a sign of
+ * life; a peer that stays silent for longer than the limit is disconnected, so that a
+ * connection that went silent is found without the time-out of the kernel.
+ */
+public final class Connection implements AutoCloseable {
+
+	private static final int KIND_ONE_WAY = 0;
+
+	private static final int KIND_REQUEST = 1;
+
+	private static final int KIND_ANSWER = 2;
+
+	private static final int KIND_FAILURE = 3;
+
+	private static final int KIND_HEARTBEAT = 4;
+
+	private static final int KIND_HELLO = 5;
+
+	private static final int KIND_REFUSAL = 6;
+
+	private static final int FRAME_HEADER_BYTES = 4;
+
+	private static final int STREAM_BUFFER_BYTES = 8 * 1024;
+
+	private final Socket socket;
+
+	private final WireOptions options;
+
+	private final DataInputStream input;
+
+	private final DataOutputStream output;
+
+	private final ReentrantLock writeLock = new ReentrantLock();
+
+	private final AtomicLong nextCorrelation = new AtomicLong();
+
+	private final Map<Long, CompletableFuture<Either<CallFailure, Object>>> calls = new ConcurrentHashMap<>();
+
+	private final Set<Thread> answering = ConcurrentHashMap.newKeySet();
+
+	private final AtomicBoolean closed = new AtomicBoolean();
+
+	private final LongAdder bytesSent = new LongAdder();
+
+	private final LongAdder bytesReceived = new LongAdder();
+
+	private volatile ConnectionHandler handler;
+
+	private volatile Hello peer;
+
+	private volatile long lastReceivedMillis;
+
+	private volatile long lastSentMillis;
+
+	private Connection(Socket socket, WireOptions options) throws IOException {
+		this.socket = socket;
+		this.options = options;
+		socket.setTcpNoDelay(true);
+		this.input = new DataInputStream(new BufferedInputStream(socket.getInputStream(), STREAM_BUFFER_BYTES));
+		this.output = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream(), STREAM_BUFFER_BYTES));
+		this.lastReceivedMillis = options.clock().millis();
+		this.lastSentMillis = this.lastReceivedMillis;
+	}
+
+	/**
+	 * Connects to a peer and exchanges hellos.
+	 * @param address where the peer accepts frames
+	 * @param options limits and identity of this process
+	 * @param handler receives what the peer sends
+	 * @return the open connection, or why there is none; the verdict is always
+	 * {@code NOT_RUN}
+	 */
+	public static Either<CallFailure, Connection> open(InetSocketAddress address, WireOptions options,
+			ConnectionHandler handler) {
+		Socket socket = null;
+		try {
+			socket = options.tls().isPresent() ? options.tls().get().getSocketFactory().createSocket() : new Socket();
+			socket.connect(address, options.connectTimeoutMillis());
+			socket.setSoTimeout(options.connectTimeoutMillis());
+			Connection connection = new Connection(socket, options);
+			connection.handler = handler;
+			connection.writeHello();
+			connection.peer = connection.readHello();
+			connection.start();
+			return Either.right(connection);
+		}
+		catch (IOException | RuntimeException ex) {
+			closeQuietly(socket);
+			return Either.left(
+					new CallFailure(ExecutionVerdict.NOT_RUN, "cannot connect to " + address + ": " + ex.getMessage()));
+		}
+	}
+
+	/**
+	 * Accepts a peer: reads its hello, checks the cluster and answers.
+	 * @param socket the accepted socket
+	 * @param options limits and identity of this process
+	 * @param handler receives what the peer sends
+	 * @return the open connection
+	 * @throws IOException if the socket fails
+	 * @throws WireException if the hello is refused
+	 */
+	static Connection accept(Socket socket, WireOptions options, ConnectionHandler handler) throws IOException {
+		socket.setSoTimeout(options.connectTimeoutMillis());
+		Connection connection = new Connection(socket, options);
+		connection.handler = handler;
+		try {
+			connection.peer = connection.readHello();
+		}
+		catch (WireException ex) {
+			connection.writeFrame(KIND_REFUSAL, 0, ex.getMessage());
+			throw ex;
+		}
+		connection.writeHello();
+		connection.start();
+		return connection;
+	}
+
+	/**
+	 * Returns what the peer said of itself.
+	 * @return the hello of the peer
+	 */
+	public Hello peer() {
+		return this.peer;
+	}
+
+	/**
+	 * Returns the time of the last frame from the peer.
+	 * @return milliseconds of the clock of the options
+	 */
+	public long lastReceivedMillis() {
+		return this.lastReceivedMillis;
+	}
+
+	/**
+	 * Returns the bytes sent so far, with frame headers.
+	 * @return bytes
+	 */
+	public long bytesSent() {
+		return this.bytesSent.sum();
+	}
+
+	/**
+	 * Returns the bytes received so far, with frame headers.
+	 * @return bytes
+	 */
+	public long bytesReceived() {
+		return this.bytesReceived.sum();
+	}
+
+	/**
+	 * Tells whether the connection is still open.
+	 * @return true until it is closed by either side
+	 */
+	public boolean isOpen() {
+		return !this.closed.get();
+	}
+
+	/**
+	 * Sends a one-way message. Blocks while the peer does not read, at most until the
+	 * silence limit closes the connection.
+	 * @param message a message of the catalog
+	 * @return true if it was handed to the socket
+	 */
+	public boolean send(Object message) {
+		return isOpen() && tryWrite(KIND_ONE_WAY, 0, message);
+	}
+
+	/**
+	 * Sends a request and waits for the answer. A late answer is discarded.
+	 * @param <T> type of the answer
+	 * @param request a message of the catalog
+	 * @param timeoutMillis longest wait
+	 * @param answerType class of the answer
+	 * @return the answer, or why there is none and whether the request may have run
+	 */
+	public <T> Either<CallFailure, T> call(Object request, long timeoutMillis, Class<T> answerType) {
+		long correlation = this.nextCorrelation.incrementAndGet();
+		CompletableFuture<Either<CallFailure, Object>> future = new CompletableFuture<>();
+		this.calls.put(correlation, future);
+		try {
+			if (!isOpen()) {
+				return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "connection is closed"));
+			}
+			if (!tryWrite(KIND_REQUEST, correlation, request)) {
+				return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, "connection broke while sending"));
+			}
+			return future.get(timeoutMillis, TimeUnit.MILLISECONDS).flatMap((answer) -> cast(answer, answerType));
+		}
+		catch (TimeoutException ex) {
+			return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, "no answer in " + timeoutMillis + " ms"));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, "interrupted while waiting"));
+		}
+		catch (ExecutionException ex) {
+			return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, String.valueOf(ex.getCause())));
+		}
+		finally {
+			this.calls.remove(correlation);
+		}
+	}
+
+	@Override
+	public void close() {
+		close("closed by this process");
+	}
+
+	/**
+	 * Closes the connection. Calls without an answer end as "may have run".
+	 * @param reason short sentence for the logs
+	 */
+	public void close(String reason) {
+		if (!this.closed.compareAndSet(false, true)) {
+			return;
+		}
+		closeQuietly(this.socket);
+		CallFailure failure = new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, "connection closed: " + reason);
+		this.calls.values().forEach((future) -> future.complete(Either.left(failure)));
+		this.answering.forEach(Thread::interrupt);
+		ConnectionHandler receiver = this.handler;
+		if (receiver != null && this.peer != null) {
+			receiver.closed(this, reason);
+		}
+	}
+
+	@Override
+	public String toString() {
+		String name = (this.peer != null) ? this.peer.senderId() : "unknown peer";
+		return name + " at " + this.socket.getRemoteSocketAddress();
+	}
+
+	private static <T> Either<CallFailure, T> cast(Object answer, Class<T> answerType) {
+		if (answerType.isInstance(answer)) {
+			return Either.right(answerType.cast(answer));
+		}
+		return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN,
+				"unexpected answer " + answer.getClass().getSimpleName()));
+	}
+
+	private void start() throws IOException {
+		this.socket.setSoTimeout(0);
+		Thread.ofVirtual().name("read " + this).start(this::readFrames);
+		Thread.ofVirtual().name("heartbeat " + this).start(this::watch);
+	}
+
+	private void watch() {
+		long pauseMillis = Math.max(10, this.options.heartbeatMillis() / 4);
+		while (isOpen()) {
+			try {
+				Thread.sleep(pauseMillis);
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			long now = this.options.clock().millis();
+			if (now - this.lastReceivedMillis > this.options.silenceLimitMillis()) {
+				close("peer was silent for " + (now - this.lastReceivedMillis) + " ms");
+			}
+			else if (now - this.lastSentMillis >= this.options.heartbeatMillis() && !this.writeLock.isLocked()) {
+				tryWrite(KIND_HEARTBEAT, 0, null);
+			}
+		}
+	}
+
+	private void readFrames() {
+		try {
+			while (isOpen()) {
+				dispatch(readFrame());
+			}
+		}
+		catch (EOFException ex) {
+			close("peer closed the connection");
+		}
+		catch (IOException ex) {
+			close("connection broke: " + ex.getMessage());
+		}
+		catch (RuntimeException ex) {
+			if (isOpen()) {
+				Logger.warn("wire: Closing the connection to {}: {}.", this, ex.getMessage());
+			}
+			close("protocol error: " + ex.getMessage());
+		}
+	}
+
+	private byte[] readFrame() throws IOException {
+		int length = this.input.readInt();
+		if (length <= 0 || length > this.options.largestFrameBytes()) {
+			throw new WireException(
+					"frame of " + length + " bytes is outside 1 to " + this.options.largestFrameBytes());
+		}
+		byte[] body = this.input.readNBytes(length);
+		if (body.length < length) {
+			throw new EOFException("truncated frame");
+		}
+		this.lastReceivedMillis = this.options.clock().millis();
+		this.bytesReceived.add(length + FRAME_HEADER_BYTES);
+		return body;
+	}
+
+	private void dispatch(byte[] body) throws IOException {
+		MessageUnpacker unpacker = Fields.unpacker(body);
+		int kind = unpacker.unpackInt();
+		long correlation = unpacker.unpackLong();
+		switch (kind) {
+			case KIND_HEARTBEAT -> {
+			}
+			case KIND_ONE_WAY -> this.handler.received(this, decode(unpacker));
+			case KIND_REQUEST -> startAnswer(correlation, decode(unpacker));
+			case KIND_ANSWER -> complete(correlation, Either.right(decode(unpacker)));
+			case KIND_FAILURE -> complete(correlation,
+					Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, unpacker.unpackString())));
+			default -> throw new WireException("unknown frame kind " + kind);
+		}
+	}
+
+	private Object decode(MessageUnpacker unpacker) throws IOException {
+		try {
+			return this.options.catalog().decode(unpacker);
+		}
+		catch (EOFException ex) {
+			throw new WireException("message ends too early", ex);
+		}
+	}
+
+	private void complete(long correlation, Either<CallFailure, Object> result) {
+		CompletableFuture<Either<CallFailure, Object>> future = this.calls.get(correlation);
+		if (future != null) {
+			future.complete(result);
+		}
+	}
+
+	private void startAnswer(long correlation, Object request) {
+		Thread.ofVirtual().start(() -> answer(correlation, request));
+	}
+
+	private void answer(long correlation, Object request) {
+		this.answering.add(Thread.currentThread());
+		try {
+			Object answer = this.handler.answer(this, request);
+			tryWrite(KIND_ANSWER, correlation, answer);
+		}
+		catch (RuntimeException ex) {
+			Logger.warn(ex, "wire: Request {} from {} failed.", request.getClass().getSimpleName(), this);
+			tryWrite(KIND_FAILURE, correlation, "peer failed: " + ex);
+		}
+		finally {
+			this.answering.remove(Thread.currentThread());
+		}
+	}
+
+	private boolean tryWrite(int kind, long correlation, Object message) {
+		try {
+			writeFrame(kind, correlation, message);
+			return true;
+		}
+		catch (IOException ex) {
+			close("connection broke: " + ex.getMessage());
+			return false;
+		}
+	}
+
+	private void writeFrame(int kind, long correlation, Object message) throws IOException {
+		byte[] body = encode(kind, correlation, message);
+		if (body.length > this.options.largestFrameBytes()) {
+			throw new LavenderroadException("message of " + body.length + " bytes is over the frame limit of "
+					+ this.options.largestFrameBytes());
+		}
+		this.writeLock.lock();
+		try {
+			this.output.writeInt(body.length);
+			this.output.write(body);
+			// A waiting writer flushes for both, which saves one system call.
+			if (!this.writeLock.hasQueuedThreads()) {
+				this.output.flush();
+			}
+		}
+		finally {
+			this.writeLock.unlock();
+		}
+		this.lastSentMillis = this.options.clock().millis();
+		this.bytesSent.add(body.length + FRAME_HEADER_BYTES);
+	}
+
+	private byte[] encode(int kind, long correlation, Object message) throws IOException {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packInt(kind);
+			packer.packLong(correlation);
+			switch (kind) {
+				case KIND_HEARTBEAT -> {
+				}
+				case KIND_HELLO -> this.options.hello().encode(packer);
+				case KIND_FAILURE, KIND_REFUSAL -> packer.packString((String) message);
+				default -> this.options.catalog().encode(message, packer);
+			}
+			return packer.toByteArray();
+		}
+	}
+
+	private void writeHello() throws IOException {
+		writeFrame(KIND_HELLO, 0, null);
+	}
+
+	private Hello readHello() throws IOException {
+		MessageUnpacker unpacker = Fields.unpacker(readFrame());
+		int kind = unpacker.unpackInt();
+		unpacker.unpackLong();
+		if (kind == KIND_REFUSAL) {
+			throw new WireException("peer refused: " + unpacker.unpackString());
+		}
+		if (kind != KIND_HELLO) {
+			throw new WireException("frame kind " + kind + " in place of a hello");
+		}
+		Hello hello = Hello.decode(unpacker);
+		if (!hello.cluster().equals(this.options.hello().cluster())) {
+			throw new WireException(
+					"cluster '" + hello.cluster() + "' in place of '" + this.options.hello().cluster() + "'");
+		}
+		return hello;
+	}
+
+	private static void closeQuietly(Socket socket) {
+		if (socket == null) {
+			return;
+		}
+		try {
+			socket.close();
+		}
+		catch (IOException ex) {
+			Logger.debug("wire: Closing a socket failed: {}.", ex.getMessage());
+		}
+	}
+
+}
