Add the configuration model and its binding

Cause: distribution, proxy and decisions need common immutable types. Change: mesh and service configuration with slices and deltas, endpoints, evidence, moves, changes, and their MessagePack binding. A delta is computed from the version and the service names that a receiver holds. Ruled out: remembered removals with a horizon; the receiver's names make them unnecessary, and no receiver is ever too old for a delta.

--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/Endpoint.java
@@ -0,0 +1,73 @@
+package io.lavenderroad.model;
+
+import java.util.Objects;
+
+/**
+ * One announced backend server.
+ *
+ * @param nodeId id of the node beside it
+ * @param incarnation start time of the node process, milliseconds since the epoch
+ * @param sequence number of this announcement within the incarnation
+ * @param state state of the backend server
+ * @param service service that it serves
+ * @param version version of the backend server
+ * @param region region of the VM
+ * @param failureDomain failure domain of the VM
+ * @param frameAddress {@code ip:port} where the node accepts frames
+ * @param slots requests that the backend server runs at the same time
+ * @param capacity relative speed of one slot, 100 for the usual VM
+ * @param attachedTo id of the process that the node is attached to
+ */
+public record Endpoint(String nodeId, long incarnation, long sequence, EndpointState state, String service,
+		String version, String region, String failureDomain, String frameAddress, int slots, int capacity,
+		String attachedTo) {
+
+	public Endpoint {
+		Objects.requireNonNull(nodeId, "nodeId");
+		Objects.requireNonNull(state, "state");
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(version, "version");
+		Objects.requireNonNull(region, "region");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(frameAddress, "frameAddress");
+		Objects.requireNonNull(attachedTo, "attachedTo");
+	}
+
+	/**
+	 * Tells whether this announcement replaces another one of the same node: the larger
+	 * pair of incarnation and sequence wins, and {@code EXPIRED} wins over the same pair.
+	 * @param other the announcement known so far
+	 * @return true if this one is newer
+	 */
+	public boolean replaces(Endpoint other) {
+		if (this.incarnation != other.incarnation) {
+			return this.incarnation > other.incarnation;
+		}
+		if (this.sequence != other.sequence) {
+			return this.sequence > other.sequence;
+		}
+		return this.state == EndpointState.EXPIRED && other.state != EndpointState.EXPIRED;
+	}
+
+	/**
+	 * Returns this announcement with another state.
+	 * @param newState the state
+	 * @return the copy
+	 */
+	public Endpoint withState(EndpointState newState) {
+		return new Endpoint(this.nodeId, this.incarnation, this.sequence, newState, this.service, this.version,
+				this.region, this.failureDomain, this.frameAddress, this.slots, this.capacity, this.attachedTo);
+	}
+
+	/**
+	 * Returns the next announcement of the same node.
+	 * @param newState the state
+	 * @param newAttachedTo id of the process that the node is attached to now
+	 * @return the copy with the next sequence
+	 */
+	public Endpoint next(EndpointState newState, String newAttachedTo) {
+		return new Endpoint(this.nodeId, this.incarnation, this.sequence + 1, newState, this.service, this.version,
+				this.region, this.failureDomain, this.frameAddress, this.slots, this.capacity, newAttachedTo);
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/MeshConfiguration.java
@@ -0,0 +1,201 @@
+package io.lavenderroad.model;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.lavenderroad.model.binding.ConfigurationBinding;
+
+/**
+ * One whole, immutable version of the configuration, or the slice of it that one node
+ * needs.
+ */
+public final class MeshConfiguration {
+
+	/**
+	 * The configuration before the first change.
+	 */
+	public static final MeshConfiguration EMPTY = new MeshConfiguration(0, new TreeMap<>());
+
+	private final long version;
+
+	private final SortedMap<String, ServiceConfiguration> services;
+
+	private volatile String digest;
+
+	private MeshConfiguration(long version, SortedMap<String, ServiceConfiguration> services) {
+		this.version = version;
+		this.services = Collections.unmodifiableSortedMap(services);
+	}
+
+	/**
+	 * Creates a configuration from its parts.
+	 * @param version the version
+	 * @param services all services
+	 * @return the configuration
+	 */
+	public static MeshConfiguration of(long version, Collection<ServiceConfiguration> services) {
+		TreeMap<String, ServiceConfiguration> byName = new TreeMap<>();
+		services.forEach((service) -> byName.put(service.name(), service));
+		return new MeshConfiguration(version, byName);
+	}
+
+	/**
+	 * Returns the version.
+	 * @return a number that rises with each accepted change of the mesh
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the services.
+	 * @return services by name
+	 */
+	public SortedMap<String, ServiceConfiguration> services() {
+		return this.services;
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name name of the service
+	 * @return the service
+	 */
+	public Optional<ServiceConfiguration> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Returns the digest of the services: SHA-256 over the sorted names and the digests
+	 * of the encoded services. The version is not part of it.
+	 * @return lower-case hexadecimal text
+	 */
+	public String digest() {
+		if (this.digest == null) {
+			this.digest = ConfigurationBinding.digest(this.services.values());
+		}
+		return this.digest;
+	}
+
+	/**
+	 * Returns the next version.
+	 * @param nextVersion the version, larger than the present one
+	 * @param changed services that are new or changed; their modified version is set
+	 * @param removed names of the services that are removed
+	 * @return the next configuration
+	 */
+	public MeshConfiguration next(long nextVersion, Collection<ServiceConfiguration> changed,
+			Collection<String> removed) {
+		if (nextVersion <= this.version) {
+			throw new IllegalArgumentException("version " + nextVersion + " does not follow " + this.version);
+		}
+		TreeMap<String, ServiceConfiguration> nextServices = new TreeMap<>(this.services);
+		removed.forEach(nextServices::remove);
+		for (ServiceConfiguration service : changed) {
+			nextServices.put(service.name(), service.toBuilder().modifiedVersion(nextVersion).build());
+		}
+		return new MeshConfiguration(nextVersion, nextServices);
+	}
+
+	/**
+	 * Returns the part for a scope.
+	 * @param scope what the receiver needs
+	 * @return this configuration restricted to the services in scope, at the same version
+	 */
+	public MeshConfiguration slice(Scope scope) {
+		if (scope.all()) {
+			return this;
+		}
+		TreeMap<String, ServiceConfiguration> selected = new TreeMap<>();
+		for (String name : namesInScope(scope)) {
+			selected.put(name, this.services.get(name));
+		}
+		return new MeshConfiguration(this.version, selected);
+	}
+
+	/**
+	 * Returns what has to be sent to a receiver that has an older slice in force. The
+	 * names that the receiver holds show what to remove, and which services entered the
+	 * slice although they were modified long ago. So no log of deltas is needed and no
+	 * version is too old.
+	 * @param fromVersion version in force at the receiver
+	 * @param knownNames names of the services that the receiver holds
+	 * @param scope what the receiver needs
+	 * @return the delta, or empty if the receiver holds no version or one that is newer
+	 * than this
+	 */
+	public Optional<ConfigurationDelta> deltaFrom(long fromVersion, Set<String> knownNames, Scope scope) {
+		if (fromVersion <= 0 || fromVersion > this.version) {
+			return Optional.empty();
+		}
+		MeshConfiguration slice = slice(scope);
+		List<ServiceConfiguration> changed = slice.services.values()
+			.stream()
+			.filter((service) -> service.modifiedVersion() > fromVersion || !knownNames.contains(service.name()))
+			.toList();
+		List<String> removed = knownNames.stream()
+			.filter((name) -> !slice.services.containsKey(name))
+			.sorted()
+			.toList();
+		return Optional.of(new ConfigurationDelta(fromVersion, this.version, changed, removed, slice.digest()));
+	}
+
+	/**
+	 * Applies a delta to this slice.
+	 * @param delta a delta from the version of this slice
+	 * @return the new slice, or empty if the delta starts at another version or the
+	 * digest of the result differs
+	 */
+	public Optional<MeshConfiguration> apply(ConfigurationDelta delta) {
+		if (delta.fromVersion() != this.version || delta.toVersion() <= this.version) {
+			return Optional.empty();
+		}
+		TreeMap<String, ServiceConfiguration> nextServices = new TreeMap<>(this.services);
+		delta.removed().forEach(nextServices::remove);
+		delta.changed().forEach((service) -> nextServices.put(service.name(), service));
+		MeshConfiguration next = new MeshConfiguration(delta.toVersion(), nextServices);
+		return next.digest().equals(delta.digest()) ? Optional.of(next) : Optional.empty();
+	}
+
+	/**
+	 * Lists references to resources that this configuration does not hold.
+	 * @return one sentence for each missing resource; empty if complete
+	 */
+	public List<String> missingResources() {
+		List<String> missing = new ArrayList<>();
+		for (ServiceConfiguration service : this.services.values()) {
+			service.split()
+				.keySet()
+				.stream()
+				.filter((name) -> !service.versions().contains(name))
+				.forEach((name) -> missing
+					.add("split of service " + service.name() + " names the unknown version " + name));
+			int sum = service.split().values().stream().mapToInt(Integer::intValue).sum();
+			if (sum != ServiceConfiguration.WHOLE_SHARE) {
+				missing.add("split of service " + service.name() + " sums to " + sum);
+			}
+		}
+		return missing;
+	}
+
+	private Set<String> namesInScope(Scope scope) {
+		Set<String> names = new TreeSet<>();
+		for (ServiceConfiguration service : this.services.values()) {
+			if (service.openToCallers() || scope.ownServices().contains(service.name())) {
+				names.add(service.name());
+			}
+		}
+		for (String own : scope.ownServices()) {
+			service(own).ifPresent((service) -> names.addAll(service.calls()));
+		}
+		names.retainAll(this.services.keySet());
+		return names;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/MoveState.java
@@ -0,0 +1,56 @@
+package io.lavenderroad.model;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Durable state of a move.
+ *
+ * @param service name of the service
+ * @param parameters what the operator asked for
+ * @param startedMillis when the move started, milliseconds since the epoch
+ * @param status status of the move
+ * @param step number of share changes so far
+ * @param shareBasisPoints share of the new version in 1/10,000
+ * @param stepMillis when the last step was taken, milliseconds since the epoch
+ * @param reason why the status is what it is, a short sentence
+ * @param route route that decided a withdrawal, or empty
+ * @param figures figures behind the verdict, such as {@code errors new 12/300 old 1/900}
+ * @param finishedMillis when the verdict was reached, or 0
+ * @param warnings early warnings to the operator, oldest first
+ */
+public record MoveState(String service, MoveParameters parameters, long startedMillis, MoveStatus status, int step,
+		int shareBasisPoints, long stepMillis, String reason, String route, String figures, long finishedMillis,
+		List<String> warnings) {
+
+	public MoveState {
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(parameters, "parameters");
+		Objects.requireNonNull(status, "status");
+		Objects.requireNonNull(reason, "reason");
+		Objects.requireNonNull(route, "route");
+		Objects.requireNonNull(figures, "figures");
+		warnings = List.copyOf(warnings);
+	}
+
+	/**
+	 * Returns the state of a move that has just started with no share.
+	 * @param service name of the service
+	 * @param parameters what the operator asked for
+	 * @param nowMillis the time, milliseconds since the epoch
+	 * @return the state
+	 */
+	public static MoveState started(String service, MoveParameters parameters, long nowMillis) {
+		return new MoveState(service, parameters, nowMillis, MoveStatus.RAMPING, 0, 0, nowMillis, "started", "", "", 0,
+				List.of());
+	}
+
+	/**
+	 * Returns the id of the move.
+	 * @return the id
+	 */
+	public String id() {
+		return this.parameters.id();
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/Observations.java
@@ -0,0 +1,28 @@
+package io.lavenderroad.model;
+
+/**
+ * What callers saw of one version on one route over some time.
+ *
+ * @param calls calls with a final verdict, without those refused as "not run"
+ * @param errors calls that failed: status 500 and above, broken connections and time-outs
+ * @param refusals calls refused as "not run" by the backend server or its node
+ * @param latencies latencies of the calls
+ */
+public record Observations(long calls, long errors, long refusals, LatencyHistogram latencies) {
+
+	/**
+	 * No calls.
+	 */
+	public static final Observations NONE = new Observations(0, 0, 0, LatencyHistogram.EMPTY);
+
+	/**
+	 * Adds other observations.
+	 * @param other the others
+	 * @return the sum
+	 */
+	public Observations plus(Observations other) {
+		return new Observations(this.calls + other.calls, this.errors + other.errors, this.refusals + other.refusals,
+				this.latencies.plus(other.latencies));
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/Route.java
@@ -0,0 +1,48 @@
+package io.lavenderroad.model;
+
+import java.util.Objects;
+
+/**
+ * One route of a service.
+ *
+ * @param name name unique within the service; evidence is kept for each route
+ * @param method HTTP method in upper case, or {@code *} for every method
+ * @param pathPrefix prefix of the path, starting with a slash
+ * @param idempotent whether running a request twice has the same effect as running it
+ * once
+ * @param timeoutMillis longest time for a whole call, in milliseconds
+ * @param largestBodyBytes largest request body, in bytes
+ */
+public record Route(String name, String method, String pathPrefix, boolean idempotent, int timeoutMillis,
+		int largestBodyBytes) {
+
+	/**
+	 * Method that matches every request.
+	 */
+	public static final String ANY_METHOD = "*";
+
+	public Route {
+		Objects.requireNonNull(name, "name");
+		Objects.requireNonNull(method, "method");
+		Objects.requireNonNull(pathPrefix, "pathPrefix");
+	}
+
+	/**
+	 * Tells whether this route serves a request. A prefix matches whole path segments:
+	 * {@code /orders} matches {@code /orders/7} but not {@code /ordersheet}.
+	 * @param requestMethod method in upper case
+	 * @param path path without query
+	 * @return true if it does
+	 */
+	public boolean matches(String requestMethod, String path) {
+		if (!this.method.equals(ANY_METHOD) && !this.method.equals(requestMethod)) {
+			return false;
+		}
+		if (!path.startsWith(this.pathPrefix)) {
+			return false;
+		}
+		return this.pathPrefix.endsWith("/") || path.length() == this.pathPrefix.length()
+				|| path.charAt(this.pathPrefix.length()) == '/';
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/ServiceConfiguration.java
@@ -0,0 +1,322 @@
+package io.lavenderroad.model;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Immutable configuration of one service as nodes use it. The split is the only place
+ * that says which version gets which traffic; during a move each step of the move changes
+ * it.
+ */
+public final class ServiceConfiguration {
+
+	/**
+	 * Sum of the shares of a split.
+	 */
+	public static final int WHOLE_SHARE = 10_000;
+
+	private final String name;
+
+	private final String team;
+
+	private final boolean openToCallers;
+
+	private final Set<String> calls;
+
+	private final List<Route> routes;
+
+	private final Set<String> versions;
+
+	private final Map<String, Integer> split;
+
+	private final ServiceLimits limits;
+
+	private final MoveParameters move;
+
+	private final long modifiedVersion;
+
+	private ServiceConfiguration(Builder builder) {
+		this.name = Objects.requireNonNull(builder.name, "name");
+		this.team = builder.team;
+		this.openToCallers = builder.openToCallers;
+		this.calls = Collections.unmodifiableSet(new TreeSet<>(builder.calls));
+		this.routes = List.copyOf(builder.routes);
+		this.versions = Collections.unmodifiableSet(new TreeSet<>(builder.versions));
+		this.split = Collections.unmodifiableMap(new TreeMap<>(builder.split));
+		this.limits = builder.limits;
+		this.move = builder.move;
+		this.modifiedVersion = builder.modifiedVersion;
+	}
+
+	/**
+	 * Creates a builder.
+	 * @param name name of the service
+	 * @return the builder
+	 */
+	public static Builder builder(String name) {
+		return new Builder(name);
+	}
+
+	/**
+	 * Creates a builder with the values of this service.
+	 * @return the builder
+	 */
+	public Builder toBuilder() {
+		return new Builder(this.name).team(this.team)
+			.openToCallers(this.openToCallers)
+			.calls(this.calls)
+			.routes(this.routes)
+			.versions(this.versions)
+			.split(this.split)
+			.limits(this.limits)
+			.move(this.move)
+			.modifiedVersion(this.modifiedVersion);
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name, unique in the mesh
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the team that owns the service.
+	 * @return name of the team's parameters document
+	 */
+	public String team() {
+		return this.team;
+	}
+
+	/**
+	 * Tells whether callers outside the mesh may use the service through any node.
+	 * @return true if open
+	 */
+	public boolean openToCallers() {
+		return this.openToCallers;
+	}
+
+	/**
+	 * Returns the services that this service calls.
+	 * @return sorted names
+	 */
+	public Set<String> calls() {
+		return this.calls;
+	}
+
+	/**
+	 * Returns the routes.
+	 * @return routes in the order in which they are tried
+	 */
+	public List<Route> routes() {
+		return this.routes;
+	}
+
+	/**
+	 * Returns the known backend server versions.
+	 * @return sorted names
+	 */
+	public Set<String> versions() {
+		return this.versions;
+	}
+
+	/**
+	 * Returns the traffic split.
+	 * @return share of each version in 1/10,000, in the order of the names
+	 */
+	public Map<String, Integer> split() {
+		return this.split;
+	}
+
+	/**
+	 * Returns the limits.
+	 * @return the limits
+	 */
+	public ServiceLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Returns the move in progress or under watch.
+	 * @return the parameters, or empty if no move is active
+	 */
+	public Optional<MoveParameters> move() {
+		return Optional.ofNullable(this.move);
+	}
+
+	/**
+	 * Returns the mesh version that last changed this service.
+	 * @return the version
+	 */
+	public long modifiedVersion() {
+		return this.modifiedVersion;
+	}
+
+	/**
+	 * Finds the route of a request.
+	 * @param method the HTTP method in upper case
+	 * @param path path without query
+	 * @return the first route that matches
+	 */
+	public Optional<Route> route(String method, String path) {
+		return this.routes.stream().filter((route) -> route.matches(method, path)).findFirst();
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ServiceConfiguration service && this.name.equals(service.name)
+				&& this.team.equals(service.team) && this.openToCallers == service.openToCallers
+				&& this.calls.equals(service.calls) && this.routes.equals(service.routes)
+				&& this.versions.equals(service.versions) && this.split.equals(service.split)
+				&& this.limits.equals(service.limits) && Objects.equals(this.move, service.move)
+				&& this.modifiedVersion == service.modifiedVersion;
+	}
+
+	@Override
+	public int hashCode() {
+		return Objects.hash(this.name, this.modifiedVersion, this.split);
+	}
+
+	@Override
+	public String toString() {
+		return this.name + " split " + this.split + " modified in " + this.modifiedVersion;
+	}
+
+	/**
+	 * Builds {@link ServiceConfiguration}.
+	 */
+	public static final class Builder {
+
+		private final String name;
+
+		private String team = "";
+
+		private boolean openToCallers;
+
+		private Collection<String> calls = Set.of();
+
+		private Collection<Route> routes = List.of();
+
+		private Collection<String> versions = Set.of();
+
+		private Map<String, Integer> split = Map.of();
+
+		private ServiceLimits limits = ServiceLimits.DEFAULT;
+
+		private MoveParameters move;
+
+		private long modifiedVersion;
+
+		private Builder(String name) {
+			this.name = name;
+		}
+
+		/**
+		 * Sets the owning team.
+		 * @param team name of the team
+		 * @return this builder
+		 */
+		public Builder team(String team) {
+			this.team = team;
+			return this;
+		}
+
+		/**
+		 * Sets whether outside callers may use the service.
+		 * @param open true if open
+		 * @return this builder
+		 */
+		public Builder openToCallers(boolean open) {
+			this.openToCallers = open;
+			return this;
+		}
+
+		/**
+		 * Sets the services that this one calls.
+		 * @param calls names
+		 * @return this builder
+		 */
+		public Builder calls(Collection<String> calls) {
+			this.calls = calls;
+			return this;
+		}
+
+		/**
+		 * Sets the routes.
+		 * @param routes routes in the order in which they are tried
+		 * @return this builder
+		 */
+		public Builder routes(Collection<Route> routes) {
+			this.routes = routes;
+			return this;
+		}
+
+		/**
+		 * Sets the known versions.
+		 * @param versions names
+		 * @return this builder
+		 */
+		public Builder versions(Collection<String> versions) {
+			this.versions = versions;
+			return this;
+		}
+
+		/**
+		 * Sets the traffic split.
+		 * @param split share of each version in 1/10,000
+		 * @return this builder
+		 */
+		public Builder split(Map<String, Integer> split) {
+			this.split = split;
+			return this;
+		}
+
+		/**
+		 * Sets the limits.
+		 * @param limits the limits
+		 * @return this builder
+		 */
+		public Builder limits(ServiceLimits limits) {
+			this.limits = limits;
+			return this;
+		}
+
+		/**
+		 * Sets the active move.
+		 * @param move the parameters, or null for none
+		 * @return this builder
+		 */
+		public Builder move(MoveParameters move) {
+			this.move = move;
+			return this;
+		}
+
+		/**
+		 * Sets the mesh version that last changed the service.
+		 * @param version the version
+		 * @return this builder
+		 */
+		public Builder modifiedVersion(long version) {
+			this.modifiedVersion = version;
+			return this;
+		}
+
+		/**
+		 * Creates the service.
+		 * @return the service
+		 */
+		public ServiceConfiguration build() {
+			return new ServiceConfiguration(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
@@ -0,0 +1,206 @@
+package io.lavenderroad.model.binding;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import java.util.HexFormat;
+
+import io.lavenderroad.core.wire.Fields;
+import io.lavenderroad.core.wire.MessageEncoder;
+import io.lavenderroad.model.ConfigurationDelta;
+import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.MoveParameters;
+import io.lavenderroad.model.Route;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.ServiceLimits;
+import io.lavenderroad.model.ThinEvidence;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * MessagePack binding of the configuration. Encoding is deterministic, since digests are
+ * taken over the encoded form.
+ */
+public final class ConfigurationBinding {
+
+	private ConfigurationBinding() {
+	}
+
+	/**
+	 * Returns the digest of services.
+	 * @param services services in the order of their names
+	 * @return the SHA-256 digest in lower-case hexadecimal
+	 */
+	public static String digest(Collection<ServiceConfiguration> services) {
+		MessageDigest digest = sha256();
+		for (ServiceConfiguration service : services) {
+			digest.update(service.name().getBytes(StandardCharsets.UTF_8));
+			digest.update(sha256().digest(toBytes(service, ConfigurationBinding::packService)));
+		}
+		return HexFormat.of().formatHex(digest.digest());
+	}
+
+	/**
+	 * Encodes a value.
+	 * @param <T> type of the value
+	 * @param value the value
+	 * @param encoder writes it
+	 * @return the bytes
+	 */
+	public static <T> byte[] toBytes(T value, MessageEncoder<T> encoder) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			encoder.encode(value, packer);
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("encoding into memory failed", ex);
+		}
+	}
+
+	/**
+	 * Writes a configuration.
+	 * @param configuration the configuration
+	 * @param packer receives it
+	 * @throws IOException if the packer fails
+	 */
+	public static void packConfiguration(MeshConfiguration configuration, MessagePacker packer) throws IOException {
+		packer.packLong(configuration.version());
+		Fields.packList(packer, configuration.services().values(), ConfigurationBinding::packService);
+	}
+
+	/**
+	 * Reads a configuration.
+	 * @param unpacker gives it
+	 * @return the configuration
+	 * @throws IOException if the input is truncated
+	 */
+	public static MeshConfiguration unpackConfiguration(MessageUnpacker unpacker) throws IOException {
+		long version = unpacker.unpackLong();
+		return MeshConfiguration.of(version, Fields.unpackList(unpacker, ConfigurationBinding::unpackService));
+	}
+
+	/**
+	 * Writes a delta.
+	 * @param delta the delta
+	 * @param packer receives it
+	 * @throws IOException if the packer fails
+	 */
+	public static void packDelta(ConfigurationDelta delta, MessagePacker packer) throws IOException {
+		packer.packLong(delta.fromVersion());
+		packer.packLong(delta.toVersion());
+		Fields.packList(packer, delta.changed(), ConfigurationBinding::packService);
+		Fields.packList(packer, delta.removed(), (name, target) -> target.packString(name));
+		packer.packString(delta.digest());
+	}
+
+	/**
+	 * Reads a delta.
+	 * @param unpacker gives it
+	 * @return the delta
+	 * @throws IOException if the input is truncated
+	 */
+	public static ConfigurationDelta unpackDelta(MessageUnpacker unpacker) throws IOException {
+		return new ConfigurationDelta(unpacker.unpackLong(), unpacker.unpackLong(),
+				Fields.unpackList(unpacker, ConfigurationBinding::unpackService),
+				Fields.unpackList(unpacker, MessageUnpacker::unpackString), unpacker.unpackString());
+	}
+
+	/**
+	 * Writes a service.
+	 * @param service the service
+	 * @param packer receives it
+	 * @throws IOException if the packer fails
+	 */
+	public static void packService(ServiceConfiguration service, MessagePacker packer) throws IOException {
+		packer.packString(service.name());
+		packer.packString(service.team());
+		packer.packBoolean(service.openToCallers());
+		Fields.packList(packer, service.calls(), (name, target) -> target.packString(name));
+		Fields.packList(packer, service.routes(), ConfigurationBinding::packRoute);
+		Fields.packList(packer, service.versions(), (name, target) -> target.packString(name));
+		Fields.packMap(packer, service.split(), (share, target) -> target.packInt(share));
+		packer.packInt(service.limits().queueLength());
+		packer.packInt(service.limits().customerShareBasisPoints());
+		packer.packInt(service.limits().retryBudgetBasisPoints());
+		packer.packBoolean(service.move().isPresent());
+		if (service.move().isPresent()) {
+			packMoveParameters(service.move().get(), packer);
+		}
+		packer.packLong(service.modifiedVersion());
+	}
+
+	/**
+	 * Reads a service.
+	 * @param unpacker gives it
+	 * @return the service
+	 * @throws IOException if the input is truncated
+	 */
+	public static ServiceConfiguration unpackService(MessageUnpacker unpacker) throws IOException {
+		return ServiceConfiguration.builder(unpacker.unpackString())
+			.team(unpacker.unpackString())
+			.openToCallers(unpacker.unpackBoolean())
+			.calls(Fields.unpackList(unpacker, MessageUnpacker::unpackString))
+			.routes(Fields.unpackList(unpacker, ConfigurationBinding::unpackRoute))
+			.versions(Fields.unpackList(unpacker, MessageUnpacker::unpackString))
+			.split(Fields.unpackMap(unpacker, MessageUnpacker::unpackInt))
+			.limits(new ServiceLimits(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()))
+			.move(unpacker.unpackBoolean() ? unpackMoveParameters(unpacker) : null)
+			.modifiedVersion(unpacker.unpackLong())
+			.build();
+	}
+
+	/**
+	 * Writes the parameters of a move.
+	 * @param move the parameters
+	 * @param packer receives them
+	 * @throws IOException if the packer fails
+	 */
+	public static void packMoveParameters(MoveParameters move, MessagePacker packer) throws IOException {
+		packer.packString(move.id());
+		packer.packString(move.from());
+		packer.packString(move.to());
+		packer.packLong(move.deadlineMillis());
+		packer.packString(move.thinEvidence().name());
+		packer.packString(move.policy());
+	}
+
+	/**
+	 * Reads the parameters of a move.
+	 * @param unpacker gives them
+	 * @return the parameters
+	 * @throws IOException if the input is truncated
+	 */
+	public static MoveParameters unpackMoveParameters(MessageUnpacker unpacker) throws IOException {
+		return new MoveParameters(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(),
+				unpacker.unpackLong(), ThinEvidence.valueOf(unpacker.unpackString()), unpacker.unpackString());
+	}
+
+	private static void packRoute(Route route, MessagePacker packer) throws IOException {
+		packer.packString(route.name());
+		packer.packString(route.method());
+		packer.packString(route.pathPrefix());
+		packer.packBoolean(route.idempotent());
+		packer.packInt(route.timeoutMillis());
+		packer.packInt(route.largestBodyBytes());
+	}
+
+	private static Route unpackRoute(MessageUnpacker unpacker) throws IOException {
+		return new Route(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(),
+				unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt());
+	}
+
+	private static MessageDigest sha256() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is part of every Java platform", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/binding/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * MessagePack binding of the model.
+ */
+package io.lavenderroad.model.binding;
