--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
@@ -0,0 +1,313 @@
+package io.lavenderroad.bench.cluster;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.Location;
+
+/**
+ * A whole deployment on loopback addresses: control members, nodes and stand-in backend
+ * servers as separate processes. Each VM of the deployment has a loopback address of its
+ * own. The frames ports of control members are reached through {@link LinkForwarder}s, so
+ * that members can be cut off.
+ */
+public final class ProcessCluster implements AutoCloseable {
+
+	/**
+	 * Port for operators on control members, and for callers on nodes.
+	 */
+	public static final int HTTP_PORT = 7480;
+
+	/**
+	 * Port for metrics, health and drain.
+	 */
+	public static final int ADMIN_PORT = 7490;
+
+	private static final int FRAMES_PORT = 7400;
+
+	private static final int FORWARDED_PORT = 7401;
+
+	private static final int BACKEND_PORT = 9001;
+
+	private static final int FIRST_CONTROL_HOST = 11;
+
+	private static final int LARGEST_HOST = 250;
+
+	private final String name;
+
+	private final int network;
+
+	private final Path home;
+
+	private final Path folder;
+
+	private final List<String> failureDomains;
+
+	private final List<String> initialMembers = new ArrayList<>();
+
+	private final Map<String, DaemonProcess> processes = new TreeMap<>();
+
+	private final Map<String, DaemonProcess> backends = new TreeMap<>();
+
+	private final Map<String, String> addresses = new TreeMap<>();
+
+	private final Map<String, LinkForwarder> forwarders = new TreeMap<>();
+
+	private int controlCount;
+
+	private int nodeCount;
+
+	/**
+	 * Prepares an empty deployment.
+	 * @param name name of the cluster and of its region
+	 * @param network second octet of its loopback addresses, from 1 to 254; deployments
+	 * with different networks run side by side
+	 * @param home folder of the built repository
+	 * @param folder folder for settings, data and logs
+	 * @param failureDomains names of the failure domains
+	 */
+	public ProcessCluster(String name, int network, Path home, Path folder, List<String> failureDomains) {
+		this.name = name;
+		this.network = network;
+		this.home = home;
+		this.folder = folder;
+		this.failureDomains = List.copyOf(failureDomains);
+		try {
+			Files.createDirectories(folder);
+		}
+		catch (IOException ex) {
+			throw new LavenderroadException("cannot create the run folder", ex, Location.of(folder.toString()));
+		}
+	}
+
+	/**
+	 * Starts the first control members, spread over the failure domains.
+	 * @param count number of members
+	 */
+	public void startControl(int count) {
+		for (int index = 1; index <= count; index++) {
+			String id = "control-" + index;
+			this.addresses.put(id, address(0, FIRST_CONTROL_HOST + index - 1));
+			this.initialMembers.add(id);
+		}
+		for (String id : this.initialMembers) {
+			startControlMember(id, this.initialMembers);
+		}
+	}
+
+	/**
+	 * Starts a control member that waits to be added to the running group.
+	 * @return its id
+	 */
+	public String startSpareControlMember() {
+		String id = "control-" + (this.controlCount + 1);
+		this.addresses.put(id, address(0, FIRST_CONTROL_HOST + this.controlCount));
+		startControlMember(id, List.of());
+		return id;
+	}
+
+	/**
+	 * Starts a backend server with its node.
+	 * @param service service of the backend server
+	 * @param version version of the backend server
+	 * @param slots its slots
+	 * @param backendArguments further arguments of the stand-in
+	 * @return id of the node
+	 */
+	public String startWorker(String service, String version, int slots, List<String> backendArguments) {
+		int index = this.nodeCount++;
+		String domain = this.failureDomains.get(index % this.failureDomains.size());
+		String id = domain + "-" + (index + 1);
+		this.addresses.put(id, address(1 + index / LARGEST_HOST, 1 + index % LARGEST_HOST));
+		startBackend(id, service, version, slots, backendArguments);
+		String settings = commonSettings(id, "node", domain, FRAMES_PORT) + seeds() + """
+				backend: { service: %s, version: %s, http-port: %d, slots: %d }
+				""".formatted(service, version, BACKEND_PORT, slots);
+		startDaemon(id, settings);
+		return id;
+	}
+
+	/**
+	 * Returns a running or ended daemon.
+	 * @param id id of the daemon
+	 * @return the process
+	 */
+	public DaemonProcess process(String id) {
+		return Optional.ofNullable(this.processes.get(id))
+			.orElseThrow(() -> new LavenderroadException("no process '" + id + "' in " + this.processes.keySet()));
+	}
+
+	/**
+	 * Returns the backend server beside a node.
+	 * @param nodeId id of the node
+	 * @return the process
+	 */
+	public DaemonProcess backend(String nodeId) {
+		return Optional.ofNullable(this.backends.get(nodeId))
+			.orElseThrow(() -> new LavenderroadException("no backend server beside '" + nodeId + "'"));
+	}
+
+	/**
+	 * Returns the ids of all daemons with a role.
+	 * @param control true for control members, false for nodes
+	 * @return the ids in alphabetical order
+	 */
+	public List<String> ids(boolean control) {
+		return this.processes.keySet().stream().filter((id) -> id.startsWith("control-") == control).toList();
+	}
+
+	/**
+	 * Returns the IP address of a VM.
+	 * @param id id of the daemon on it
+	 * @return the address
+	 */
+	public String address(String id) {
+		return this.addresses.get(id);
+	}
+
+	/**
+	 * Returns the addresses for operators.
+	 * @return {@code ip:port} of each control member, separated by commas
+	 */
+	public String controlAddresses() {
+		return ids(true).stream().map((id) -> address(id) + ":" + HTTP_PORT).collect(Collectors.joining(","));
+	}
+
+	/**
+	 * Returns the address for callers of a node.
+	 * @param id id of the node
+	 * @return {@code ip:port}
+	 */
+	public String callerAddress(String id) {
+		return address(id) + ":" + HTTP_PORT;
+	}
+
+	/**
+	 * Returns the folder of settings, data and logs.
+	 * @return the folder
+	 */
+	public Path folder() {
+		return this.folder;
+	}
+
+	/**
+	 * Returns the file in which the stand-in beside a node records what it ran.
+	 * @param nodeId id of the node
+	 * @return the file
+	 */
+	public Path backendRecord(String nodeId) {
+		return this.folder.resolve(nodeId + ".ran");
+	}
+
+	/**
+	 * Cuts a control member off from every other process, silently and both ways.
+	 * @param id id of the member
+	 */
+	public void cutOff(String id) {
+		for (Map.Entry<String, String> other : this.addresses.entrySet()) {
+			this.forwarders.get(id).cut(other.getValue());
+			Optional.ofNullable(this.forwarders.get(other.getKey()))
+				.ifPresent((forwarder) -> forwarder.cut(address(id)));
+		}
+	}
+
+	/**
+	 * Ends every cut.
+	 */
+	public void heal() {
+		for (LinkForwarder forwarder : this.forwarders.values()) {
+			this.addresses.values().forEach(forwarder::heal);
+		}
+	}
+
+	/**
+	 * Silences the present connections to a control member for good; new ones work.
+	 * @param id id of the member
+	 */
+	public void silenceConnections(String id) {
+		this.forwarders.get(id).silencePresentConnections();
+	}
+
+	@Override
+	public void close() {
+		this.processes.values().forEach(DaemonProcess::kill);
+		this.backends.values().forEach(DaemonProcess::kill);
+		this.forwarders.values().forEach(LinkForwarder::close);
+	}
+
+	private void startControlMember(String id, List<String> members) {
+		String domain = this.failureDomains.get(this.controlCount % this.failureDomains.size());
+		this.controlCount++;
+		InetSocketAddress listen = new InetSocketAddress(address(id), FRAMES_PORT);
+		try {
+			this.forwarders.put(id, LinkForwarder.start(listen, new InetSocketAddress(address(id), FORWARDED_PORT)));
+		}
+		catch (IOException ex) {
+			throw new LavenderroadException("cannot listen at " + listen, ex);
+		}
+		StringBuilder settings = new StringBuilder(commonSettings(id, "control", domain, FORWARDED_PORT));
+		settings.append("data-folder: ").append(this.folder.resolve(id)).append('\n');
+		if (!members.isEmpty()) {
+			settings.append("control:\n  members:\n");
+			for (String member : members) {
+				settings
+					.append("    - { id: %s, address: \"%s:%d\" }\n".formatted(member, address(member), FRAMES_PORT));
+			}
+		}
+		startDaemon(id, settings.toString());
+	}
+
+	private void startBackend(String id, String service, String version, int slots, List<String> arguments) {
+		List<String> command = new ArrayList<>(List.of(this.home.resolve("bin/stand-in-backend").toString(),
+				"--address", address(id), "--port", String.valueOf(BACKEND_PORT), "--service", service, "--version",
+				version, "--slots", String.valueOf(slots), "--record", backendRecord(id).toString()));
+		command.addAll(arguments);
+		this.backends.put(id, DaemonProcess.start(id + " backend", command, this.folder.resolve(id + ".backend.out")));
+	}
+
+	private void startDaemon(String id, String settings) {
+		Path file = this.folder.resolve(id + ".yml");
+		try {
+			Files.writeString(file, settings);
+		}
+		catch (IOException ex) {
+			throw new LavenderroadException("cannot write settings", ex, Location.of(file.toString()));
+		}
+		List<String> command = List.of(this.home.resolve("bin/lavenderroadd").toString(), "run", file.toString());
+		this.processes.put(id, DaemonProcess.start(id, command, this.folder.resolve(id + ".out")));
+	}
+
+	private String commonSettings(String id, String role, String domain, int framesBind) {
+		return """
+				cluster: %s
+				id: %s
+				role: %s
+				region: %s
+				failure-domain: %s
+				address: %s
+				ports: { frames: %d, frames-bind: %d, http: %d, admin: %d }
+				log: { level: info, file: %s }
+				""".formatted(this.name, id, role, this.name, domain, address(id), FRAMES_PORT, framesBind, HTTP_PORT,
+				ADMIN_PORT, this.folder.resolve(id + ".log"));
+	}
+
+	private String seeds() {
+		return this.initialMembers.stream()
+			.map((id) -> "\"" + address(id) + ":" + FRAMES_PORT + "\"")
+			.collect(Collectors.joining(", ", "seeds: [ ", " ]\n"));
+	}
+
+	private String address(int block, int host) {
+		return "127." + this.network + "." + block + "." + host;
+	}
+
+}
--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -107,6 +107,9 @@
 		Socket socket = null;
 		try {
 			socket = options.tls().isPresent() ? options.tls().get().getSocketFactory().createSocket() : new Socket();
+			if (options.localAddress().isPresent()) {
+				socket.bind(new InetSocketAddress(options.localAddress().get(), 0));
+			}
 			socket.connect(address, options.connectTimeoutMillis());
 			socket.setSoTimeout(options.connectTimeoutMillis());
 			Connection connection = new Connection(socket, options);
--- a/core/src/main/java/io/lavenderroad/core/wire/FrameServer.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/FrameServer.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import javax.net.ssl.SSLServerSocket;
+
 import org.tinylog.Logger;
 
 /**
@@ -42,6 +44,9 @@
 			throws IOException {
 		ServerSocket socket = options.tls().isPresent()
 				? options.tls().get().getServerSocketFactory().createServerSocket() : new ServerSocket();
+		if (socket instanceof SSLServerSocket secureSocket) {
+			secureSocket.setNeedClientAuth(true);
+		}
 		socket.setReuseAddress(true);
 		socket.bind(address, BACKLOG);
 		FrameServer server = new FrameServer(socket, options, handler);
--- a/core/src/main/java/io/lavenderroad/core/wire/WireOptions.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/WireOptions.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.core.wire;
 
+import java.net.InetAddress;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -30,6 +31,8 @@
 
 	private final SSLContext tls;
 
+	private final InetAddress localAddress;
+
 	private WireOptions(Builder builder) {
 		this.hello = Objects.requireNonNull(builder.hello, "hello");
 		this.catalog = Objects.requireNonNull(builder.catalog, "catalog");
@@ -40,6 +43,7 @@
 		this.silenceLimitMillis = builder.silenceLimitMillis;
 		this.mostConnections = builder.mostConnections;
 		this.tls = builder.tls;
+		this.localAddress = builder.localAddress;
 	}
 
 	/**
@@ -122,6 +126,15 @@
 		return Optional.ofNullable(this.tls);
 	}
 
+	/**
+	 * Returns the address that outgoing connections are bound to, so that peers and
+	 * packet filters see the address from the settings.
+	 * @return the address, or empty to let the system choose
+	 */
+	public Optional<InetAddress> localAddress() {
+		return Optional.ofNullable(this.localAddress);
+	}
+
 	/**
 	 * Builds {@link WireOptions}.
 	 */
@@ -145,6 +158,8 @@
 
 		private SSLContext tls;
 
+		private InetAddress localAddress;
+
 		private Builder() {
 		}
 
@@ -238,6 +253,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the address that outgoing connections are bound to.
+		 * @param localAddress an address of this VM
+		 * @return this builder
+		 */
+		public Builder localAddress(InetAddress localAddress) {
+			this.localAddress = localAddress;
+			return this;
+		}
+
 		/**
 		 * Creates the options.
 		 * @return the options
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
@@ -0,0 +1,389 @@
+package io.lavenderroad.daemon;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.lavenderroad.core.LavenderroadException;
+
+/**
+ * Checked settings of one daemon.
+ */
+public final class DaemonSettings {
+
+	private final String cluster;
+
+	private final String id;
+
+	private final String role;
+
+	private final String region;
+
+	private final String failureDomain;
+
+	private final String address;
+
+	private final Ports ports;
+
+	private final List<InetSocketAddress> seeds;
+
+	private final Path dataFolder;
+
+	private final LogSettings log;
+
+	private final BackendSettings backend;
+
+	private final List<MemberSettings> members;
+
+	private final TlsSettings tls;
+
+	private DaemonSettings(Builder builder) {
+		this.cluster = Objects.requireNonNull(builder.cluster, "cluster");
+		this.id = Objects.requireNonNull(builder.id, "id");
+		this.role = Objects.requireNonNull(builder.role, "role");
+		this.region = Objects.requireNonNull(builder.region, "region");
+		this.failureDomain = Objects.requireNonNull(builder.failureDomain, "failureDomain");
+		this.address = Objects.requireNonNull(builder.address, "address");
+		this.ports = Objects.requireNonNull(builder.ports, "ports");
+		this.seeds = List.copyOf(builder.seeds);
+		this.dataFolder = builder.dataFolder;
+		this.log = Objects.requireNonNull(builder.log, "log");
+		this.backend = builder.backend;
+		this.members = List.copyOf(builder.members);
+		this.tls = builder.tls;
+	}
+
+	/**
+	 * Creates an empty builder.
+	 * @return the builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * Returns the name of the cluster.
+	 * @return the name; processes of other clusters are refused
+	 */
+	public String cluster() {
+		return this.cluster;
+	}
+
+	/**
+	 * Returns the id of this process.
+	 * @return the id, unique in the cluster
+	 */
+	public String id() {
+		return this.id;
+	}
+
+	/**
+	 * Returns the role.
+	 * @return name of a registered role
+	 */
+	public String role() {
+		return this.role;
+	}
+
+	/**
+	 * Returns the region of the VM.
+	 * @return the region
+	 */
+	public String region() {
+		return this.region;
+	}
+
+	/**
+	 * Returns the failure domain of the VM.
+	 * @return the failure domain
+	 */
+	public String failureDomain() {
+		return this.failureDomain;
+	}
+
+	/**
+	 * Returns an address of this process.
+	 * @param port a port of this process
+	 * @return the IP address with the port
+	 */
+	public InetSocketAddress socketAddress(int port) {
+		try {
+			return new InetSocketAddress(InetAddress.getByName(this.address), port);
+		}
+		catch (UnknownHostException ex) {
+			throw new LavenderroadException("address '" + this.address + "' is no IP address", ex);
+		}
+	}
+
+	/**
+	 * Returns the address for frames as other processes use it.
+	 * @return {@code ip:port}
+	 */
+	public String frameAddress() {
+		return this.address + ":" + this.ports.frames();
+	}
+
+	/**
+	 * Returns the address for operators as the tool uses it.
+	 * @return {@code ip:port}
+	 */
+	public String httpAddress() {
+		return this.address + ":" + this.ports.http();
+	}
+
+	/**
+	 * Returns the ports.
+	 * @return the ports
+	 */
+	public Ports ports() {
+		return this.ports;
+	}
+
+	/**
+	 * Returns the control members to reach first.
+	 * @return addresses for frames; empty for control members
+	 */
+	public List<InetSocketAddress> seeds() {
+		return this.seeds;
+	}
+
+	/**
+	 * Returns the data folder.
+	 * @return the folder; always present for control members
+	 */
+	public Optional<Path> dataFolder() {
+		return Optional.ofNullable(this.dataFolder);
+	}
+
+	/**
+	 * Returns the log settings.
+	 * @return the settings
+	 */
+	public LogSettings log() {
+		return this.log;
+	}
+
+	/**
+	 * Returns the backend server beside this process.
+	 * @return the settings; present for nodes
+	 */
+	public Optional<BackendSettings> backend() {
+		return Optional.ofNullable(this.backend);
+	}
+
+	/**
+	 * Returns the first members of the control group.
+	 * @return the members; empty for nodes, and for a control member that joins a running
+	 * group
+	 */
+	public List<MemberSettings> members() {
+		return this.members;
+	}
+
+	/**
+	 * Returns the keys for TLS between the product's own processes and towards operators.
+	 * @return the files, or empty for plain TCP
+	 */
+	public Optional<TlsSettings> tls() {
+		return Optional.ofNullable(this.tls);
+	}
+
+	/**
+	 * Ports of a daemon.
+	 *
+	 * @param frames port for frames, as other processes use it
+	 * @param framesBind port that is bound for frames; differs from {@code frames} only
+	 * behind a port forwarder
+	 * @param http port for callers of a node, or for operators of a control member
+	 * @param admin port for metrics, health and drain
+	 */
+	public record Ports(int frames, int framesBind, int http, int admin) {
+
+	}
+
+	/**
+	 * Where and how much to log.
+	 *
+	 * @param level lowest level that is written
+	 * @param file the log file; empty for standard output
+	 */
+	public record LogSettings(String level, Optional<Path> file) {
+
+	}
+
+	/**
+	 * The backend server beside a node.
+	 *
+	 * @param service service that it serves
+	 * @param version its version
+	 * @param httpPort its port on the address of the node
+	 * @param slots requests that it runs at the same time
+	 * @param capacity relative speed of a slot, 100 for the usual VM
+	 * @param healthPath path of its health endpoint
+	 * @param loadPath path of its load endpoint
+	 */
+	public record BackendSettings(String service, String version, int httpPort, int slots, int capacity,
+			String healthPath, String loadPath) {
+
+	}
+
+	/**
+	 * A member of the control group.
+	 *
+	 * @param id id of the member
+	 * @param address {@code ip:port} for frames
+	 */
+	public record MemberSettings(String id, String address) {
+
+	}
+
+	/**
+	 * Files with the keys for TLS.
+	 *
+	 * @param keyStore the PKCS #12 file with the key of this process
+	 * @param trustStore the PKCS #12 file with the trusted authorities
+	 * @param passwordFile file with the password of both
+	 */
+	public record TlsSettings(Path keyStore, Path trustStore, Path passwordFile) {
+
+	}
+
+	/**
+	 * Builds {@link DaemonSettings}.
+	 */
+	public static final class Builder {
+
+		private String cluster;
+
+		private String id;
+
+		private String role;
+
+		private String region;
+
+		private String failureDomain;
+
+		private String address;
+
+		private Ports ports;
+
+		private List<InetSocketAddress> seeds = List.of();
+
+		private Path dataFolder;
+
+		private LogSettings log = new LogSettings("info", Optional.empty());
+
+		private BackendSettings backend;
+
+		private List<MemberSettings> members = List.of();
+
+		private TlsSettings tls;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets who this process is.
+		 * @param cluster name of the cluster
+		 * @param id id of the process
+		 * @param role name of the role
+		 * @return this builder
+		 */
+		public Builder identity(String cluster, String id, String role) {
+			this.cluster = cluster;
+			this.id = id;
+			this.role = role;
+			return this;
+		}
+
+		/**
+		 * Sets where this process runs.
+		 * @param region the region
+		 * @param failureDomain the failure domain
+		 * @param address the IP address
+		 * @param ports the ports
+		 * @return this builder
+		 */
+		public Builder place(String region, String failureDomain, String address, Ports ports) {
+			this.region = region;
+			this.failureDomain = failureDomain;
+			this.address = address;
+			this.ports = ports;
+			return this;
+		}
+
+		/**
+		 * Sets the control members to reach first.
+		 * @param seeds addresses for frames
+		 * @return this builder
+		 */
+		public Builder seeds(List<InetSocketAddress> seeds) {
+			this.seeds = seeds;
+			return this;
+		}
+
+		/**
+		 * Sets the data folder.
+		 * @param dataFolder the folder, or null for none
+		 * @return this builder
+		 */
+		public Builder dataFolder(Path dataFolder) {
+			this.dataFolder = dataFolder;
+			return this;
+		}
+
+		/**
+		 * Sets the log settings.
+		 * @param log the settings
+		 * @return this builder
+		 */
+		public Builder log(LogSettings log) {
+			this.log = log;
+			return this;
+		}
+
+		/**
+		 * Sets the backend server.
+		 * @param backend the settings, or null for none
+		 * @return this builder
+		 */
+		public Builder backend(BackendSettings backend) {
+			this.backend = backend;
+			return this;
+		}
+
+		/**
+		 * Sets the first members of the control group.
+		 * @param members the members
+		 * @return this builder
+		 */
+		public Builder members(List<MemberSettings> members) {
+			this.members = members;
+			return this;
+		}
+
+		/**
+		 * Sets the keys for TLS.
+		 * @param tls the files, or null for plain TCP
+		 * @return this builder
+		 */
+		public Builder tls(TlsSettings tls) {
+			this.tls = tls;
+			return this;
+		}
+
+		/**
+		 * Creates the settings.
+		 * @return the settings
+		 */
+		public DaemonSettings build() {
+			return new DaemonSettings(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -0,0 +1,167 @@
+package io.lavenderroad.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.core.kernel.Kernel;
+import io.vavr.collection.Seq;
+import io.vavr.control.Either;
+import org.tinylog.Logger;
+
+/**
+ * Program {@code lavenderroadd}. Exit codes: 0 success, 1 failure while running, 2 usage,
+ * 3 invalid settings.
+ */
+public final class Main {
+
+	static final int SUCCESS = 0;
+
+	static final int FAILURE = 1;
+
+	static final int USAGE = 2;
+
+	static final int INVALID_SETTINGS = 3;
+
+	private final PrintStream output;
+
+	private final PrintStream errors;
+
+	Main(PrintStream output, PrintStream errors) {
+		this.output = output;
+		this.errors = errors;
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments command line
+	 */
+	public static void main(String[] arguments) {
+		int code = new Main(System.out, System.err).run(arguments);
+		if (code != SUCCESS) {
+			System.exit(code);
+		}
+	}
+
+	int run(String... arguments) {
+		Options options = new Options();
+		FileCommand runCommand = new FileCommand();
+		FileCommand checkCommand = new FileCommand();
+		JCommander commander = JCommander.newBuilder()
+			.programName("lavenderroadd")
+			.addObject(options)
+			.addCommand("run", runCommand)
+			.addCommand("check", checkCommand)
+			.build();
+		try {
+			commander.parse(arguments);
+		}
+		catch (ParameterException ex) {
+			this.errors.println("lavenderroadd: " + ex.getMessage());
+			this.errors.println("Try 'lavenderroadd --help'.");
+			return USAGE;
+		}
+		if (options.version) {
+			this.output.println("lavenderroadd " + version());
+			return SUCCESS;
+		}
+		if (options.help || commander.getParsedCommand() == null) {
+			printUsage(commander, options.help ? this.output : this.errors);
+			return options.help ? SUCCESS : USAGE;
+		}
+		return commander.getParsedCommand().equals("check") ? check(checkCommand.file) : runDaemon(runCommand.file);
+	}
+
+	private int check(String file) {
+		return read(file, Kernel.load()).fold(this::report, (settings) -> {
+			this.output.println(file + " is valid: " + settings.role() + " '" + settings.id() + "' of cluster '"
+					+ settings.cluster() + "'.");
+			return SUCCESS;
+		});
+	}
+
+	private int runDaemon(String file) {
+		Kernel kernel = Kernel.load();
+		return read(file, kernel).fold(this::report, (settings) -> start(settings, kernel));
+	}
+
+	private int start(DaemonSettings settings, Kernel kernel) {
+		LogConfiguration.apply(settings.log());
+		try {
+			Role role = kernel.find(Role.POINT, settings.role()).orElseThrow();
+			RunningRole running = role.start(settings, kernel);
+			Logger.info("daemon: Started {} {} of cluster {} at {}.", settings.role(), settings.id(),
+					settings.cluster(), settings.frameAddress());
+			awaitTermination(running);
+			return SUCCESS;
+		}
+		catch (IOException | LavenderroadException ex) {
+			Logger.error("daemon: Cannot start: {}.", ex.getMessage());
+			this.errors.println("lavenderroadd: cannot start: " + ex.getMessage());
+			return FAILURE;
+		}
+	}
+
+	private static void awaitTermination(RunningRole running) {
+		CountDownLatch done = new CountDownLatch(1);
+		Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(() -> {
+			Logger.info("daemon: Shutting down.");
+			running.shutDown();
+			Logger.info("daemon: Stopped.");
+			done.countDown();
+		}));
+		try {
+			done.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private Either<Seq<Problem>, DaemonSettings> read(String file, Kernel kernel) {
+		return SettingsBinding.readFile(Path.of(file), kernel.names(Role.POINT));
+	}
+
+	private int report(Seq<Problem> problems) {
+		problems.forEach((problem) -> this.errors.println(problem));
+		return INVALID_SETTINGS;
+	}
+
+	private static String version() {
+		String version = Main.class.getPackage().getImplementationVersion();
+		return (version != null) ? version : "development build";
+	}
+
+	private static void printUsage(JCommander commander, PrintStream target) {
+		StringBuilder usage = new StringBuilder();
+		commander.getUsageFormatter().usage(usage);
+		target.print(usage);
+		target.println("  Exit codes: 0 success, 1 failure while running, 2 usage, 3 invalid settings.");
+	}
+
+	private static final class Options {
+
+		@Parameter(names = "--help", help = true, description = "Print this help")
+		private boolean help;
+
+		@Parameter(names = "--version", description = "Print the version")
+		private boolean version;
+
+	}
+
+	@Parameters(commandDescription = "Run the daemon, or check its settings without starting it")
+	private static final class FileCommand {
+
+		@Parameter(required = true, arity = 1, description = "FILE")
+		private String file;
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
@@ -0,0 +1,231 @@
+package io.lavenderroad.daemon;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.core.settings.YamlDocument;
+import io.lavenderroad.core.settings.YamlNode;
+import io.lavenderroad.daemon.DaemonSettings.BackendSettings;
+import io.lavenderroad.daemon.DaemonSettings.LogSettings;
+import io.lavenderroad.daemon.DaemonSettings.MemberSettings;
+import io.lavenderroad.daemon.DaemonSettings.Ports;
+import io.lavenderroad.daemon.DaemonSettings.TlsSettings;
+import io.vavr.collection.Seq;
+import io.vavr.control.Either;
+
+/**
+ * Reads and checks the settings file of a daemon. All problems are reported at once.
+ */
+public final class SettingsBinding {
+
+	/**
+	 * Role of a control member.
+	 */
+	public static final String CONTROL_ROLE = "control";
+
+	/**
+	 * Role of a node.
+	 */
+	public static final String NODE_ROLE = "node";
+
+	private static final Pattern NAME = Pattern.compile("[a-z][a-z0-9-]{0,62}");
+
+	private static final Pattern VERSION = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
+	private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+
+	private static final Pattern ADDRESS = Pattern.compile("(" + OCTET + "[.]){3}" + OCTET);
+
+	private static final Pattern SOCKET_ADDRESS = Pattern.compile(ADDRESS.pattern() + ":[1-9][0-9]{0,4}");
+
+	private static final Pattern URL_PATH = Pattern.compile("/[!-~]{0,200}");
+
+	private static final Pattern FILE_PATH = Pattern.compile("[^\\x00]{1,400}");
+
+	private static final String NAME_ALLOWED = "a name of lower-case letters, digits and hyphens, at most 63 characters";
+
+	private static final String SOCKET_ADDRESS_ALLOWED = "an IP address and a port, such as 127.0.0.1:7400";
+
+	private static final int LARGEST_PORT = 65_535;
+
+	private static final int MOST_MEMBERS = 7;
+
+	private SettingsBinding() {
+	}
+
+	/**
+	 * Reads a settings file.
+	 * @param file the file
+	 * @param roles names of the registered roles
+	 * @return the settings, or all problems
+	 */
+	public static Either<Seq<Problem>, DaemonSettings> readFile(Path file, Collection<String> roles) {
+		return YamlDocument.readFile(file, (root) -> bind(root, roles));
+	}
+
+	/**
+	 * Reads settings from a text.
+	 * @param source name of the source for locations
+	 * @param text the YAML document
+	 * @param roles names of the registered roles
+	 * @return the settings, or all problems
+	 */
+	public static Either<Seq<Problem>, DaemonSettings> read(String source, String text, Collection<String> roles) {
+		return YamlDocument.read(source, text, (root) -> bind(root, roles));
+	}
+
+	private static DaemonSettings bind(YamlNode root, Collection<String> roles) {
+		DaemonSettings.Builder builder = DaemonSettings.builder();
+		String role = root.child("role").word(roles, null);
+		builder.identity(name(root.child("cluster")), name(root.child("id")), role);
+		builder.place(name(root.child("region")), name(root.child("failure-domain")), address(root.child("address")),
+				ports(root.child("ports")));
+		builder.seeds(seeds(root.child("seeds"), role));
+		builder.dataFolder(dataFolder(root.child("data-folder"), role));
+		builder.log(log(root.child("log")));
+		builder.backend(backend(root.child("backend"), role));
+		builder.members(members(root.child("control"), role));
+		builder.tls(tls(root.child("tls")));
+		root.rejectUnknownKeys();
+		return builder.build();
+	}
+
+	private static String name(YamlNode node) {
+		return node.requiredText(NAME_ALLOWED, NAME);
+	}
+
+	private static String address(YamlNode node) {
+		return node.requiredText("an IP address such as 127.0.0.1", ADDRESS);
+	}
+
+	private static Ports ports(YamlNode node) {
+		int frames = port(node.child("frames"));
+		int framesBind = node.child("frames-bind").integer(1, LARGEST_PORT, OptionalInt.of(frames));
+		int http = port(node.child("http"));
+		int admin = port(node.child("admin"));
+		if (frames == http || http == admin || frames == admin) {
+			node.problem(frames + ", " + http + " and " + admin, "three different ports");
+		}
+		node.rejectUnknownKeys();
+		return new Ports(frames, framesBind, http, admin);
+	}
+
+	private static int port(YamlNode node) {
+		return node.integer(1, LARGEST_PORT, OptionalInt.empty());
+	}
+
+	private static List<InetSocketAddress> seeds(YamlNode node, String role) {
+		List<InetSocketAddress> seeds = new ArrayList<>();
+		for (YamlNode item : node.items()) {
+			String text = item.requiredText(SOCKET_ADDRESS_ALLOWED, SOCKET_ADDRESS);
+			if (!text.isEmpty()) {
+				seeds.add(parse(text));
+			}
+		}
+		if (role.equals(NODE_ROLE) && node.items().isEmpty()) {
+			node.problem("no seed", "the frame address of at least one control member");
+		}
+		return seeds;
+	}
+
+	private static Path dataFolder(YamlNode node, String role) {
+		if (!node.present() && !role.equals(CONTROL_ROLE)) {
+			return null;
+		}
+		return Path.of(node.requiredText("a folder; a control member needs one", FILE_PATH));
+	}
+
+	private static LogSettings log(YamlNode node) {
+		String level = node.child("level").word(List.of("trace", "debug", "info", "warn", "error"), "info");
+		YamlNode fileNode = node.child("file");
+		Optional<Path> file = fileNode.present() ? Optional.of(fileNode.requiredText("a file", FILE_PATH)).map(Path::of)
+				: Optional.empty();
+		node.rejectUnknownKeys();
+		return new LogSettings(level, file);
+	}
+
+	private static BackendSettings backend(YamlNode node, String role) {
+		if (!node.present()) {
+			if (role.equals(NODE_ROLE)) {
+				node.problem("nothing", "the backend server beside this node");
+			}
+			return null;
+		}
+		BackendSettings backend = new BackendSettings(name(node.child("service")),
+				node.child("version").requiredText("a version of letters, digits, dots and hyphens", VERSION),
+				port(node.child("http-port")), node.child("slots").integer(1, 10_000, OptionalInt.empty()),
+				node.child("capacity").integer(1, 10_000, OptionalInt.of(100)),
+				path(node.child("health-path"), "/health"), path(node.child("load-path"), "/load"));
+		node.rejectUnknownKeys();
+		return backend;
+	}
+
+	private static TlsSettings tls(YamlNode node) {
+		if (!node.present()) {
+			return null;
+		}
+		TlsSettings tls = new TlsSettings(file(node.child("key-store")), file(node.child("trust-store")),
+				file(node.child("password-file")));
+		node.rejectUnknownKeys();
+		return tls;
+	}
+
+	private static Path file(YamlNode node) {
+		return Path.of(node.requiredText("a file", FILE_PATH));
+	}
+
+	private static String path(YamlNode node, String fallback) {
+		return node.present() ? node.requiredText("a path that starts with a slash", URL_PATH) : fallback;
+	}
+
+	private static List<MemberSettings> members(YamlNode node, String role) {
+		List<MemberSettings> members = new ArrayList<>();
+		Set<String> ids = new HashSet<>();
+		YamlNode list = node.child("members");
+		for (YamlNode item : list.items()) {
+			MemberSettings member = new MemberSettings(name(item.child("id")),
+					item.child("address").requiredText(SOCKET_ADDRESS_ALLOWED, SOCKET_ADDRESS));
+			item.rejectUnknownKeys();
+			if (!ids.add(member.id())) {
+				item.problem("member '" + member.id() + "' a second time", "each member once");
+			}
+			members.add(member);
+		}
+		if (members.size() > MOST_MEMBERS) {
+			list.problem(members.size() + " members", "at most " + MOST_MEMBERS);
+		}
+		if (node.present() && !role.equals(CONTROL_ROLE)) {
+			node.problem("control members", "no such key for this role; name them in seeds");
+		}
+		node.rejectUnknownKeys();
+		return members;
+	}
+
+	/**
+	 * Turns {@code ip:port} into an address without any name lookup.
+	 * @param text the checked text
+	 * @return the address
+	 */
+	public static InetSocketAddress parse(String text) {
+		int colon = text.lastIndexOf(':');
+		try {
+			InetAddress host = InetAddress.ofLiteral(text.substring(0, colon));
+			return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+		}
+		catch (IllegalArgumentException | IndexOutOfBoundsException ex) {
+			throw new LavenderroadException("'" + text + "' is not " + SOCKET_ADDRESS_ALLOWED, ex);
+		}
+	}
+
+}
