Add the durable log of a control member

Each record carries the index that was durable when it was written, so damage inside the last unsynced batch is told apart from damage of synced records even if later records of the same batch reached the disk. Conclusion: a flipped bit in the very last synced record cannot be told from a torn write; it is never applied, but the record is truncated.

--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/log/LogRecord.java
@@ -0,0 +1,111 @@
+package io.lavenderroad.control.log;
+
+import java.nio.ByteBuffer;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+/**
+ * The form of an entry on disk, with numbers in big-endian order: length of the body (4
+ * bytes), CRC32C of length and body (4), then the body: index (8), term (8), durable
+ * index (8), kind (1), payload.
+ *
+ * @param entry the entry
+ * @param durableIndex index of the last entry that was synced when this record was
+ * written. A damaged record at or below it was durable once, so it is not a torn write.
+ * @param size size of the record in bytes
+ */
+record LogRecord(LogEntry entry, long durableIndex, int size) {
+
+	private static final int HEADER_BYTES = 8;
+
+	private static final int FIXED_BODY_BYTES = 25;
+
+	/**
+	 * Size of a record without payload in bytes.
+	 */
+	static final int SMALLEST_BYTES = HEADER_BYTES + FIXED_BODY_BYTES;
+
+	static int size(LogEntry entry) {
+		return SMALLEST_BYTES + entry.payload().length;
+	}
+
+	static ByteBuffer encode(Collection<LogEntry> entries, long durableIndex) {
+		int total = entries.stream().mapToInt(LogRecord::size).sum();
+		ByteBuffer buffer = ByteBuffer.allocate(total);
+		for (LogEntry entry : entries) {
+			int start = buffer.position();
+			int length = FIXED_BODY_BYTES + entry.payload().length;
+			buffer.putInt(length);
+			buffer.putInt(0);
+			buffer.putLong(entry.index());
+			buffer.putLong(entry.term());
+			buffer.putLong(durableIndex);
+			buffer.put((byte) entry.kind().code());
+			buffer.put(entry.payload());
+			buffer.putInt(start + Integer.BYTES, checksum(buffer.array(), start, length));
+		}
+		return buffer.flip();
+	}
+
+	/**
+	 * Reads the record at an offset.
+	 * @param bytes content of a segment
+	 * @param offset where the record starts
+	 * @return the record, or empty if it is incomplete or its checksum does not match
+	 */
+	static Optional<LogRecord> parse(byte[] bytes, int offset) {
+		if (bytes.length - offset < SMALLEST_BYTES) {
+			return Optional.empty();
+		}
+		ByteBuffer buffer = ByteBuffer.wrap(bytes);
+		int length = buffer.getInt(offset);
+		if (length < FIXED_BODY_BYTES || length > bytes.length - offset - HEADER_BYTES) {
+			return Optional.empty();
+		}
+		if (buffer.getInt(offset + Integer.BYTES) != checksum(bytes, offset, length)) {
+			return Optional.empty();
+		}
+		buffer.position(offset + HEADER_BYTES);
+		long index = buffer.getLong();
+		long term = buffer.getLong();
+		long durableIndex = buffer.getLong();
+		EntryKind kind = EntryKind.of(buffer.get());
+		byte[] payload = new byte[length - FIXED_BODY_BYTES];
+		buffer.get(payload);
+		return Optional
+			.of(new LogRecord(new LogEntry(index, term, kind, payload), durableIndex, HEADER_BYTES + length));
+	}
+
+	/**
+	 * Looks behind a damaged record for one that proves that the damaged one was durable.
+	 * Valid records behind it prove nothing by themselves, as the writes of one batch
+	 * reach the disk in any order.
+	 * @param bytes content of a segment
+	 * @param offset where the damaged record starts
+	 * @param index index that the damaged record should have
+	 * @return whether the damaged record had been synced
+	 */
+	static boolean wasDurable(byte[] bytes, int offset, long index) {
+		ByteBuffer buffer = ByteBuffer.wrap(bytes);
+		long largestIndex = index + bytes.length / SMALLEST_BYTES;
+		for (int position = offset + 1; position <= bytes.length - SMALLEST_BYTES; position++) {
+			long candidate = buffer.getLong(position + HEADER_BYTES);
+			if (candidate > index && candidate <= largestIndex) {
+				Optional<LogRecord> record = parse(bytes, position);
+				if (record.isPresent() && record.get().durableIndex() >= index) {
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
+	private static int checksum(byte[] bytes, int start, int length) {
+		CRC32C checksum = new CRC32C();
+		checksum.update(bytes, start, Integer.BYTES);
+		checksum.update(bytes, start + HEADER_BYTES, length);
+		return (int) checksum.getValue();
+	}
+
+}
--- /dev/null
+++ b/control/src/test/java/io/lavenderroad/control/log/MemoryFileSystem.java
@@ -0,0 +1,174 @@
+package io.lavenderroad.control.log;
+
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * A file system in memory that loses at a crash what was not synced: content by file,
+ * names by folder.
+ */
+public final class MemoryFileSystem implements StorageFileSystem {
+
+	private final TreeMap<Path, Content> names = new TreeMap<>();
+
+	private TreeMap<Path, Content> durableNames = new TreeMap<>();
+
+	private long freeBytes = Long.MAX_VALUE;
+
+	private boolean failingSync;
+
+	public void setFreeBytes(long bytes) {
+		this.freeBytes = bytes;
+	}
+
+	public void setFailingSync(boolean failing) {
+		this.failingSync = failing;
+	}
+
+	/**
+	 * Loses what was not synced. Of bytes appended after the last sync, a random part
+	 * survives.
+	 * @param random decides what survives
+	 */
+	public void crash(RandomGenerator random) {
+		this.names.clear();
+		this.names.putAll(this.durableNames);
+		this.names.values().forEach((content) -> content.crash(random));
+		this.freeBytes = Long.MAX_VALUE;
+		this.failingSync = false;
+	}
+
+	public void replace(Path file, byte[] bytes) {
+		Content content = new Content();
+		content.bytes = bytes;
+		content.durable = bytes;
+		this.names.put(file, content);
+		this.durableNames.put(file, content);
+	}
+
+	@Override
+	public void createFolder(Path folder) {
+	}
+
+	@Override
+	public List<String> list(Path folder) {
+		return this.names.keySet().stream().map((file) -> file.getFileName().toString()).sorted().toList();
+	}
+
+	@Override
+	public byte[] read(Path file) throws IOException {
+		return existing(file).bytes.clone();
+	}
+
+	@Override
+	public StorageFile open(Path file) throws IOException {
+		if (!this.names.containsKey(file) && this.freeBytes == 0) {
+			throw new IOException("No space left on device");
+		}
+		return new MemoryFile(this.names.computeIfAbsent(file, (path) -> new Content()));
+	}
+
+	@Override
+	public void rename(Path source, Path target) throws IOException {
+		Content content = existing(source);
+		this.names.remove(source);
+		this.names.put(target, content);
+	}
+
+	@Override
+	public void delete(Path file) throws IOException {
+		existing(file);
+		this.names.remove(file);
+	}
+
+	@Override
+	public void syncFolder(Path folder) throws IOException {
+		failIfAsked();
+		this.durableNames = new TreeMap<>(this.names);
+	}
+
+	private Content existing(Path file) throws IOException {
+		Content content = this.names.get(file);
+		if (content == null) {
+			throw new FileNotFoundException(file.toString());
+		}
+		return content;
+	}
+
+	private void failIfAsked() throws IOException {
+		if (this.failingSync) {
+			throw new IOException("Input/output error");
+		}
+	}
+
+	/**
+	 * Content of a file.
+	 */
+	private static final class Content {
+
+		private byte[] bytes = new byte[0];
+
+		private byte[] durable = new byte[0];
+
+		private void crash(RandomGenerator random) {
+			boolean grown = this.bytes.length > this.durable.length
+					&& Arrays.mismatch(this.durable, this.bytes) == this.durable.length;
+			int kept = grown ? random.nextInt(this.bytes.length - this.durable.length + 1) : 0;
+			this.bytes = grown ? Arrays.copyOf(this.bytes, this.durable.length + kept) : this.durable.clone();
+			this.durable = this.bytes.clone();
+		}
+
+	}
+
+	/**
+	 * An open file.
+	 */
+	private final class MemoryFile implements StorageFile {
+
+		private final Content content;
+
+		private MemoryFile(Content content) {
+			this.content = content;
+		}
+
+		@Override
+		public void append(ByteBuffer bytes) throws IOException {
+			int count = (int) Math.min(bytes.remaining(), MemoryFileSystem.this.freeBytes);
+			boolean full = count < bytes.remaining();
+			int size = this.content.bytes.length;
+			this.content.bytes = Arrays.copyOf(this.content.bytes, size + count);
+			bytes.get(this.content.bytes, size, count);
+			MemoryFileSystem.this.freeBytes -= count;
+			if (full) {
+				throw new IOException("No space left on device");
+			}
+		}
+
+		@Override
+		public void truncate(long size) {
+			if (size < this.content.bytes.length) {
+				MemoryFileSystem.this.freeBytes += Math.min(this.content.bytes.length - size,
+						Long.MAX_VALUE - MemoryFileSystem.this.freeBytes);
+				this.content.bytes = Arrays.copyOf(this.content.bytes, (int) size);
+			}
+		}
+
+		@Override
+		public void sync() throws IOException {
+			failIfAsked();
+			this.content.durable = this.content.bytes.clone();
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+}
