Add the control member: elections, replication, member changes

Cause: changes must be accepted by a quorum of control members and survive lost members, partitions, restarts and disk faults. Conclusion: the hand-driven methods need no real time; the tasks only wait and call them.

--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/raft/CommitNotice.java
@@ -0,0 +1,12 @@
+package io.lavenderroad.control.raft;
+
+/**
+ * One-way message of the leader right after a commit.
+ *
+ * @param term term of the leader
+ * @param leaderId id of the leader
+ * @param commitIndex index of the last committed entry
+ */
+public record CommitNotice(long term, String leaderId, long commitIndex) {
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/raft/PeerTask.java
@@ -0,0 +1,100 @@
+package io.lavenderroad.control.raft;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+import io.lavenderroad.core.wire.CallFailure;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.WireOptions;
+import io.vavr.control.Either;
+import org.tinylog.Logger;
+
+/**
+ * Sends to one peer, one message at a time. A connection on which a call got no answer is
+ * closed and replaced, as it may have gone silent for good.
+ */
+final class PeerTask implements Runnable {
+
+	private final ControlMember<?> member;
+
+	private final PeerProgress peer;
+
+	private final WireOptions options;
+
+	private final long callTimeoutMillis;
+
+	private Connection connection;
+
+	private boolean reported;
+
+	PeerTask(ControlMember<?> member, PeerProgress peer, WireOptions options, long callTimeoutMillis) {
+		this.member = member;
+		this.peer = peer;
+		this.options = options;
+		this.callTimeoutMillis = callTimeoutMillis;
+	}
+
+	@Override
+	public void run() {
+		try {
+			Optional<PeerMessage> message = this.member.awaitMessage(this.peer);
+			while (message.isPresent()) {
+				send(message.get());
+				message = this.member.awaitMessage(this.peer);
+			}
+		}
+		finally {
+			if (this.connection != null) {
+				this.connection.close("peer is no longer needed");
+			}
+		}
+	}
+
+	static boolean isAddress(String address) {
+		return address.matches(".+:[0-9]{1,5}")
+				&& Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)) < 65_536;
+	}
+
+	private void send(PeerMessage message) {
+		Either<CallFailure, Connection> open = connect();
+		if (open.isLeft()) {
+			report(open.getLeft().reason());
+			this.member.failed(this.peer.member.id(), message);
+			return;
+		}
+		this.reported = false;
+		if (!message.call()) {
+			open.get().send(message.message());
+			return;
+		}
+		Either<CallFailure, Object> answer = open.get().call(message.message(), this.callTimeoutMillis, Object.class);
+		if (answer.isLeft()) {
+			open.get().close(answer.getLeft().reason());
+			this.member.failed(this.peer.member.id(), message);
+		}
+		else {
+			this.member.answered(this.peer.member.id(), message, answer.get());
+		}
+	}
+
+	private Either<CallFailure, Connection> connect() {
+		if (this.connection != null && this.connection.isOpen()) {
+			return Either.right(this.connection);
+		}
+		String address = this.peer.member.address();
+		int colon = address.lastIndexOf(':');
+		InetSocketAddress target = new InetSocketAddress(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1)));
+		Either<CallFailure, Connection> result = Connection.open(target, this.options, this.member.handler());
+		result.forEach((opened) -> this.connection = opened);
+		return result;
+	}
+
+	private void report(String reason) {
+		if (!this.reported) {
+			this.reported = true;
+			Logger.info("control: Member {} is not reachable: {}.", this.peer.member.id(), reason);
+		}
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/raft/SnapshotReceiver.java
@@ -0,0 +1,86 @@
+package io.lavenderroad.control.raft;
+
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+import io.lavenderroad.control.log.Snapshot;
+
+/**
+ * Joins the parts of a snapshot. Guarded by the lock of {@link ControlMember}.
+ */
+final class SnapshotReceiver {
+
+	/**
+	 * Largest accepted state in bytes. A larger claim of a leader is refused before
+	 * memory is reserved.
+	 */
+	private static final int LARGEST_BYTES = 256 * 1024 * 1024;
+
+	private long index;
+
+	private long term;
+
+	private int checksum;
+
+	private byte[] data = new byte[0];
+
+	private int received;
+
+	/**
+	 * Adds a part. A part at another offset than the expected one is ignored.
+	 * @param chunk the part
+	 * @return the whole snapshot, once it is complete
+	 */
+	Optional<Snapshot> add(SnapshotChunk chunk) {
+		if (chunk.totalBytes() < 0 || chunk.totalBytes() > LARGEST_BYTES) {
+			throw new IllegalArgumentException(
+					"snapshot of " + chunk.totalBytes() + " bytes is outside 0 to " + LARGEST_BYTES);
+		}
+		if (!continues(chunk)) {
+			restart(chunk);
+		}
+		if (chunk.offset() == this.received && chunk.bytes().length <= this.data.length - this.received) {
+			System.arraycopy(chunk.bytes(), 0, this.data, this.received, chunk.bytes().length);
+			this.received += chunk.bytes().length;
+		}
+		if (this.received < this.data.length) {
+			return Optional.empty();
+		}
+		byte[] whole = this.data;
+		clear();
+		if (checksum(whole) != chunk.checksum()) {
+			return Optional.empty();
+		}
+		return Optional.of(new Snapshot(chunk.snapshotIndex(), chunk.snapshotTerm(), chunk.members(), whole));
+	}
+
+	int nextOffset() {
+		return this.received;
+	}
+
+	static int checksum(byte[] data) {
+		CRC32C checksum = new CRC32C();
+		checksum.update(data);
+		return (int) checksum.getValue();
+	}
+
+	private boolean continues(SnapshotChunk chunk) {
+		return chunk.snapshotIndex() == this.index && chunk.snapshotTerm() == this.term
+				&& chunk.checksum() == this.checksum && chunk.totalBytes() == this.data.length;
+	}
+
+	private void restart(SnapshotChunk chunk) {
+		this.index = chunk.snapshotIndex();
+		this.term = chunk.snapshotTerm();
+		this.checksum = chunk.checksum();
+		this.data = new byte[chunk.totalBytes()];
+		this.received = 0;
+	}
+
+	private void clear() {
+		this.index = 0;
+		this.data = new byte[0];
+		this.received = 0;
+	}
+
+}
