--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Backoff.java
@@ -0,0 +1,34 @@
+package io.lavenderroad.distribution;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Waits between attempts with full jitter: uniform between zero and a bound that doubles
+ * with each attempt. Source: Brooker, "Exponential backoff and jitter", 2015. Not safe
+ * for use by several threads.
+ */
+final class Backoff {
+
+	static final long START_MILLIS = 100;
+
+	static final long LIMIT_MILLIS = 5_000;
+
+	private final RandomGenerator random;
+
+	private long boundMillis = START_MILLIS;
+
+	Backoff(RandomGenerator random) {
+		this.random = random;
+	}
+
+	long nextMillis() {
+		long waitMillis = this.random.nextLong(this.boundMillis) + 1;
+		this.boundMillis = Math.min(LIMIT_MILLIS, this.boundMillis * 2);
+		return waitMillis;
+	}
+
+	void reset() {
+		this.boundMillis = START_MILLIS;
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -0,0 +1,328 @@
+package io.lavenderroad.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.locks.ReentrantLock;
+
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.distribution.DistributionMessages.Advance;
+import io.lavenderroad.distribution.DistributionMessages.Attach;
+import io.lavenderroad.distribution.DistributionMessages.Delta;
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import io.lavenderroad.distribution.DistributionMessages.ParentHeartbeat;
+import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
+import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.Subscribe;
+import io.lavenderroad.distribution.DistributionMessages.SubscribeAgain;
+import io.lavenderroad.distribution.DistributionMessages.WholeSlice;
+import io.lavenderroad.model.ConfigurationDelta;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.Scope;
+
+/**
+ * One attached child as its parent sees it. One virtual thread sends, so that a child
+ * that does not read holds up nobody else. The lock guards what the parent remembers of
+ * the child.
+ */
+final class Child {
+
+	private final Children owner;
+
+	private final Connection connection;
+
+	private final Hop hop;
+
+	private final long incarnation;
+
+	private final String failureDomain;
+
+	private final Outbox outbox = new Outbox();
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private Scope scope;
+
+	private long sentVersion;
+
+	private Set<String> sentNames = Set.of();
+
+	private boolean whole;
+
+	private SubtreeStatus status;
+
+	private int redirectedSinceReport;
+
+	private volatile boolean heartbeatDue;
+
+	private volatile long lastSentMillis;
+
+	private volatile long lastReceivedMillis;
+
+	private volatile long version;
+
+	Child(Children owner, Connection connection, Attach attach) {
+		this.owner = owner;
+		this.connection = connection;
+		this.hop = new Hop(attach.nodeId(), attach.frameAddress());
+		this.incarnation = attach.incarnation();
+		this.failureDomain = attach.failureDomain();
+		this.lastSentMillis = owner.clock().millis();
+		this.lastReceivedMillis = this.lastSentMillis;
+	}
+
+	Hop hop() {
+		return this.hop;
+	}
+
+	long incarnation() {
+		return this.incarnation;
+	}
+
+	Connection connection() {
+		return this.connection;
+	}
+
+	void start() {
+		Thread.ofVirtual().name("child " + this.hop.id()).start(this::sendAll);
+	}
+
+	/**
+	 * Describes the child for the decision about another caller.
+	 * @return the place
+	 */
+	Placement.Place place() {
+		this.lock.lock();
+		try {
+			int nodes = (this.status != null) ? this.status.nodes() : 1;
+			return new Placement.Place(this.hop, this.failureDomain, nodes + this.redirectedSinceReport);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	void redirected() {
+		this.lock.lock();
+		try {
+			this.redirectedSinceReport++;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	void reported(Report report) {
+		this.lock.lock();
+		try {
+			this.status = report.status();
+			this.redirectedSinceReport = 0;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Returns the last report of the child.
+	 * @return the status, with one node of unknown version before the first report
+	 */
+	SubtreeStatus status() {
+		this.lock.lock();
+		try {
+			if (this.status != null) {
+				return this.status;
+			}
+			TreeMap<Long, Integer> versions = new TreeMap<>(Map.of(this.version, 1));
+			return new SubtreeStatus(versions, List.of(new NodeVersion(this.hop.id(), this.version)), List.of(), 1, 0,
+					0);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Replaces what is remembered of the child with its own statement.
+	 * @param subscribe the statement
+	 */
+	void subscribed(Subscribe subscribe) {
+		MeshConfiguration current = this.owner.current();
+		this.lock.lock();
+		try {
+			this.version = subscribe.version();
+			this.scope = subscribe.scope();
+			this.sentVersion = subscribe.version();
+			this.whole = subscribe.whole() || subscribe.version() <= 0;
+			this.sentNames = new HashSet<>(subscribe.names());
+			if (!this.whole && !subscribe.namesGiven()) {
+				MeshConfiguration slice = current.slice(this.scope);
+				this.sentNames = new HashSet<>(slice.services().keySet());
+				boolean sameNames = Names.digest(this.sentNames) == subscribe.namesDigest();
+				boolean sameVersion = subscribe.version() == current.version();
+				if (!sameNames || sameVersion && !slice.digest().equals(subscribe.digest())) {
+					this.scope = null;
+					this.outbox.offer(new SubscribeAgain(sameVersion));
+					return;
+				}
+			}
+			compareRegistry(subscribe.registryDigest());
+		}
+		finally {
+			this.lock.unlock();
+		}
+		this.outbox.wake();
+	}
+
+	/**
+	 * Queues announcements that are in the scope of the child.
+	 * @param endpoints the announcements
+	 */
+	void announce(Collection<Endpoint> endpoints) {
+		this.lock.lock();
+		try {
+			if (this.scope != null) {
+				this.outbox.offer(endpoints.stream().filter(this::inScope).toList());
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	void send(DistributionMessage message) {
+		this.outbox.offer(message);
+	}
+
+	void requested(Collection<String> services) {
+		Set<String> wanted = new HashSet<>(services);
+		announce(this.owner.registry().select(wanted::contains, false));
+	}
+
+	void heartbeat() {
+		this.heartbeatDue = true;
+		this.outbox.wake();
+	}
+
+	void wake() {
+		this.outbox.wake();
+	}
+
+	void received(long now) {
+		this.lastReceivedMillis = now;
+	}
+
+	void versionInForce(long newVersion) {
+		this.version = newVersion;
+	}
+
+	private void compareRegistry(long childDigest) {
+		EndpointRegistry registry = this.owner.registry();
+		if (childDigest == 0) {
+			this.outbox.offer(registry.select(this::serviceInScope, false));
+		}
+		else if (childDigest != registry.digest(this::serviceInScope)) {
+			this.outbox.offer(new RegistryDigests(registry.digests(this::serviceInScope)));
+		}
+	}
+
+	private boolean inScope(Endpoint endpoint) {
+		return serviceInScope(endpoint.service()) || endpoint.nodeId().equals(this.hop.id());
+	}
+
+	private boolean serviceInScope(String service) {
+		return this.scope.all() || this.sentNames.contains(service) || this.scope.ownServices().contains(service);
+	}
+
+	private void sendAll() {
+		try {
+			while (this.connection.isOpen()) {
+				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
+					send(message, this.owner.clock().millis());
+				}
+				Optional<DistributionMessage> update = nextUpdate();
+				update.ifPresent((message) -> send(message, this.owner.clock().millis()));
+				beat();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void send(DistributionMessage message, long now) {
+		this.connection.send(message);
+		this.lastSentMillis = now;
+	}
+
+	private void beat() {
+		long now = this.owner.clock().millis();
+		if (now - this.lastReceivedMillis > TreeTimes.SILENCE_LIMIT_MILLIS) {
+			this.connection
+				.close("child " + this.hop.id() + " was silent for " + (now - this.lastReceivedMillis) + " ms");
+			return;
+		}
+		if (this.heartbeatDue || now - this.lastSentMillis >= TreeTimes.OWN_HEARTBEAT_MILLIS) {
+			this.heartbeatDue = false;
+			send(new ParentHeartbeat(this.owner.current().version(), this.owner.rootAgeMillis()), now);
+		}
+	}
+
+	private Optional<DistributionMessage> nextUpdate() {
+		this.lock.lock();
+		try {
+			MeshConfiguration current = this.owner.current();
+			if (this.scope == null || current.version() <= 0 || !this.owner.everything()) {
+				return Optional.empty();
+			}
+			if (this.whole) {
+				return (current.version() >= this.sentVersion) ? Optional.of(wholeSlice(current)) : Optional.empty();
+			}
+			if (current.version() <= this.sentVersion) {
+				return Optional.empty();
+			}
+			return Optional.of(change(current));
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private DistributionMessage wholeSlice(MeshConfiguration current) {
+		MeshConfiguration slice = current.slice(this.scope);
+		this.whole = false;
+		sent(current.version(), slice.services().keySet());
+		return new WholeSlice(this.scope.all(), slice.digest(), slice);
+	}
+
+	private DistributionMessage change(MeshConfiguration current) {
+		ConfigurationDelta delta = current.deltaFrom(this.sentVersion, this.sentNames, this.scope).orElseThrow();
+		if (delta.changed().isEmpty() && delta.removed().isEmpty()) {
+			long fromVersion = this.sentVersion;
+			this.sentVersion = current.version();
+			return new Advance(fromVersion, current.version());
+		}
+		Set<String> names = new HashSet<>(this.sentNames);
+		delta.removed().forEach(names::remove);
+		delta.changed().forEach((service) -> names.add(service.name()));
+		sent(current.version(), names);
+		return new Delta(delta);
+	}
+
+	private void sent(long newVersion, Collection<String> names) {
+		List<String> entered = new ArrayList<>(names);
+		entered.removeAll(this.sentNames);
+		this.sentVersion = newVersion;
+		this.sentNames = new HashSet<>(names);
+		if (!this.scope.all() && !entered.isEmpty()) {
+			this.outbox.offer(this.owner.registry().select(new HashSet<>(entered)::contains, false));
+		}
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -0,0 +1,373 @@
+package io.lavenderroad.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.ReentrantLock;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.distribution.DistributionMessages.Accepted;
+import io.lavenderroad.distribution.DistributionMessages.Attach;
+import io.lavenderroad.distribution.DistributionMessages.ChildHeartbeat;
+import io.lavenderroad.distribution.DistributionMessages.Deferred;
+import io.lavenderroad.distribution.DistributionMessages.EndpointUpdate;
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import io.lavenderroad.distribution.DistributionMessages.Leaving;
+import io.lavenderroad.distribution.DistributionMessages.PathUpdate;
+import io.lavenderroad.distribution.DistributionMessages.Redirected;
+import io.lavenderroad.distribution.DistributionMessages.RegistryRequest;
+import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.ReportAcknowledged;
+import io.lavenderroad.distribution.DistributionMessages.Subscribe;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MeshConfiguration;
+import org.tinylog.Logger;
+
+/**
+ * The children of a root or a relay: admission, placement, leases and reports. The lock
+ * guards the admission, the leases and changes of the set of children.
+ */
+final class Children {
+
+	private final Parent parent;
+
+	private final Placement placement;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final AttachAdmission admission;
+
+	private final LeaseTable leases = new LeaseTable();
+
+	private final ReportLedger ledger = new ReportLedger();
+
+	private final Map<Connection, Child> byConnection = new ConcurrentHashMap<>();
+
+	private final Map<String, Child> byId = new HashMap<>();
+
+	private final ByteCount bytes = new ByteCount();
+
+	private boolean closing;
+
+	Children(Parent parent, Placement placement, int attachesPerSecond) {
+		this.parent = parent;
+		this.placement = placement;
+		this.admission = new AttachAdmission(attachesPerSecond, parent.clock().millis());
+	}
+
+	Clock clock() {
+		return this.parent.clock();
+	}
+
+	MeshConfiguration current() {
+		return this.parent.active().current();
+	}
+
+	EndpointRegistry registry() {
+		return this.parent.registry();
+	}
+
+	long rootAgeMillis() {
+		return this.parent.rootAgeMillis();
+	}
+
+	/**
+	 * Tells whether slices for children can be taken from the version in force.
+	 * @return true if it holds all services
+	 */
+	boolean everything() {
+		return this.parent.active().everything();
+	}
+
+	ByteCount bytes() {
+		return this.bytes;
+	}
+
+	int size() {
+		return this.byConnection.size();
+	}
+
+	/**
+	 * Serves an attach request. Blocks while this process fetches the services that a
+	 * relay needs.
+	 * @param connection connection of the caller
+	 * @param attach the request
+	 * @return the answer
+	 */
+	DistributionMessage attach(Connection connection, Attach attach) {
+		DistributionMessage refusal = refusal(attach);
+		if (refusal != null) {
+			return refusal;
+		}
+		Placement.Decision decision = decide(attach);
+		if (!decision.accepted()) {
+			return decision.targets().isEmpty() ? new Deferred(TreeTimes.HEARTBEAT_MILLIS, "no child is in reach")
+					: new Redirected(decision.targets());
+		}
+		if (!this.parent.prepareToRelay()) {
+			return new Deferred(TreeTimes.CHECK_MILLIS, "the services for children are not here yet");
+		}
+		return accept(connection, attach);
+	}
+
+	/**
+	 * Handles a message of a child.
+	 * @param connection its connection
+	 * @param message the message
+	 */
+	void received(Connection connection, Object message) {
+		Child child = this.byConnection.get(connection);
+		if (child == null) {
+			return;
+		}
+		child.received(clock().millis());
+		switch (message) {
+			case Subscribe subscribe -> child.subscribed(subscribe);
+			case ChildHeartbeat heartbeat -> child.versionInForce(heartbeat.version());
+			case EndpointUpdate update -> this.parent.endpointsFromBelow(update.endpoints(), child.hop().id());
+			case RegistryRequest request -> child.requested(request.services());
+			case Leaving leaving ->
+				Logger.debug("distribution: Child {} is leaving: {}.", child.hop().id(), leaving.reason());
+			default -> Logger.debug("distribution: Ignored {} from child {}.", message.getClass().getSimpleName(),
+					child.hop().id());
+		}
+	}
+
+	/**
+	 * Adds a report once.
+	 * @param connection connection of the child
+	 * @param report the report
+	 * @return the acknowledgement, with number 0 if it was not added
+	 */
+	ReportAcknowledged report(Connection connection, Report report) {
+		Child child = this.byConnection.get(connection);
+		if (child == null) {
+			return new ReportAcknowledged(0);
+		}
+		child.received(clock().millis());
+		child.reported(report);
+		if (this.ledger.isNew(child.hop().id(), child.incarnation(), report.sequence())) {
+			this.parent.evidenceFromBelow(report.evidence());
+		}
+		return new ReportAcknowledged(report.sequence());
+	}
+
+	void closed(Connection connection) {
+		this.bytes.closed(connection);
+		this.lock.lock();
+		try {
+			Child child = this.byConnection.remove(connection);
+			if (child != null && this.byId.remove(child.hop().id(), child)) {
+				this.leases.lost(child.hop().id(), clock().millis());
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Passes announcements on.
+	 * @param endpoints the announcements
+	 * @param exceptId id of the child that sent them, or null
+	 */
+	void announce(Collection<Endpoint> endpoints, String exceptId) {
+		for (Child child : this.byConnection.values()) {
+			if (!child.hop().id().equals(exceptId)) {
+				child.announce(endpoints);
+			}
+		}
+	}
+
+	void wake() {
+		this.byConnection.values().forEach(Child::wake);
+	}
+
+	void heartbeat() {
+		this.byConnection.values().forEach(Child::heartbeat);
+	}
+
+	/**
+	 * Tells the children that the path has changed.
+	 * @param path from the root to this process
+	 */
+	void pathChanged(List<Hop> path) {
+		this.byConnection.values().forEach((child) -> child.send(new PathUpdate(path)));
+	}
+
+	/**
+	 * Returns the sum of the reports of the children.
+	 * @return the sum, one level up
+	 */
+	SubtreeStatus status() {
+		SubtreeStatus sum = SubtreeStatus.EMPTY;
+		for (Child child : this.byConnection.values()) {
+			sum = sum.plus(child.status().oneLevelUp());
+		}
+		return sum;
+	}
+
+	/**
+	 * Expires the endpoints of children that are gone and did not attach elsewhere.
+	 */
+	void expireLeases() {
+		List<String> due;
+		this.lock.lock();
+		try {
+			due = this.leases.takeDue(clock().millis());
+		}
+		finally {
+			this.lock.unlock();
+		}
+		List<Endpoint> expired = new ArrayList<>();
+		for (String nodeId : due) {
+			this.parent.registry()
+				.find(nodeId)
+				.filter((endpoint) -> endpoint.attachedTo().equals(this.parent.self().id()))
+				.filter((endpoint) -> endpoint.state() != EndpointState.EXPIRED)
+				.ifPresent((endpoint) -> expired.add(endpoint.withState(EndpointState.EXPIRED)));
+		}
+		if (!expired.isEmpty()) {
+			Logger.info("distribution: The lease of {} nodes ran out: {}.", expired.size(),
+					expired.stream().map(Endpoint::nodeId).toList());
+			this.parent.endpointsFromBelow(expired, null);
+		}
+	}
+
+	/**
+	 * Asks all children to attach elsewhere and takes no new ones.
+	 * @param reason short sentence for the logs
+	 */
+	void leave(String reason) {
+		this.lock.lock();
+		try {
+			this.closing = true;
+		}
+		finally {
+			this.lock.unlock();
+		}
+		this.byConnection.values().forEach((child) -> child.send(new Leaving(reason)));
+	}
+
+	void close(String reason) {
+		List.copyOf(this.byConnection.keySet()).forEach((connection) -> connection.close(reason));
+	}
+
+	private DistributionMessage refusal(Attach attach) {
+		this.lock.lock();
+		try {
+			if (this.closing) {
+				return new Deferred(TreeTimes.CALL_TIMEOUT_MILLIS, "this process is stopping");
+			}
+			if (this.parent.rootAgeMillis() > TreeTimes.ROOT_AGE_LIMIT_MILLIS) {
+				return new Deferred(TreeTimes.HEARTBEAT_MILLIS, "this process has no contact with a root");
+			}
+			if (TreePath.contains(this.parent.path(), attach.nodeId())) {
+				return new Deferred(TreeTimes.HEARTBEAT_MILLIS, "the caller is an ancestor of this process");
+			}
+			long waitMillis = this.admission.admit(clock().millis());
+			return (waitMillis > 0) ? new Deferred(waitMillis, "attach requests are over the rate of this process")
+					: null;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private Placement.Decision decide(Attach attach) {
+		this.lock.lock();
+		try {
+			List<Placement.Place> places = this.byId.values().stream().map(Child::place).toList();
+			Placement.Decision decision = this.placement.decide(attach.nodeId(), attach.failureDomain(),
+					new HashSet<>(attach.avoided()), places);
+			if (!decision.targets().isEmpty()) {
+				this.byId.get(decision.targets().getFirst().id()).redirected();
+			}
+			return decision;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private DistributionMessage accept(Connection connection, Attach attach) {
+		Child replaced;
+		Child child = new Child(this, connection, attach);
+		this.lock.lock();
+		try {
+			// Other callers may have taken the last place while the services were
+			// fetched.
+			List<Placement.Place> places = this.byId.values().stream().map(Child::place).toList();
+			Placement.Decision again = this.placement.decide(attach.nodeId(), attach.failureDomain(),
+					new HashSet<>(attach.avoided()), places);
+			if (!again.accepted()) {
+				return again.targets().isEmpty() ? new Deferred(TreeTimes.CHECK_MILLIS, "the last place is taken")
+						: new Redirected(again.targets());
+			}
+			replaced = this.byId.put(attach.nodeId(), child);
+			if (replaced != null) {
+				this.byConnection.remove(replaced.connection());
+			}
+			this.byConnection.put(connection, child);
+			this.leases.attached(attach.nodeId());
+		}
+		finally {
+			this.lock.unlock();
+		}
+		this.bytes.opened(connection);
+		if (replaced != null) {
+			replaced.connection().close("child attached again");
+		}
+		if (!connection.isOpen()) {
+			closed(connection);
+		}
+		child.start();
+		return new Accepted(this.parent.path(), current().version(), this.parent.rootAgeMillis());
+	}
+
+	/**
+	 * The process that has the children.
+	 */
+	interface Parent {
+
+		Clock clock();
+
+		Hop self();
+
+		ActiveConfiguration active();
+
+		EndpointRegistry registry();
+
+		/**
+		 * Returns the path from the root to this process, both included.
+		 * @return the path
+		 */
+		List<Hop> path();
+
+		long rootAgeMillis();
+
+		/**
+		 * Makes sure that this process holds all services, as a relay needs.
+		 * @return false if they are not here in time
+		 */
+		boolean prepareToRelay();
+
+		/**
+		 * Merges announcements from the subtree and passes them on.
+		 * @param endpoints the announcements
+		 * @param senderId id of the child that sent them, or null for this process
+		 */
+		void endpointsFromBelow(List<Endpoint> endpoints, String senderId);
+
+		void evidenceFromBelow(Evidence evidence);
+
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -0,0 +1,351 @@
+package io.lavenderroad.distribution;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.FrameServer;
+import io.lavenderroad.core.wire.Hello;
+import io.lavenderroad.core.wire.MessageCatalog;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MeshConfiguration;
+
+/**
+ * Roots and nodes in one process, connected over loopback sockets, for tests and the
+ * benchmark.
+ */
+final class LocalMesh implements AutoCloseable {
+
+	private static final MessageCatalog CATALOG = MessageCatalog.builder().addAll(DistributionMessages.types()).build();
+
+	private final List<Root> roots = new ArrayList<>();
+
+	private final List<Node> nodes = new ArrayList<>();
+
+	private final AtomicLong incarnations = new AtomicLong(System.currentTimeMillis());
+
+	/**
+	 * Starts roots that know each other.
+	 * @param count number of roots
+	 * @param floor confirms the version at the first root
+	 * @return the roots
+	 */
+	List<Root> startRoots(int count, Supplier<Optional<Long>> floor) {
+		List<Root> started = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			started.add(new Root("control-" + index, nextIncarnation()));
+		}
+		List<String> addresses = started.stream().map((root) -> root.address).toList();
+		for (int index = 0; index < count; index++) {
+			started.get(index).start(addresses, (index == 0) ? floor : Optional::empty);
+		}
+		this.roots.addAll(started);
+		return started;
+	}
+
+	/**
+	 * Creates a node that is not started yet.
+	 * @param id id of the node
+	 * @param failureDomain its failure domain
+	 * @param service service beside it
+	 * @return the node
+	 */
+	Node node(String id, String failureDomain, String service) {
+		Node node = new Node(id, failureDomain, service, nextIncarnation(), seeds());
+		this.nodes.add(node);
+		return node;
+	}
+
+	List<String> seeds() {
+		return this.roots.stream().map((root) -> root.address).toList();
+	}
+
+	List<Node> nodes() {
+		return this.nodes;
+	}
+
+	List<Root> roots() {
+		return this.roots;
+	}
+
+	long nextIncarnation() {
+		return this.incarnations.incrementAndGet();
+	}
+
+	@Override
+	public void close() {
+		this.nodes.forEach(Node::kill);
+		this.roots.forEach(Root::kill);
+	}
+
+	private static WireOptions options(String id, String role, long incarnation, String address, Clock clock) {
+		return WireOptions.builder()
+			.hello(new Hello("local", id, role, incarnation, address))
+			.catalog(CATALOG)
+			.clock(clock)
+			.build();
+	}
+
+	private static FrameServer serve(String id, String role, long incarnation, Clock clock, Gate gate) {
+		try {
+			return FrameServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+					options(id, role, incarnation, "", clock), gate);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot listen on loopback", ex);
+		}
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+	/**
+	 * One control member.
+	 */
+	static final class Root {
+
+		final String id;
+
+		final String address;
+
+		final ConcurrentLinkedQueue<Evidence> evidence = new ConcurrentLinkedQueue<>();
+
+		private final long incarnation;
+
+		private final Gate gate = new Gate();
+
+		private final FrameServer server;
+
+		private RootDistribution distribution;
+
+		Root(String id, long incarnation) {
+			this.id = id;
+			this.incarnation = incarnation;
+			this.server = serve(id, "control", incarnation, Clock.system(), this.gate);
+			this.address = text(this.server.address());
+		}
+
+		void start(List<String> peers, Supplier<Optional<Long>> floor) {
+			this.distribution = RootDistribution.builder()
+				.options(options(this.id, "control", this.incarnation, this.address, Clock.system()))
+				.peers(peers)
+				.confirmCommittedVersion(floor)
+				.evidenceListener(this.evidence::add)
+				.build();
+			this.gate.target = this.distribution.handler();
+			this.distribution.start();
+		}
+
+		RootDistribution distribution() {
+			return this.distribution;
+		}
+
+		void kill() {
+			this.server.close();
+			this.distribution.abort("killed");
+		}
+
+	}
+
+	/**
+	 * One node.
+	 */
+	static final class Node {
+
+		final String id;
+
+		final String address;
+
+		private final Gate gate = new Gate();
+
+		private final HangingClock clock = new HangingClock();
+
+		private final FrameServer server;
+
+		private final NodeDistribution.Builder builder;
+
+		private NodeDistribution distribution;
+
+		Node(String id, String failureDomain, String service, long incarnation, List<String> seeds) {
+			this.id = id;
+			this.server = serve(id, "node", incarnation, this.clock, this.gate);
+			this.address = text(this.server.address());
+			this.builder = NodeDistribution.builder()
+				.options(options(id, "node", incarnation, this.address, this.clock))
+				.clock(this.clock)
+				.seeds(seeds)
+				.endpoint(new Endpoint(id, incarnation, 0, EndpointState.READY, service, "v1", "region", failureDomain,
+						this.address, 12, 100, ""));
+		}
+
+		Node with(Consumer<NodeDistribution.Builder> settings) {
+			settings.accept(this.builder);
+			return this;
+		}
+
+		Node dataFolder(Path folder) {
+			return with((target) -> target.dataFolder(folder));
+		}
+
+		Node validator(Function<MeshConfiguration, List<String>> validator) {
+			return with((target) -> target.validator(validator));
+		}
+
+		Node start() {
+			this.distribution = this.builder.build();
+			this.gate.target = this.distribution.handler();
+			this.distribution.start();
+			return this;
+		}
+
+		NodeDistribution distribution() {
+			return this.distribution;
+		}
+
+		long version() {
+			return this.distribution.configuration().map(MeshConfiguration::version).orElse(0L);
+		}
+
+		/**
+		 * Ends the node as the death of its process does.
+		 */
+		void kill() {
+			this.gate.open.countDown();
+			this.server.close();
+			if (this.distribution != null) {
+				this.distribution.abort("killed");
+			}
+		}
+
+		/**
+		 * Lets the node stop to read and to send while its sockets stay open.
+		 */
+		void hang() {
+			this.gate.hanging = true;
+			this.clock.hang();
+		}
+
+		void stop() {
+			this.distribution.close();
+			this.server.close();
+		}
+
+	}
+
+	/**
+	 * Holds messages back while its node hangs.
+	 */
+	private static final class Gate implements ConnectionHandler {
+
+		private final CountDownLatch open = new CountDownLatch(1);
+
+		private volatile ConnectionHandler target;
+
+		private volatile boolean hanging;
+
+		@Override
+		public void received(Connection connection, Object message) {
+			pass();
+			this.target.received(connection, message);
+		}
+
+		@Override
+		public Object answer(Connection connection, Object request) {
+			pass();
+			return this.target.answer(connection, request);
+		}
+
+		@Override
+		public void closed(Connection connection, String reason) {
+			this.target.closed(connection, reason);
+		}
+
+		private void pass() {
+			if (!this.hanging) {
+				return;
+			}
+			try {
+				this.open.await();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
+	}
+
+	/**
+	 * A clock that can stand still. Senders never find a heartbeat due then.
+	 */
+	private static final class HangingClock implements Clock {
+
+		private final Clock system = Clock.system();
+
+		private volatile long hungMillis;
+
+		@Override
+		public long millis() {
+			long hung = this.hungMillis;
+			return (hung != 0) ? hung : this.system.millis();
+		}
+
+		void hang() {
+			this.hungMillis = this.system.millis();
+		}
+
+	}
+
+	/**
+	 * Waits for conditions.
+	 */
+	static final class Await {
+
+		private static final long CHECK_MILLIS = 5;
+
+		private Await() {
+		}
+
+		/**
+		 * Waits until a condition holds.
+		 * @param boundMillis longest wait
+		 * @param condition the condition
+		 * @return false if the bound passed first
+		 */
+		static boolean until(long boundMillis, Supplier<Boolean> condition) {
+			long startNanos = System.nanoTime();
+			while (!condition.get()) {
+				if (System.nanoTime() - startNanos > boundMillis * 1_000_000) {
+					return false;
+				}
+				try {
+					Thread.sleep(CHECK_MILLIS);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+					return false;
+				}
+			}
+			return true;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Names.java
@@ -0,0 +1,30 @@
+package io.lavenderroad.distribution;
+
+import java.util.Collection;
+
+/**
+ * Digest of the names of the services that a process holds.
+ */
+final class Names {
+
+	private Names() {
+	}
+
+	/**
+	 * Returns a digest that does not depend on the order.
+	 * @param names the names
+	 * @return the digest
+	 */
+	static long digest(Collection<String> names) {
+		long sum = names.size();
+		for (String name : names) {
+			long value = 0;
+			for (int index = 0; index < name.length(); index++) {
+				value = EndpointRegistry.mix(value * 31 + name.charAt(index));
+			}
+			sum += value;
+		}
+		return sum;
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -0,0 +1,795 @@
+package io.lavenderroad.distribution;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.distribution.ActiveConfiguration.Outcome;
+import io.lavenderroad.distribution.DistributionMessages.Advance;
+import io.lavenderroad.distribution.DistributionMessages.Attach;
+import io.lavenderroad.distribution.DistributionMessages.Delta;
+import io.lavenderroad.distribution.DistributionMessages.EndpointUpdate;
+import io.lavenderroad.distribution.DistributionMessages.FloorAnswer;
+import io.lavenderroad.distribution.DistributionMessages.FloorRequest;
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import io.lavenderroad.distribution.DistributionMessages.Leaving;
+import io.lavenderroad.distribution.DistributionMessages.ParentHeartbeat;
+import io.lavenderroad.distribution.DistributionMessages.PathUpdate;
+import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
+import io.lavenderroad.distribution.DistributionMessages.RegistryRequest;
+import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.Subscribe;
+import io.lavenderroad.distribution.DistributionMessages.SubscribeAgain;
+import io.lavenderroad.distribution.DistributionMessages.WholeSlice;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.MeshView;
+import io.lavenderroad.model.Scope;
+import org.tinylog.Logger;
+
+/**
+ * Distribution in a node: keeps it attached to a parent, holds its slice and the
+ * endpoints in scope, and relays both to other nodes when its parent redirects them here.
+ * The lock guards the own announcement, the scope and the floor.
+ */
+public final class NodeDistribution implements MeshView, AutoCloseable {
+
+	private final WireOptions options;
+
+	private final Clock clock;
+
+	private final Hop self;
+
+	private final EndpointRegistry registry = new EndpointRegistry();
+
+	private final ActiveConfiguration active;
+
+	private final Children children;
+
+	private final Uplink uplink;
+
+	private final EvidenceSender evidence = new EvidenceSender();
+
+	private final FloorRequests floorRequests = new FloorRequests(this::askParentForFloor);
+
+	private final ByteCount bytes = new ByteCount();
+
+	private final AtomicLong attaches = new AtomicLong();
+
+	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+	private final ExecutorService applying = Executors
+		.newSingleThreadExecutor(Thread.ofVirtual().name("apply").factory());
+
+	private final RandomGenerator random;
+
+	private final long drainMillis;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final Condition changed = this.lock.newCondition();
+
+	private final Handler handler = new Handler();
+
+	private Endpoint own;
+
+	private Scope scope;
+
+	private boolean wholeRequested;
+
+	private volatile boolean floorConfirmed;
+
+	private volatile long floor;
+
+	private volatile RejectedVersion rejected;
+
+	private volatile boolean closed;
+
+	private NodeDistribution(Builder builder) {
+		this.options = Objects.requireNonNull(builder.options, "options");
+		this.clock = builder.clock;
+		this.random = builder.random;
+		this.own = Objects.requireNonNull(builder.endpoint, "endpoint");
+		this.self = new Hop(this.own.nodeId(), this.own.frameAddress());
+		this.scope = Scope.of(this.own.service());
+		this.drainMillis = builder.drainMillis;
+		this.active = new ActiveConfiguration(builder.validator, ActiveConfiguration.Memory.NONE);
+		this.children = new Children(new NodeParent(), Placement.RELAY, builder.attachesPerSecond);
+		this.uplink = new Uplink(new NodeUplink(), this.options, this.clock, builder.random, builder.seeds,
+				this::ownEndpoint);
+	}
+
+	/**
+	 * Creates a builder.
+	 * @return the builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * Starts to attach. The frame server of the process must pass messages of the types
+	 * in {@link DistributionMessages#types()} to {@link #handler()}.
+	 */
+	public void start() {
+		this.registry.merge(ownEndpoint(), true, this.clock.millis());
+		this.uplink.start();
+		Thread.ofVirtual().name("distribution " + this.self.id()).start(this::tick);
+		Thread.ofVirtual().name("report " + this.self.id()).start(this::reportAll);
+		if (!this.floorConfirmed) {
+			Thread.ofVirtual().name("floor " + this.self.id()).start(this::confirmFloor);
+		}
+	}
+
+	/**
+	 * Returns the handler for connections that the frame server accepts.
+	 * @return the handler
+	 */
+	public ConnectionHandler handler() {
+		return this.handler;
+	}
+
+	@Override
+	public Optional<MeshConfiguration> configuration() {
+		MeshConfiguration current = this.active.current();
+		return (this.floorConfirmed && current.version() > 0 && current.version() >= this.floor) ? Optional.of(current)
+				: Optional.empty();
+	}
+
+	@Override
+	public List<Endpoint> endpoints(String service) {
+		return this.registry.live(service);
+	}
+
+	@Override
+	public void onChange(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Returns the endpoints that this node knows.
+	 * @return the registry
+	 */
+	public EndpointRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Announces the backend server beside this node.
+	 * @param state its state
+	 */
+	public void announce(EndpointState state) {
+		Endpoint next;
+		this.lock.lock();
+		try {
+			this.own = this.own.next(state, parentId());
+			next = this.own;
+		}
+		finally {
+			this.lock.unlock();
+		}
+		endpointsFromBelow(List.of(next), null);
+	}
+
+	/**
+	 * Reports evidence. It is added to earlier evidence and sent once a second.
+	 * @param observed observations that were not reported before
+	 */
+	public void report(Evidence observed) {
+		this.evidence.add(observed);
+	}
+
+	/**
+	 * Returns the state of the distribution in this node.
+	 * @return the state
+	 */
+	public NodeStatus status() {
+		Optional<ParentSession> session = this.uplink.session();
+		return new NodeStatus(this.active.current().version(), configuration().isPresent(),
+				session.map((present) -> present.parent().id()),
+				session.map((present) -> present.path().stream().map(Hop::id).toList()).orElse(List.of()),
+				this.children.size(), rootAgeMillis(), this.active.everything(), this.attaches.get(),
+				this.evidence.lost(), bytesSent(), bytesReceived());
+	}
+
+	/**
+	 * Leaves the tree: asks the children to attach elsewhere and waits until they have,
+	 * at most for the drain time, then announces that this node is gone.
+	 */
+	@Override
+	public void close() {
+		if (this.closed) {
+			return;
+		}
+		this.children.leave("node " + this.self.id() + " is stopping");
+		long startMillis = this.clock.millis();
+		while (this.children.size() > 0 && this.clock.millis() - startMillis < this.drainMillis) {
+			if (!sleep(10)) {
+				break;
+			}
+		}
+		announce(EndpointState.EXPIRED);
+		this.uplink.session().ifPresent((session) -> {
+			sendReport(session);
+			session.connection().send(new EndpointUpdate(List.of(ownEndpoint())));
+			session.connection().send(new Leaving("node " + this.self.id() + " is stopping"));
+		});
+		abort("node " + this.self.id() + " is stopping");
+	}
+
+	/**
+	 * Ends all connections at once and tells nobody, as the death of the process does.
+	 * @param reason short sentence for the logs
+	 */
+	void abort(String reason) {
+		this.closed = true;
+		this.uplink.close(reason);
+		this.children.close(reason);
+		this.applying.shutdown();
+	}
+
+	private Endpoint ownEndpoint() {
+		this.lock.lock();
+		try {
+			return this.own;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private String parentId() {
+		return this.uplink.session().map((session) -> session.parent().id()).orElse("");
+	}
+
+	private List<Hop> path() {
+		List<Hop> above = this.uplink.session().map(ParentSession::path).orElse(List.of());
+		return TreePath.extend(above, this.self);
+	}
+
+	private long rootAgeMillis() {
+		return this.uplink.session().map(ParentSession::rootAgeMillis).orElse(Long.MAX_VALUE / 2);
+	}
+
+	private long bytesSent() {
+		return this.bytes.sent() + this.children.bytes().sent();
+	}
+
+	private long bytesReceived() {
+		return this.bytes.received() + this.children.bytes().received();
+	}
+
+	private void changed() {
+		this.lock.lock();
+		try {
+			this.changed.signalAll();
+		}
+		finally {
+			this.lock.unlock();
+		}
+		this.listeners.forEach(Runnable::run);
+	}
+
+	private void tick() {
+		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
+			this.children.expireLeases();
+			this.registry.forgetExpired(this.clock.millis());
+		}
+	}
+
+	private boolean sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	private void reportAll() {
+		// A random start spreads the reports of nodes that started together.
+		boolean running = sleep(this.random.nextLong(TreeTimes.REPORT_MILLIS) + 1);
+		while (running && !this.closed) {
+			this.uplink.session().ifPresent(this::sendReport);
+			running = sleep(TreeTimes.REPORT_MILLIS);
+		}
+	}
+
+	private void sendReport(ParentSession session) {
+		this.evidence.send(session.connection(), subtreeStatus(), this.clock.millis());
+	}
+
+	private SubtreeStatus subtreeStatus() {
+		long version = configuration().map(MeshConfiguration::version).orElse(0L);
+		RejectedVersion refused = this.rejected;
+		SubtreeStatus mine = new SubtreeStatus(new TreeMap<>(Map.of(version, 1)),
+				List.of(new NodeVersion(this.self.id(), version)), (refused != null) ? List.of(refused) : List.of(), 0,
+				bytesSent(), bytesReceived());
+		return this.children.status().laggingBehind(version).plus(mine);
+	}
+
+	private void confirmFloor() {
+		Backoff backoff = new Backoff(this.random);
+		while (!this.closed) {
+			Optional<Long> confirmed = this.floorRequests.request(2 * TreeTimes.CALL_TIMEOUT_MILLIS);
+			if (confirmed.isPresent()) {
+				this.floor = confirmed.get();
+				this.floorConfirmed = true;
+				Logger.debug("distribution: Node {} may serve from version {}.", this.self.id(), this.floor);
+				changed();
+				return;
+			}
+			if (!sleep(backoff.nextMillis())) {
+				return;
+			}
+		}
+	}
+
+	private Optional<Long> askParentForFloor() {
+		Optional<ParentSession> session = this.uplink.session();
+		if (session.isEmpty()) {
+			return Optional.empty();
+		}
+		return session.get()
+			.connection()
+			.call(new FloorRequest(false), TreeTimes.CALL_TIMEOUT_MILLIS, FloorAnswer.class)
+			.toJavaOptional()
+			.filter(FloorAnswer::confirmed)
+			.map(FloorAnswer::version);
+	}
+
+	private void endpointsFromBelow(List<Endpoint> endpoints, String senderId) {
+		List<Endpoint> merged = merge(endpoints, true);
+		if (!merged.isEmpty()) {
+			this.uplink.session().ifPresent((session) -> session.outbox().offer(merged));
+			this.children.announce(merged, senderId);
+			changed();
+		}
+	}
+
+	private void endpointsFromAbove(List<Endpoint> endpoints) {
+		List<Endpoint> merged = merge(endpoints, false);
+		if (!merged.isEmpty()) {
+			this.children.announce(merged, null);
+			changed();
+		}
+		Endpoint mine = ownEndpoint();
+		boolean ownExpired = merged.stream()
+			.anyMatch((endpoint) -> endpoint.nodeId().equals(mine.nodeId())
+					&& endpoint.incarnation() == mine.incarnation() && endpoint.state() == EndpointState.EXPIRED);
+		if (ownExpired && !this.closed && mine.state() != EndpointState.EXPIRED) {
+			// The other side of a partition gave this node up; a larger sequence refutes
+			// it.
+			announce(mine.state());
+		}
+	}
+
+	private List<Endpoint> merge(List<Endpoint> endpoints, boolean fromBelow) {
+		long now = this.clock.millis();
+		return endpoints.stream().filter((endpoint) -> this.registry.merge(endpoint, fromBelow, now)).toList();
+	}
+
+	private void compareRegistry(ParentSession session, Map<String, Long> parentDigests) {
+		Map<String, Long> mine = this.registry.digests((service) -> true);
+		Set<String> services = new TreeSet<>(mine.keySet());
+		services.addAll(parentDigests.keySet());
+		services.removeIf((service) -> Objects.equals(mine.get(service), parentDigests.get(service)));
+		session.outbox().offer(this.registry.select(services::contains, true));
+		session.outbox().offer(new RegistryRequest(new ArrayList<>(services)));
+	}
+
+	private void subscribe(ParentSession session, boolean namesGiven, boolean whole) {
+		this.lock.lock();
+		try {
+			MeshConfiguration current = this.active.current();
+			boolean wider = this.scope.all() && !this.active.everything();
+			boolean wantsWhole = whole || wider;
+			this.wholeRequested = wantsWhole;
+			Set<String> names = current.services().keySet();
+			Set<String> inScope = new HashSet<>(names);
+			inScope.addAll(this.scope.ownServices());
+			long registryDigest = this.registry.digest((service) -> this.scope.all() || inScope.contains(service));
+			session.outbox()
+				.offer(new Subscribe(this.scope, current.version(), current.digest(), Names.digest(names), namesGiven,
+						namesGiven ? List.copyOf(names) : List.of(), wantsWhole, registryDigest));
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private boolean widen() {
+		this.lock.lock();
+		try {
+			if (!this.scope.all()) {
+				this.scope = Scope.everything();
+				Logger.debug("distribution: Node {} becomes a relay.", this.self.id());
+				this.uplink.session().ifPresent((session) -> subscribe(session, false, false));
+			}
+			long left = TreeTimes.HEARTBEAT_MILLIS * 1_000_000;
+			while (!ready() && left > 0) {
+				left = this.changed.awaitNanos(left);
+			}
+			return ready();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private boolean ready() {
+		// Before the first version there is nothing to serve, so a relay takes children.
+		return this.active.everything()
+				|| this.uplink.session().map((session) -> session.parentVersion() == 0).orElse(false);
+	}
+
+	private void apply(ParentSession session, Object message) {
+		if (this.uplink.session().orElse(null) != session) {
+			return;
+		}
+		switch (message) {
+			case WholeSlice slice -> {
+				Outcome outcome = this.active.offer(slice.configuration(), slice.digest(), slice.everything(),
+						this.wholeRequested);
+				this.wholeRequested = false;
+				settle(session, outcome, slice.configuration().version(), true);
+			}
+			case Delta delta -> settle(session, this.active.offer(delta.delta()), delta.delta().toVersion(), false);
+			case Advance advance -> settle(session,
+					this.active.offerAdvance(advance.fromVersion(), advance.toVersion()), advance.toVersion(), false);
+			default -> throw new LavenderroadException("unexpected " + message.getClass().getSimpleName());
+		}
+	}
+
+	private void settle(ParentSession session, Outcome outcome, long version, boolean whole) {
+		switch (outcome.result()) {
+			case IN_FORCE -> {
+				this.rejected = null;
+				this.children.wake();
+				changed();
+			}
+			case IGNORED -> Logger.debug("distribution: Node {} ignored version {}.", this.self.id(), version);
+			case OTHER_BASE -> subscribe(session, true, false);
+			case DIGEST_MISMATCH -> {
+				if (whole) {
+					reject(version, "digest of the whole slice differs from the stated one");
+				}
+				else {
+					subscribe(session, false, true);
+				}
+			}
+			case REJECTED -> reject(version, outcome.reason());
+		}
+	}
+
+	private void reject(long version, String reason) {
+		Logger.warn("distribution: Node {} rejected version {}: {}.", this.self.id(), version, reason);
+		this.rejected = new RejectedVersion(this.self.id(), version, reason);
+	}
+
+	/**
+	 * Builds {@link NodeDistribution}.
+	 */
+	public static final class Builder {
+
+		private WireOptions options;
+
+		private Clock clock = Clock.system();
+
+		private RandomGenerator random = RandomGenerator.getDefault();
+
+		private List<String> seeds = List.of();
+
+		private Endpoint endpoint;
+
+		private Path dataFolder;
+
+		private Function<MeshConfiguration, List<String>> validator = MeshConfiguration::missingResources;
+
+		private int attachesPerSecond = TreeTimes.RELAY_ATTACHES_PER_SECOND;
+
+		private long drainMillis = 5_000;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets the limits and the identity of the process for outgoing connections.
+		 * @param options the options; their catalog holds the types of this module
+		 * @return this builder
+		 */
+		public Builder options(WireOptions options) {
+			this.options = options;
+			return this;
+		}
+
+		/**
+		 * Sets the clock.
+		 * @param clock the clock
+		 * @return this builder
+		 */
+		public Builder clock(Clock clock) {
+			this.clock = clock;
+			return this;
+		}
+
+		/**
+		 * Sets the source of randomness.
+		 * @param random a source that several threads may use
+		 * @return this builder
+		 */
+		public Builder random(RandomGenerator random) {
+			this.random = random;
+			return this;
+		}
+
+		/**
+		 * Sets the addresses to try first.
+		 * @param seeds {@code ip:port} of control members, or of any node
+		 * @return this builder
+		 */
+		public Builder seeds(List<String> seeds) {
+			this.seeds = List.copyOf(seeds);
+			return this;
+		}
+
+		/**
+		 * Sets the first announcement of the backend server beside this node. Its id,
+		 * region, failure domain and frame address are those of this node, its
+		 * incarnation is the start time of the process.
+		 * @param endpoint the announcement
+		 * @return this builder
+		 */
+		public Builder endpoint(Endpoint endpoint) {
+			this.endpoint = endpoint;
+			return this;
+		}
+
+		/**
+		 * Sets where the last version in force is kept.
+		 * @param dataFolder the folder, or null to keep nothing
+		 * @return this builder
+		 */
+		public Builder dataFolder(Path dataFolder) {
+			this.dataFolder = dataFolder;
+			return this;
+		}
+
+		/**
+		 * Sets the check of each version before it comes in force. The default is
+		 * {@link MeshConfiguration#missingResources()}.
+		 * @param validator lists what is wrong, empty if nothing
+		 * @return this builder
+		 */
+		public Builder validator(Function<MeshConfiguration, List<String>> validator) {
+			this.validator = validator;
+			return this;
+		}
+
+		/**
+		 * Sets how many attach requests are served per second.
+		 * @param count the rate
+		 * @return this builder
+		 */
+		public Builder attachesPerSecond(int count) {
+			this.attachesPerSecond = count;
+			return this;
+		}
+
+		/**
+		 * Sets how long {@link NodeDistribution#close()} waits for children.
+		 * @param millis the time
+		 * @return this builder
+		 */
+		public Builder drainMillis(long millis) {
+			this.drainMillis = millis;
+			return this;
+		}
+
+		/**
+		 * Creates the distribution, which does nothing before it is started.
+		 * @return the distribution
+		 */
+		public NodeDistribution build() {
+			return new NodeDistribution(this);
+		}
+
+	}
+
+	/**
+	 * Dispatches the messages of children and of the parent.
+	 */
+	private final class Handler implements ConnectionHandler {
+
+		@Override
+		public void received(Connection connection, Object message) {
+			ParentSession session = NodeDistribution.this.uplink.session().orElse(null);
+			if (session == null || session.connection() != connection) {
+				NodeDistribution.this.children.received(connection, message);
+				return;
+			}
+			switch (message) {
+				case WholeSlice slice -> later(session, slice);
+				case Delta delta -> later(session, delta);
+				case Advance advance -> later(session, advance);
+				case ParentHeartbeat heartbeat -> {
+					session.heartbeat(heartbeat);
+					NodeDistribution.this.children.heartbeat();
+				}
+				case EndpointUpdate update -> endpointsFromAbove(update.endpoints());
+				case RegistryDigests digests -> compareRegistry(session, digests.digests());
+				case SubscribeAgain again -> subscribe(session, true, again.whole());
+				case PathUpdate update -> pathChanged(session, update.path());
+				case Leaving leaving -> {
+					session.parentIsLeaving();
+					NodeDistribution.this.uplink.check();
+				}
+				default ->
+					Logger.debug("distribution: Ignored {} from the parent.", message.getClass().getSimpleName());
+			}
+		}
+
+		@Override
+		public Object answer(Connection connection, Object request) {
+			return switch (request) {
+				case Attach attach -> NodeDistribution.this.children.attach(connection, attach);
+				case Report report -> NodeDistribution.this.children.report(connection, report);
+				case FloorRequest floorRequest ->
+					NodeDistribution.this.floorRequests.request(TreeTimes.CALL_TIMEOUT_MILLIS)
+						.map((version) -> new FloorAnswer(true, version))
+						.orElse(new FloorAnswer(false, 0));
+				default ->
+					throw new LavenderroadException("no answer to " + request.getClass().getSimpleName() + " here");
+			};
+		}
+
+		@Override
+		public void closed(Connection connection, String reason) {
+			NodeDistribution.this.bytes.closed(connection);
+			NodeDistribution.this.children.closed(connection);
+			NodeDistribution.this.uplink.check();
+		}
+
+		private void later(ParentSession session, Object message) {
+			try {
+				NodeDistribution.this.applying.execute(() -> apply(session, message));
+			}
+			catch (RejectedExecutionException ex) {
+				Logger.debug("distribution: Node {} is closed.", NodeDistribution.this.self.id());
+			}
+		}
+
+		private void pathChanged(ParentSession session, List<Hop> path) {
+			if (path.isEmpty()) {
+				return;
+			}
+			session.pathChanged(path);
+			NodeDistribution.this.children.pathChanged(path());
+			NodeDistribution.this.uplink.check();
+		}
+
+	}
+
+	/**
+	 * This node as the parent of its children.
+	 */
+	private final class NodeParent implements Children.Parent {
+
+		@Override
+		public Clock clock() {
+			return NodeDistribution.this.clock;
+		}
+
+		@Override
+		public Hop self() {
+			return NodeDistribution.this.self;
+		}
+
+		@Override
+		public ActiveConfiguration active() {
+			return NodeDistribution.this.active;
+		}
+
+		@Override
+		public EndpointRegistry registry() {
+			return NodeDistribution.this.registry;
+		}
+
+		@Override
+		public List<Hop> path() {
+			return NodeDistribution.this.path();
+		}
+
+		@Override
+		public long rootAgeMillis() {
+			return NodeDistribution.this.rootAgeMillis();
+		}
+
+		@Override
+		public boolean prepareToRelay() {
+			return widen();
+		}
+
+		@Override
+		public void endpointsFromBelow(List<Endpoint> endpoints, String senderId) {
+			NodeDistribution.this.endpointsFromBelow(endpoints, senderId);
+		}
+
+		@Override
+		public void evidenceFromBelow(Evidence observed) {
+			NodeDistribution.this.evidence.add(observed);
+		}
+
+	}
+
+	/**
+	 * This node as the child of its parent.
+	 */
+	private final class NodeUplink implements Uplink.Owner {
+
+		@Override
+		public ConnectionHandler handler() {
+			return NodeDistribution.this.handler;
+		}
+
+		@Override
+		public void opened(Connection connection) {
+			NodeDistribution.this.bytes.opened(connection);
+		}
+
+		@Override
+		public void attached(ParentSession session) {
+			NodeDistribution.this.attaches.incrementAndGet();
+			NodeDistribution.this.evidence.receiverChanged();
+			subscribe(session, false, false);
+			announce(ownEndpoint().state());
+			session.start(() -> NodeDistribution.this.active.current().version());
+			NodeDistribution.this.children.pathChanged(path());
+			NodeDistribution.this.children.heartbeat();
+		}
+
+		@Override
+		public void detached(ParentSession session) {
+			NodeDistribution.this.children.pathChanged(path());
+		}
+
+		@Override
+		public void replaced(ParentSession session) {
+			Thread.ofVirtual().start(() -> NodeDistribution.this.evidence.betweenReports(() -> {
+				session.connection().send(new Leaving("another parent accepted"));
+				session.connection().close("another parent accepted");
+			}));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -0,0 +1,125 @@
+package io.lavenderroad.distribution;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.distribution.DistributionMessages.Accepted;
+import io.lavenderroad.distribution.DistributionMessages.ChildHeartbeat;
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import io.lavenderroad.distribution.DistributionMessages.ParentHeartbeat;
+
+/**
+ * One attachment to a parent. One virtual thread sends; the reader of the connection
+ * updates what is known of the parent.
+ */
+final class ParentSession {
+
+	private final Clock clock;
+
+	private final Connection connection;
+
+	private final Outbox outbox = new Outbox();
+
+	private final AtomicBoolean leaving = new AtomicBoolean();
+
+	private volatile List<Hop> path;
+
+	private volatile long parentVersion;
+
+	private volatile long lastHeartbeatMillis;
+
+	private volatile long rootContactMillis;
+
+	ParentSession(Clock clock, Connection connection, Accepted accepted) {
+		this.clock = clock;
+		this.connection = connection;
+		this.path = accepted.path();
+		this.parentVersion = accepted.version();
+		this.lastHeartbeatMillis = clock.millis();
+		this.rootContactMillis = this.lastHeartbeatMillis - accepted.rootAgeMillis();
+	}
+
+	Connection connection() {
+		return this.connection;
+	}
+
+	/**
+	 * Returns the parent.
+	 * @return the last hop of the path
+	 */
+	Hop parent() {
+		return this.path.getLast();
+	}
+
+	List<Hop> path() {
+		return this.path;
+	}
+
+	void pathChanged(List<Hop> newPath) {
+		this.path = newPath;
+	}
+
+	long parentVersion() {
+		return this.parentVersion;
+	}
+
+	Outbox outbox() {
+		return this.outbox;
+	}
+
+	void heartbeat(ParentHeartbeat heartbeat) {
+		long now = this.clock.millis();
+		this.parentVersion = heartbeat.version();
+		this.lastHeartbeatMillis = now;
+		this.rootContactMillis = now - heartbeat.rootAgeMillis();
+	}
+
+	long rootAgeMillis() {
+		return Math.max(0, this.clock.millis() - this.rootContactMillis);
+	}
+
+	void parentIsLeaving() {
+		this.leaving.set(true);
+	}
+
+	/**
+	 * Decides what to do about the parent.
+	 * @param selfId id of this process
+	 * @return the verdict
+	 */
+	ParentHealth health(String selfId) {
+		return ParentHealth.of(this.connection.isOpen(), TreePath.usable(this.path, selfId), this.leaving.get(),
+				this.clock.millis() - this.lastHeartbeatMillis, rootAgeMillis());
+	}
+
+	/**
+	 * Sends until the connection closes.
+	 * @param version returns the version in force
+	 */
+	void start(LongSupplier version) {
+		Thread.ofVirtual().name("parent " + parent().id()).start(() -> sendAll(version));
+	}
+
+	private void sendAll(LongSupplier version) {
+		long lastSentMillis = 0;
+		try {
+			while (this.connection.isOpen()) {
+				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
+					this.connection.send(message);
+				}
+				long now = this.clock.millis();
+				if (now - lastSentMillis >= TreeTimes.HEARTBEAT_MILLIS) {
+					this.connection.send(new ChildHeartbeat(version.getAsLong()));
+					lastSentMillis = now;
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -0,0 +1,300 @@
+package io.lavenderroad.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.wire.CallFailure;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.distribution.DistributionMessages.FloorAnswer;
+import io.lavenderroad.distribution.DistributionMessages.FloorRequest;
+import io.lavenderroad.distribution.DistributionMessages.PeerHello;
+import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
+import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.Evidence;
+import io.vavr.control.Either;
+import org.tinylog.Logger;
+
+/**
+ * Links between control members. Each member opens one link to each other one and pushes
+ * what it knows over it, so that two links serve each pair.
+ */
+final class Peers {
+
+	private final WireOptions options;
+
+	private final Clock clock;
+
+	private final RandomGenerator random;
+
+	private final EndpointRegistry registry;
+
+	private final ConnectionHandler handler;
+
+	private final List<Link> links = new ArrayList<>();
+
+	private final Map<Connection, Inbound> inbound = new ConcurrentHashMap<>();
+
+	private final ReportLedger ledger = new ReportLedger();
+
+	private final ByteCount bytes = new ByteCount();
+
+	private volatile boolean closed;
+
+	Peers(WireOptions options, Clock clock, RandomGenerator random, List<String> addresses, EndpointRegistry registry,
+			ConnectionHandler handler) {
+		this.options = options;
+		this.clock = clock;
+		this.random = random;
+		this.registry = registry;
+		this.handler = handler;
+		addresses.stream()
+			.filter((address) -> !address.equals(options.hello().frameAddress()))
+			.forEach((address) -> this.links.add(new Link(address)));
+	}
+
+	void start() {
+		this.links.forEach(Link::start);
+	}
+
+	ByteCount bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Returns the id of the control member behind an accepted connection.
+	 * @param connection the connection
+	 * @return the id, or empty if it is no link of a control member
+	 */
+	Optional<String> idOf(Connection connection) {
+		return Optional.ofNullable(this.inbound.get(connection)).map(Inbound::memberId);
+	}
+
+	boolean connected() {
+		return this.links.stream().anyMatch((link) -> link.connection != null);
+	}
+
+	boolean connected(String memberId) {
+		return this.inbound.values().stream().anyMatch((peer) -> peer.memberId().equals(memberId))
+				|| this.links.stream().anyMatch((link) -> link.leadsTo(memberId));
+	}
+
+	/**
+	 * Accepts a link.
+	 * @param connection the connection
+	 * @param hello what the other member says of itself
+	 * @return the digests of this member
+	 */
+	RegistryDigests accepted(Connection connection, PeerHello hello) {
+		this.inbound.put(connection, new Inbound(hello.memberId(), hello.incarnation(), SubtreeStatus.EMPTY));
+		this.bytes.opened(connection);
+		if (!connection.isOpen()) {
+			closed(connection);
+		}
+		return new RegistryDigests(this.registry.digests((service) -> true));
+	}
+
+	void closed(Connection connection) {
+		this.inbound.remove(connection);
+		this.bytes.closed(connection);
+		this.links.forEach((link) -> link.closed(connection));
+	}
+
+	/**
+	 * Notes a report of another member.
+	 * @param connection its link
+	 * @param report the report
+	 * @return evidence that was not added before
+	 */
+	Optional<Evidence> reported(Connection connection, Report report) {
+		Inbound peer = this.inbound.computeIfPresent(connection,
+				(key, known) -> new Inbound(known.memberId(), known.incarnation(), report.status()));
+		boolean fresh = peer != null && !report.evidence().isEmpty()
+				&& this.ledger.isNew(peer.memberId(), peer.incarnation(), report.sequence());
+		return fresh ? Optional.of(report.evidence()) : Optional.empty();
+	}
+
+	SubtreeStatus status() {
+		SubtreeStatus sum = SubtreeStatus.EMPTY;
+		for (Inbound peer : this.inbound.values()) {
+			sum = sum.plus(peer.status());
+		}
+		return sum;
+	}
+
+	void announce(Collection<Endpoint> endpoints, String exceptId) {
+		for (Link link : this.links) {
+			if (exceptId == null || !link.leadsTo(exceptId)) {
+				link.outbox.offer(endpoints);
+			}
+		}
+	}
+
+	void evidence(Evidence evidence) {
+		this.links.forEach((link) -> link.evidence.add(evidence));
+	}
+
+	void report(SubtreeStatus status) {
+		for (Link link : this.links) {
+			link.status = status;
+			link.reportDue = true;
+			link.outbox.wake();
+		}
+	}
+
+	/**
+	 * Asks the other members for the version floor; only the leader confirms it.
+	 * @return the floor, or empty
+	 */
+	Optional<Long> askForFloor() {
+		for (Link link : this.links) {
+			Connection connection = link.connection;
+			if (connection == null) {
+				continue;
+			}
+			Optional<Long> version = connection
+				.call(new FloorRequest(true), TreeTimes.CALL_TIMEOUT_MILLIS, FloorAnswer.class)
+				.toJavaOptional()
+				.filter(FloorAnswer::confirmed)
+				.map(FloorAnswer::version);
+			if (version.isPresent()) {
+				return version;
+			}
+		}
+		return Optional.empty();
+	}
+
+	void close(String reason) {
+		this.closed = true;
+		this.links.forEach((link) -> link.close(reason));
+		List.copyOf(this.inbound.keySet()).forEach((connection) -> connection.close(reason));
+	}
+
+	private record Inbound(String memberId, long incarnation, SubtreeStatus status) {
+	}
+
+	/**
+	 * The link to one other member. One virtual thread connects and sends.
+	 */
+	private final class Link {
+
+		private final String address;
+
+		private final Outbox outbox = new Outbox();
+
+		private final EvidenceSender evidence = new EvidenceSender();
+
+		private volatile Connection connection;
+
+		private volatile SubtreeStatus status = SubtreeStatus.EMPTY;
+
+		private volatile boolean reportDue;
+
+		Link(String address) {
+			this.address = address;
+		}
+
+		void start() {
+			Thread.ofVirtual().name("member " + this.address).start(this::run);
+		}
+
+		boolean leadsTo(String memberId) {
+			Connection present = this.connection;
+			return present != null && present.peer().senderId().equals(memberId);
+		}
+
+		void closed(Connection lost) {
+			if (this.connection == lost) {
+				this.connection = null;
+				this.outbox.wake();
+			}
+		}
+
+		void close(String reason) {
+			Connection present = this.connection;
+			if (present != null) {
+				present.close(reason);
+			}
+			this.outbox.wake();
+		}
+
+		private void run() {
+			Backoff backoff = new Backoff(Peers.this.random);
+			try {
+				while (!Peers.this.closed) {
+					if (connect()) {
+						backoff.reset();
+						push();
+					}
+					Thread.sleep(backoff.nextMillis());
+				}
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
+		private boolean connect() {
+			Either<CallFailure, Connection> opened = Connection.open(Uplink.address(this.address), Peers.this.options,
+					Peers.this.handler);
+			if (opened.isLeft()) {
+				return false;
+			}
+			Connection next = opened.get();
+			Peers.this.bytes.opened(next);
+			PeerHello hello = new PeerHello(Peers.this.options.hello().senderId(),
+					Peers.this.options.hello().incarnation());
+			Either<CallFailure, RegistryDigests> answer = next.call(hello, TreeTimes.CALL_TIMEOUT_MILLIS,
+					RegistryDigests.class);
+			if (answer.isLeft()) {
+				next.close("control member did not answer");
+				return false;
+			}
+			this.evidence.receiverChanged();
+			this.connection = next;
+			if (!next.isOpen()) {
+				this.connection = null;
+				return false;
+			}
+			pushDifferences(answer.get().digests());
+			Logger.debug("distribution: Linked to control member {}.", next.peer().senderId());
+			return true;
+		}
+
+		private void pushDifferences(Map<String, Long> theirs) {
+			Map<String, Long> mine = Peers.this.registry.digests((service) -> true);
+			Set<String> services = new TreeSet<>(mine.keySet());
+			services.addAll(theirs.keySet());
+			services.removeIf((service) -> Objects.equals(mine.get(service), theirs.get(service)));
+			this.outbox.offer(Peers.this.registry.select(services::contains, false));
+		}
+
+		private void push() throws InterruptedException {
+			Connection present = this.connection;
+			while (present != null && present.isOpen() && !Peers.this.closed) {
+				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
+					present.send(message);
+				}
+				if (this.reportDue) {
+					this.reportDue = false;
+					this.evidence.send(present, this.status, Peers.this.clock.millis());
+				}
+				present = this.connection;
+			}
+			this.connection = null;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -0,0 +1,441 @@
+package io.lavenderroad.distribution;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.distribution.ActiveConfiguration.Outcome;
+import io.lavenderroad.distribution.DistributionMessages.Attach;
+import io.lavenderroad.distribution.DistributionMessages.EndpointUpdate;
+import io.lavenderroad.distribution.DistributionMessages.FloorAnswer;
+import io.lavenderroad.distribution.DistributionMessages.FloorRequest;
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import io.lavenderroad.distribution.DistributionMessages.PeerHello;
+import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.ReportAcknowledged;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MeshConfiguration;
+import org.tinylog.Logger;
+
+/**
+ * Distribution in a control member: one root of the relay tree. Roots exchange
+ * announcements, evidence and status with each other, so that each knows the whole mesh.
+ */
+public final class RootDistribution implements AutoCloseable {
+
+	private final Clock clock;
+
+	private final Hop self;
+
+	private final EndpointRegistry registry = new EndpointRegistry();
+
+	private final ActiveConfiguration active = new ActiveConfiguration((candidate) -> List.of(),
+			ActiveConfiguration.Memory.NONE);
+
+	private final Children children;
+
+	private final Peers peers;
+
+	private final OrphanSweep orphans = new OrphanSweep();
+
+	private final FloorRequests floorRequests = new FloorRequests(this::confirmFloor);
+
+	private final FloorRequests localFloor;
+
+	private final Consumer<Evidence> evidenceListener;
+
+	private final Handler handler = new Handler();
+
+	private volatile boolean closed;
+
+	private RootDistribution(Builder builder) {
+		WireOptions options = Objects.requireNonNull(builder.options, "options");
+		this.clock = builder.clock;
+		this.self = new Hop(options.hello().senderId(), options.hello().frameAddress());
+		this.evidenceListener = builder.evidenceListener;
+		this.localFloor = new FloorRequests(builder.confirmCommittedVersion);
+		this.children = new Children(new RootParent(), Placement.ROOT, builder.attachesPerSecond);
+		this.peers = new Peers(options, this.clock, builder.random, builder.peers, this.registry, this.handler);
+	}
+
+	/**
+	 * Creates a builder.
+	 * @return the builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * Starts to connect to the other control members. The frame server of the process
+	 * must pass messages of the types in {@link DistributionMessages#types()} to
+	 * {@link #handler()}.
+	 */
+	public void start() {
+		this.peers.start();
+		Thread.ofVirtual().name("distribution " + this.self.id()).start(this::tick);
+	}
+
+	/**
+	 * Returns the handler for connections that the frame server accepts.
+	 * @return the handler
+	 */
+	public ConnectionHandler handler() {
+		return this.handler;
+	}
+
+	/**
+	 * Publishes a committed version. An older one than the last is ignored.
+	 * @param configuration the whole configuration
+	 */
+	public void publish(MeshConfiguration configuration) {
+		Outcome outcome = this.active.offer(configuration, configuration.digest(), true, false);
+		if (outcome.result() == ActiveConfiguration.Result.IN_FORCE) {
+			this.children.wake();
+		}
+	}
+
+	/**
+	 * Returns how far the nodes of the mesh are.
+	 * @return the status as reported
+	 */
+	public ConvergenceStatus status() {
+		long version = this.active.current().version();
+		SubtreeStatus status = subtreeStatus().plus(this.peers.status());
+		List<String> unreachable = this.registry.entries()
+			.stream()
+			.map(EndpointRegistry.Entry::endpoint)
+			.filter((endpoint) -> endpoint.state() == EndpointState.EXPIRED && !endpoint.attachedTo().isEmpty())
+			.map(Endpoint::nodeId)
+			.sorted()
+			.toList();
+		return new ConvergenceStatus(version, status.versions(), status.laggingBehind(version).laggards(),
+				status.rejected(), unreachable.stream().limit(SubtreeStatus.LIST_BOUND).toList(), unreachable.size(),
+				status.depth(), status.bytesSent(), status.bytesReceived());
+	}
+
+	/**
+	 * Returns the endpoints of the mesh.
+	 * @return the registry
+	 */
+	public EndpointRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Leaves the tree: asks the children to attach to another root, then closes.
+	 */
+	@Override
+	public void close() {
+		if (this.closed) {
+			return;
+		}
+		this.children.leave("control member " + this.self.id() + " is stopping");
+		long startMillis = this.clock.millis();
+		while (this.peers.connected() && this.children.size() > 0
+				&& this.clock.millis() - startMillis < TreeTimes.ORPHAN_MILLIS) {
+			if (!sleep(10)) {
+				break;
+			}
+		}
+		abort("control member " + this.self.id() + " is stopping");
+	}
+
+	/**
+	 * Ends all connections at once and tells nobody, as the death of the process does.
+	 * @param reason short sentence for the logs
+	 */
+	void abort(String reason) {
+		this.closed = true;
+		this.peers.close(reason);
+		this.children.close(reason);
+	}
+
+	private SubtreeStatus subtreeStatus() {
+		SubtreeStatus below = this.children.status().laggingBehind(this.active.current().version());
+		return new SubtreeStatus(below.versions(), below.laggards(), below.rejected(), below.depth(),
+				below.bytesSent() + this.children.bytes().sent() + this.peers.bytes().sent(),
+				below.bytesReceived() + this.children.bytes().received() + this.peers.bytes().received());
+	}
+
+	private void tick() {
+		long lastHeartbeatMillis = 0;
+		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
+			long now = this.clock.millis();
+			this.children.expireLeases();
+			this.registry.forgetExpired(now);
+			expireOrphans(now);
+			if (now - lastHeartbeatMillis >= TreeTimes.HEARTBEAT_MILLIS) {
+				lastHeartbeatMillis = now;
+				this.children.heartbeat();
+				this.peers.report(subtreeStatus());
+			}
+		}
+	}
+
+	private void expireOrphans(long now) {
+		List<Endpoint> expired = this.orphans.expired(this.registry.live(), this::alive, now);
+		if (!expired.isEmpty()) {
+			Logger.info("distribution: Expired {} endpoints whose parent is gone: {}.", expired.size(),
+					expired.stream().map(Endpoint::nodeId).toList());
+			merge(expired, null, null);
+		}
+	}
+
+	private boolean alive(String processId) {
+		return processId.equals(this.self.id()) || this.peers.connected(processId)
+				|| this.registry.find(processId)
+					.map((endpoint) -> endpoint.state() != EndpointState.EXPIRED)
+					.orElse(false);
+	}
+
+	private void merge(List<Endpoint> endpoints, String childId, String peerId) {
+		long now = this.clock.millis();
+		List<Endpoint> merged = endpoints.stream()
+			.filter((endpoint) -> this.registry.merge(endpoint, peerId == null, now))
+			.toList();
+		if (!merged.isEmpty()) {
+			this.children.announce(merged, childId);
+			this.peers.announce(merged, peerId);
+		}
+	}
+
+	private Optional<Long> confirmFloor() {
+		Optional<Long> local = this.localFloor.request(TreeTimes.CALL_TIMEOUT_MILLIS);
+		return local.isPresent() ? local : this.peers.askForFloor();
+	}
+
+	private static boolean sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	/**
+	 * Builds {@link RootDistribution}.
+	 */
+	public static final class Builder {
+
+		private WireOptions options;
+
+		private Clock clock = Clock.system();
+
+		private RandomGenerator random = RandomGenerator.getDefault();
+
+		private List<String> peers = List.of();
+
+		private Supplier<Optional<Long>> confirmCommittedVersion = Optional::empty;
+
+		private Consumer<Evidence> evidenceListener = (evidence) -> {
+		};
+
+		private int attachesPerSecond = TreeTimes.ROOT_ATTACHES_PER_SECOND;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets the limits and the identity of the process. The id and the frame address
+		 * of this root are those of the hello.
+		 * @param options the options; their catalog holds the types of this module
+		 * @return this builder
+		 */
+		public Builder options(WireOptions options) {
+			this.options = options;
+			return this;
+		}
+
+		/**
+		 * Sets the clock.
+		 * @param clock the clock
+		 * @return this builder
+		 */
+		public Builder clock(Clock clock) {
+			this.clock = clock;
+			return this;
+		}
+
+		/**
+		 * Sets the source of randomness.
+		 * @param random a source that several threads may use
+		 * @return this builder
+		 */
+		public Builder random(RandomGenerator random) {
+			this.random = random;
+			return this;
+		}
+
+		/**
+		 * Sets the other control members.
+		 * @param peers {@code ip:port} of each
+		 * @return this builder
+		 */
+		public Builder peers(List<String> peers) {
+			this.peers = List.copyOf(peers);
+			return this;
+		}
+
+		/**
+		 * Sets how the committed version is confirmed.
+		 * @param confirm does a quorum round and returns the committed version; empty if
+		 * this member is not the leader or has no quorum
+		 * @return this builder
+		 */
+		public Builder confirmCommittedVersion(Supplier<Optional<Long>> confirm) {
+			this.confirmCommittedVersion = confirm;
+			return this;
+		}
+
+		/**
+		 * Sets who takes evidence. Each root gets the evidence of the whole mesh.
+		 * @param listener gets evidence that it did not get before; must not block
+		 * @return this builder
+		 */
+		public Builder evidenceListener(Consumer<Evidence> listener) {
+			this.evidenceListener = listener;
+			return this;
+		}
+
+		/**
+		 * Sets how many attach requests are served per second.
+		 * @param count the rate
+		 * @return this builder
+		 */
+		public Builder attachesPerSecond(int count) {
+			this.attachesPerSecond = count;
+			return this;
+		}
+
+		/**
+		 * Creates the distribution, which does nothing before it is started.
+		 * @return the distribution
+		 */
+		public RootDistribution build() {
+			return new RootDistribution(this);
+		}
+
+	}
+
+	/**
+	 * Dispatches the messages of children and of other control members.
+	 */
+	private final class Handler implements ConnectionHandler {
+
+		@Override
+		public void received(Connection connection, Object message) {
+			Optional<String> peerId = RootDistribution.this.peers.idOf(connection);
+			if (peerId.isPresent() && message instanceof EndpointUpdate update) {
+				merge(update.endpoints(), null, peerId.get());
+			}
+			else {
+				RootDistribution.this.children.received(connection, message);
+			}
+		}
+
+		@Override
+		public Object answer(Connection connection, Object request) {
+			return switch (request) {
+				case Attach attach -> RootDistribution.this.children.attach(connection, attach);
+				case Report report -> report(connection, report);
+				case FloorRequest floor ->
+					answer(floor.forwarded() ? RootDistribution.this.localFloor : RootDistribution.this.floorRequests);
+				case PeerHello hello -> RootDistribution.this.peers.accepted(connection, hello);
+				default ->
+					throw new LavenderroadException("no answer to " + request.getClass().getSimpleName() + " here");
+			};
+		}
+
+		@Override
+		public void closed(Connection connection, String reason) {
+			RootDistribution.this.peers.closed(connection);
+			RootDistribution.this.children.closed(connection);
+		}
+
+		private ReportAcknowledged report(Connection connection, Report report) {
+			Optional<String> peerId = RootDistribution.this.peers.idOf(connection);
+			if (peerId.isEmpty()) {
+				return RootDistribution.this.children.report(connection, report);
+			}
+			RootDistribution.this.peers.reported(connection, report).ifPresent(RootDistribution.this.evidenceListener);
+			return new ReportAcknowledged(report.sequence());
+		}
+
+		private FloorAnswer answer(FloorRequests requests) {
+			return requests.request(2 * TreeTimes.CALL_TIMEOUT_MILLIS)
+				.map((version) -> new FloorAnswer(true, version))
+				.orElse(new FloorAnswer(false, 0));
+		}
+
+	}
+
+	/**
+	 * This control member as the parent of its children.
+	 */
+	private final class RootParent implements Children.Parent {
+
+		@Override
+		public Clock clock() {
+			return RootDistribution.this.clock;
+		}
+
+		@Override
+		public Hop self() {
+			return RootDistribution.this.self;
+		}
+
+		@Override
+		public ActiveConfiguration active() {
+			return RootDistribution.this.active;
+		}
+
+		@Override
+		public EndpointRegistry registry() {
+			return RootDistribution.this.registry;
+		}
+
+		@Override
+		public List<Hop> path() {
+			return List.of(RootDistribution.this.self);
+		}
+
+		@Override
+		public long rootAgeMillis() {
+			return 0;
+		}
+
+		@Override
+		public boolean prepareToRelay() {
+			return true;
+		}
+
+		@Override
+		public void endpointsFromBelow(List<Endpoint> endpoints, String senderId) {
+			merge(endpoints, senderId, null);
+		}
+
+		@Override
+		public void evidenceFromBelow(Evidence evidence) {
+			if (!evidence.isEmpty()) {
+				RootDistribution.this.evidenceListener.accept(evidence);
+				RootDistribution.this.peers.evidence(evidence);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -0,0 +1,70 @@
+package io.lavenderroad.distribution;
+
+/**
+ * Times of the relay tree, all in milliseconds.
+ */
+final class TreeTimes {
+
+	/**
+	 * Interval of heartbeats in each direction.
+	 */
+	static final long HEARTBEAT_MILLIS = 1_000;
+
+	/**
+	 * A relay passes on a heartbeat when one arrives from above, so that the stated age
+	 * of the root does not grow by one interval per hop. It sends one of its own only if
+	 * none arrived for this time.
+	 */
+	static final long OWN_HEARTBEAT_MILLIS = 1_200;
+
+	/**
+	 * Silence after which a peer is considered dead.
+	 */
+	static final long SILENCE_LIMIT_MILLIS = 2_500;
+
+	/**
+	 * Age of the last contact with a root above which a parent is left.
+	 */
+	static final long ROOT_AGE_LIMIT_MILLIS = 3_000;
+
+	/**
+	 * Interval of the checks for silence and leases.
+	 */
+	static final long CHECK_MILLIS = 250;
+
+	/**
+	 * Interval of reports.
+	 */
+	static final long REPORT_MILLIS = 1_000;
+
+	/**
+	 * Byte counts change all the time and are reported at this interval if nothing else
+	 * is new.
+	 */
+	static final long BYTES_REPORT_MILLIS = 10_000;
+
+	/**
+	 * Longest wait for an answer of a peer.
+	 */
+	static final long CALL_TIMEOUT_MILLIS = 3_000;
+
+	/**
+	 * Age of a parent of endpoints after which a control member expires them.
+	 */
+	static final long ORPHAN_MILLIS = 5_000;
+
+	/**
+	 * Attach requests that a relay serves per second.
+	 */
+	static final int RELAY_ATTACHES_PER_SECOND = 100;
+
+	/**
+	 * Attach requests that a root serves per second. With 3 roots, 7,800 nodes find their
+	 * way past the roots in 5.2 s.
+	 */
+	static final int ROOT_ATTACHES_PER_SECOND = 500;
+
+	private TreeTimes() {
+	}
+
+}
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -0,0 +1,273 @@
+package io.lavenderroad.distribution;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.wire.CallFailure;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.distribution.DistributionMessages.Accepted;
+import io.lavenderroad.distribution.DistributionMessages.Attach;
+import io.lavenderroad.distribution.DistributionMessages.Deferred;
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import io.lavenderroad.distribution.DistributionMessages.Redirected;
+import io.lavenderroad.model.Endpoint;
+import io.vavr.control.Either;
+import org.tinylog.Logger;
+
+/**
+ * Keeps a node attached to a parent. One virtual thread watches the parent and searches
+ * for another one; it is the only writer of the session.
+ */
+final class Uplink {
+
+	private final Owner owner;
+
+	private final WireOptions options;
+
+	private final Clock clock;
+
+	private final RandomGenerator random;
+
+	private final List<String> seeds;
+
+	private final Supplier<Endpoint> self;
+
+	private final Backoff backoff;
+
+	private final Semaphore signal = new Semaphore(0);
+
+	private volatile ParentSession session;
+
+	private volatile boolean closed;
+
+	private List<Hop> lastPath = List.of();
+
+	private String lostParent;
+
+	Uplink(Owner owner, WireOptions options, Clock clock, RandomGenerator random, List<String> seeds,
+			Supplier<Endpoint> self) {
+		this.owner = owner;
+		this.options = options;
+		this.clock = clock;
+		this.random = random;
+		this.seeds = List.copyOf(seeds);
+		this.self = self;
+		this.backoff = new Backoff(random);
+	}
+
+	void start() {
+		Thread.ofVirtual().name("uplink " + this.self.get().nodeId()).start(this::run);
+	}
+
+	Optional<ParentSession> session() {
+		return Optional.ofNullable(this.session);
+	}
+
+	/**
+	 * Lets the watcher look at the parent now.
+	 */
+	void check() {
+		this.signal.release();
+	}
+
+	void close(String reason) {
+		this.closed = true;
+		ParentSession last = this.session;
+		if (last != null) {
+			last.connection().close(reason);
+		}
+		check();
+	}
+
+	private void run() {
+		try {
+			while (!this.closed) {
+				switch (health()) {
+					case GOOD -> pause(TreeTimes.CHECK_MILLIS);
+					case MOVE -> search();
+					case LOST -> {
+						detach();
+						search();
+					}
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private ParentHealth health() {
+		ParentSession present = this.session;
+		return (present != null) ? present.health(this.self.get().nodeId()) : ParentHealth.LOST;
+	}
+
+	private void detach() {
+		ParentSession present = this.session;
+		if (present == null) {
+			return;
+		}
+		this.lastPath = present.path();
+		this.lostParent = present.parent().id();
+		this.session = null;
+		Logger.info("distribution: Node {} lost its parent {}.", this.self.get().nodeId(), this.lostParent);
+		present.connection().close("parent " + this.lostParent + " is lost");
+		this.owner.detached(present);
+	}
+
+	private void search() throws InterruptedException {
+		long waitMillis = this.backoff.nextMillis();
+		pauseFully(waitMillis);
+		if (this.closed) {
+			return;
+		}
+		ParentSession present = this.session;
+		if (present != null) {
+			this.lastPath = present.path();
+			this.lostParent = present.parent().id();
+		}
+		ParentCandidates candidates = new ParentCandidates(this.self.get().nodeId(), TreePath.ancestors(this.lastPath),
+				shuffledSeeds(), Optional.ofNullable(this.lostParent));
+		if (tryAll(candidates)) {
+			this.backoff.reset();
+		}
+		else {
+			this.lostParent = null;
+			pauseFully(candidates.retryAfterMillis());
+		}
+	}
+
+	private boolean tryAll(ParentCandidates candidates) {
+		Map<String, Hop> redirectors = new HashMap<>();
+		for (Optional<Hop> next = candidates.next(); next.isPresent() && !this.closed; next = candidates.next()) {
+			Hop candidate = next.get();
+			if (tryOne(candidate, candidates, redirectors)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private boolean tryOne(Hop candidate, ParentCandidates candidates, Map<String, Hop> redirectors) {
+		Either<CallFailure, Connection> opened = Connection.open(address(candidate.address()), this.options,
+				this.owner.handler());
+		if (opened.isLeft()) {
+			Logger.debug("distribution: {}.", opened.getLeft().reason());
+			candidates.failed(redirectors.get(candidate.address()), candidate);
+			return false;
+		}
+		Connection connection = opened.get();
+		this.owner.opened(connection);
+		Either<CallFailure, DistributionMessage> answer = connection.call(attach(candidates),
+				TreeTimes.CALL_TIMEOUT_MILLIS, DistributionMessage.class);
+		if (answer.isRight() && answer.get() instanceof Accepted accepted && use(connection, accepted)) {
+			return true;
+		}
+		if (answer.isRight() && answer.get() instanceof Redirected redirected) {
+			redirected.targets().forEach((target) -> redirectors.put(target.address(), candidate));
+			candidates.redirected(redirected.targets());
+		}
+		else if (answer.isRight() && answer.get() instanceof Deferred deferred) {
+			candidates.deferred(deferred.retryAfterMillis());
+		}
+		else {
+			candidates.failed(redirectors.get(candidate.address()), candidate);
+		}
+		connection.close("no place here");
+		return false;
+	}
+
+	private boolean use(Connection connection, Accepted accepted) {
+		if (accepted.path().isEmpty() || !TreePath.usable(accepted.path(), this.self.get().nodeId())
+				|| accepted.rootAgeMillis() > TreeTimes.ROOT_AGE_LIMIT_MILLIS) {
+			return false;
+		}
+		ParentSession previous = this.session;
+		ParentSession next = new ParentSession(this.clock, connection, accepted);
+		this.session = next;
+		this.lastPath = next.path();
+		this.lostParent = null;
+		this.owner.attached(next);
+		if (previous != null) {
+			this.owner.replaced(previous);
+		}
+		return true;
+	}
+
+	private Attach attach(ParentCandidates candidates) {
+		Endpoint endpoint = this.self.get();
+		return new Attach(endpoint.nodeId(), endpoint.incarnation(), endpoint.region(), endpoint.failureDomain(),
+				endpoint.frameAddress(), List.copyOf(candidates.avoided()));
+	}
+
+	private List<String> shuffledSeeds() {
+		List<String> shuffled = new ArrayList<>(this.seeds);
+		Collections.shuffle(shuffled, Random.from(this.random));
+		return shuffled;
+	}
+
+	private void pause(long millis) throws InterruptedException {
+		if (this.signal.tryAcquire(millis, TimeUnit.MILLISECONDS)) {
+			this.signal.drainPermits();
+		}
+	}
+
+	private void pauseFully(long millis) throws InterruptedException {
+		if (millis > 0 && !this.closed) {
+			Thread.sleep(millis);
+		}
+	}
+
+	/**
+	 * Reads {@code ip:port}.
+	 * @param text the address
+	 * @return the socket address
+	 */
+	static InetSocketAddress address(String text) {
+		int colon = text.lastIndexOf(':');
+		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+	}
+
+	/**
+	 * The node that has the uplink.
+	 */
+	interface Owner {
+
+		ConnectionHandler handler();
+
+		void opened(Connection connection);
+
+		/**
+		 * A new session has begun.
+		 * @param session the session
+		 */
+		void attached(ParentSession session);
+
+		/**
+		 * The session has ended and there is no other one yet.
+		 * @param session the session
+		 */
+		void detached(ParentSession session);
+
+		/**
+		 * A new session has replaced this one, which is still open.
+		 * @param session the old session
+		 */
+		void replaced(ParentSession session);
+
+	}
+
+}
