Add the node proxy, call policies and a stand-in backend server

A caller can reach a backend server through two nodes: HTTP in, route, version by split, balancing, call frame, slots and queue, HTTP to the backend server, and verdict headers on the way back. Retries follow the verdict, a token bucket and Mesh-Attempt-Budget.

The stand-in backend server and LocalMesh live in bench, so the tests with sockets do as well.

--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/FixedView.java
@@ -0,0 +1,63 @@
+package io.lavenderroad.bench.backend;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.MeshView;
+
+/**
+ * A view of the mesh that a benchmark or a test sets by hand and shares among its nodes.
+ */
+public final class FixedView implements MeshView {
+
+	private final Map<String, Endpoint> endpoints = new ConcurrentHashMap<>();
+
+	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile MeshConfiguration configuration;
+
+	@Override
+	public Optional<MeshConfiguration> configuration() {
+		return Optional.ofNullable(this.configuration);
+	}
+
+	@Override
+	public List<Endpoint> endpoints(String service) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.service().equals(service) && endpoint.state() != EndpointState.EXPIRED)
+			.sorted(Comparator.comparing(Endpoint::nodeId))
+			.toList();
+	}
+
+	@Override
+	public void onChange(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Puts a configuration in force.
+	 * @param next the configuration
+	 */
+	public void configure(MeshConfiguration next) {
+		this.configuration = next;
+		this.listeners.forEach(Runnable::run);
+	}
+
+	/**
+	 * Announces an endpoint.
+	 * @param endpoint the announcement; replaces the one of the same node
+	 */
+	public void announce(Endpoint endpoint) {
+		this.endpoints.put(endpoint.nodeId(), endpoint);
+		this.listeners.forEach(Runnable::run);
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -0,0 +1,263 @@
+package io.lavenderroad.node;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.model.ServiceLimits;
+import io.lavenderroad.policy.calls.AdmissionDecision;
+import io.lavenderroad.policy.calls.AdmissionQueue;
+import io.vavr.control.Either;
+
+/**
+ * Hands out the slots of the backend server. It is the only place that decides whether a
+ * call runs there, so a refusal proves that the call did not run. The lock guards the
+ * queue and the drain flag.
+ */
+final class Admission {
+
+	/**
+	 * Endpoints that refuse for lack of room are passed over for this long, jittered. A
+	 * full default queue holds more work than that.
+	 */
+	private static final int AVOID_FULL_MILLIS = 10;
+
+	/**
+	 * Longer than the announcement of a drain needs to reach every node.
+	 */
+	private static final int AVOID_DRAINING_MILLIS = 3_000;
+
+	private static final CallAnswer GRANTED = CallAnswer.ran(0, List.of(), CallAnswer.NO_BODY);
+
+	private final Clock clock;
+
+	private final RandomGenerator random;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final Condition idle = this.lock.newCondition();
+
+	private final AdmissionQueue<Waiter> queue;
+
+	private final boolean limited;
+
+	private boolean draining;
+
+	Admission(Clock clock, RandomGenerator random, int slots, boolean limited) {
+		this.clock = clock;
+		this.random = random;
+		this.limited = limited;
+		this.queue = new AdmissionQueue<>(limited ? slots : Integer.MAX_VALUE, ServiceLimits.DEFAULT.queueLength(),
+				ServiceLimits.DEFAULT.customerShareBasisPoints());
+	}
+
+	/**
+	 * Waits for a slot.
+	 * @param customer customer of the call
+	 * @param deadlineMillis when the answer is due
+	 * @param limits limits in force
+	 * @param cancellation ends the wait early
+	 * @return the slot, or a refusal with the verdict "not run"
+	 */
+	Either<CallAnswer, Slot> acquire(String customer, long deadlineMillis, ServiceLimits limits,
+			CallCancellation cancellation) {
+		Waiter waiter = new Waiter();
+		long now = this.clock.millis();
+		this.lock.lock();
+		try {
+			if (this.draining) {
+				return Either.left(drainRefusal());
+			}
+			this.queue.limits(limits.queueLength(), limits.customerShareBasisPoints());
+			AdmissionDecision decision = this.queue.offer(waiter, customer, now, deadlineMillis);
+			if (decision == AdmissionDecision.FULL && displace(customer)) {
+				decision = this.queue.offer(waiter, customer, now, deadlineMillis);
+			}
+			if (decision == AdmissionDecision.RUN) {
+				return Either.right(new Slot(customer));
+			}
+			if (decision != AdmissionDecision.WAIT) {
+				return Either.left(refusal(decision));
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+		cancellation.onCancel(() -> waiter.result
+			.complete(CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone while the call was queued")));
+		return await(waiter, customer, deadlineMillis - now);
+	}
+
+	/**
+	 * Refuses new and waiting calls from now on.
+	 * @return true the first time
+	 */
+	boolean drain() {
+		this.lock.lock();
+		try {
+			boolean first = !this.draining;
+			this.draining = true;
+			this.queue.clear().forEach((waiter) -> waiter.result.complete(drainRefusal()));
+			return first;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Waits until no call holds a slot.
+	 * @param timeoutMillis longest wait
+	 * @return true if idle
+	 */
+	boolean awaitIdle(long timeoutMillis) {
+		long nanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+		this.lock.lock();
+		try {
+			while (this.queue.running() > 0 && nanos > 0) {
+				nanos = this.idle.awaitNanos(nanos);
+			}
+			return this.queue.running() == 0;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Returns the calls that run or wait.
+	 * @return count
+	 */
+	int load() {
+		this.lock.lock();
+		try {
+			return this.queue.running() + this.queue.waiting();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	boolean isDraining() {
+		this.lock.lock();
+		try {
+			return this.draining;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private Either<CallAnswer, Slot> await(Waiter waiter, String customer, long waitMillis) {
+		CallAnswer result;
+		try {
+			result = waiter.result.get(waitMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			result = CallAnswer.notRun(HttpStatus.GATEWAY_TIMEOUT, "deadline passed while the call was queued");
+		}
+		catch (InterruptedException | ExecutionException ex) {
+			result = CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone while the call was queued");
+		}
+		if (result == GRANTED) {
+			return Either.right(new Slot(customer));
+		}
+		withdraw(waiter, customer);
+		return Either.left(result);
+	}
+
+	// Takes a call out of the queue that will not run. If it got a slot in the meantime,
+	// the slot goes to the next call.
+	private void withdraw(Waiter waiter, String customer) {
+		this.lock.lock();
+		try {
+			this.queue.remove(waiter, customer);
+			if (waiter.granted) {
+				releaseLocked(customer, -1);
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private boolean displace(String customer) {
+		return this.queue.displace(customer).map((waiter) -> {
+			waiter.result.complete(refusal(AdmissionDecision.OVER_SHARE));
+			return true;
+		}).orElse(false);
+	}
+
+	private void releaseLocked(String customer, double tookMillis) {
+		this.queue.release(customer, tookMillis, this.clock.millis()).ifPresent((next) -> {
+			next.granted = true;
+			next.result.complete(GRANTED);
+		});
+		if (this.queue.running() == 0) {
+			this.idle.signalAll();
+		}
+	}
+
+	private CallAnswer refusal(AdmissionDecision decision) {
+		int avoidMillis = AVOID_FULL_MILLIS / 2 + this.random.nextInt(AVOID_FULL_MILLIS);
+		return switch (decision) {
+			case OVER_SHARE ->
+				CallAnswer.notRun(HttpStatus.OVER_SHARE, "customer holds its share of the backend server");
+			case TOO_LATE ->
+				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "expected wait exceeds the deadline").avoid(avoidMillis);
+			default ->
+				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "queue of the backend server is full").avoid(avoidMillis);
+		};
+	}
+
+	private static CallAnswer drainRefusal() {
+		return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server is draining").avoid(AVOID_DRAINING_MILLIS);
+	}
+
+	/**
+	 * A slot of the backend server, held until it is released.
+	 */
+	final class Slot {
+
+		private final String customer;
+
+		private Slot(String customer) {
+			this.customer = customer;
+		}
+
+		/**
+		 * Gives the slot back. Called exactly once.
+		 * @param tookMillis how long the call ran, or a negative number if that tells
+		 * nothing of the server's speed
+		 */
+		void release(double tookMillis) {
+			Admission.this.lock.lock();
+			try {
+				releaseLocked(this.customer, tookMillis);
+			}
+			finally {
+				Admission.this.lock.unlock();
+			}
+		}
+
+	}
+
+	private static final class Waiter {
+
+		private final CompletableFuture<CallAnswer> result = new CompletableFuture<>();
+
+		private boolean granted;
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/CallAnswer.java
@@ -0,0 +1,53 @@
+package io.lavenderroad.node;
+
+import java.util.List;
+
+import io.lavenderroad.core.ExecutionVerdict;
+
+/**
+ * Outcome of one call.
+ *
+ * @param verdict whether the call ran; only {@code RAN} carries the answer of the backend
+ * server
+ * @param status HTTP status
+ * @param reason why the system generated the answer, empty if the backend server did
+ * @param headers end-to-end headers: names and values in turn
+ * @param body whole answer body
+ * @param load calls running and waiting at the backend server, a hint for balancing
+ * @param avoidMillis how long the sender should choose other endpoints, 0 for none
+ */
+record CallAnswer(ExecutionVerdict verdict, int status, String reason, List<String> headers, byte[] body, int load,
+		int avoidMillis) {
+
+	static final byte[] NO_BODY = new byte[0];
+
+	static CallAnswer notRun(int status, String reason) {
+		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0);
+	}
+
+	static CallAnswer mayHaveRun(int status, String reason) {
+		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0);
+	}
+
+	static CallAnswer ran(int status, List<String> headers, byte[] body) {
+		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0);
+	}
+
+	CallAnswer avoid(int millis) {
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load, millis);
+	}
+
+	CallAnswer withLoad(int newLoad) {
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, newLoad,
+				this.avoidMillis);
+	}
+
+	/**
+	 * Tells whether the call counts against the backend server version.
+	 * @return true for status 500 and above and for answers that were lost
+	 */
+	boolean isError() {
+		return this.verdict == ExecutionVerdict.MAY_HAVE_RUN || this.status >= HttpStatus.INTERNAL_ERROR;
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -0,0 +1,226 @@
+package io.lavenderroad.node;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.wire.CallFailure;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.ObservationKey;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.policy.calls.BalancingContext;
+import io.lavenderroad.policy.calls.BalancingPolicy;
+import io.lavenderroad.policy.calls.EndpointLoad;
+import io.lavenderroad.policy.calls.RetryBudget;
+import io.vavr.control.Either;
+
+/**
+ * The caller's side of a call: chooses the version by the split and the endpoint by the
+ * balancing policy, sends the call and decides on retries.
+ */
+final class CallRouter {
+
+	/**
+	 * An endpoint that cannot be reached is avoided for at least half of this time, at
+	 * most one and a half.
+	 */
+	private static final int AVOID_UNREACHABLE_MILLIS = 500;
+
+	private final Clock clock;
+
+	private final RandomGenerator random;
+
+	private final Endpoint self;
+
+	private final EndpointDirectory directory;
+
+	private final PeerConnections connections;
+
+	private final CallServer local;
+
+	private final BalancingPolicy balancing;
+
+	private final EvidenceRecorder evidence;
+
+	private final WithdrawnVersions withdrawn;
+
+	private final AtomicLong callIds = new AtomicLong();
+
+	private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
+
+	CallRouter(NodeParts parts, BalancingPolicy balancing, CallServer local) {
+		this.clock = parts.clock();
+		this.random = parts.random();
+		this.self = parts.self();
+		this.directory = parts.directory();
+		this.connections = parts.connections();
+		this.evidence = parts.evidence();
+		this.withdrawn = parts.withdrawn();
+		this.balancing = balancing;
+		this.local = local;
+	}
+
+	/**
+	 * Runs a call to its final verdict.
+	 * @param call the call
+	 * @return the outcome
+	 */
+	RoutedAnswer route(RoutedCall call) {
+		RetryBudget budget = this.retryBudgets.computeIfAbsent(call.service().name(), (name) -> new RetryBudget());
+		budget.call(call.service().limits().retryBudgetBasisPoints());
+		List<EndpointLoad> tried = new ArrayList<>(2);
+		ExecutionVerdict earlier = ExecutionVerdict.NOT_RUN;
+		RoutedAnswer last = null;
+		for (int attempt = 0; attempt <= call.attemptBudget(); attempt++) {
+			if (attempt > 0 && !(isRetryable(call, last.answer()) && budget.tryRetry())) {
+				break;
+			}
+			if (this.clock.millis() >= call.deadlineMillis()) {
+				last = (last != null) ? last : new RoutedAnswer(late(), "");
+				break;
+			}
+			Optional<EndpointLoad> chosen = choose(call.service(), tried);
+			if (chosen.isEmpty()) {
+				last = (last != null) ? last : new RoutedAnswer(noEndpoint(call.service()), "");
+				break;
+			}
+			tried.add(chosen.get());
+			last = new RoutedAnswer(attempt(call, chosen.get(), (attempt == 0) ? call.attemptBudget() : 0),
+					chosen.get().endpoint().version());
+			if (last.answer().verdict() == ExecutionVerdict.RAN) {
+				return last;
+			}
+			earlier = earlier.combine(last.answer().verdict());
+		}
+		return withEarlier(last, earlier);
+	}
+
+	private CallAnswer attempt(RoutedCall call, EndpointLoad target, int attemptBudget) {
+		Endpoint endpoint = target.endpoint();
+		long startNanos = System.nanoTime();
+		target.started();
+		CallAnswer answer = send(call, endpoint, attemptBudget);
+		double tookMillis = (System.nanoTime() - startNanos) / 1e6;
+		observe(target, answer, tookMillis);
+		this.evidence.record(new ObservationKey(call.service().name(), call.route().name(), endpoint.version()), answer,
+				tookMillis);
+		return answer;
+	}
+
+	private CallAnswer send(RoutedCall call, Endpoint endpoint, int attemptBudget) {
+		long remaining = call.deadlineMillis() - this.clock.millis();
+		if (remaining <= 0) {
+			return late();
+		}
+		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
+				call.route().name(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
+				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget);
+		if (endpoint.nodeId().equals(this.self.nodeId())) {
+			return this.local.serve(request, call.deadlineMillis(), new CallCancellation());
+		}
+		Either<CallFailure, CallAnswer> answer = this.connections.call(endpoint.frameAddress(), request, remaining,
+				CallAnswer.class, new CancelCall(request.callId()));
+		return answer.getOrElseGet((failure) -> failed(call, failure));
+	}
+
+	private CallAnswer failed(RoutedCall call, CallFailure failure) {
+		boolean late = this.clock.millis() >= call.deadlineMillis();
+		if (failure.verdict() == ExecutionVerdict.NOT_RUN) {
+			int avoid = AVOID_UNREACHABLE_MILLIS / 2 + this.random.nextInt(AVOID_UNREACHABLE_MILLIS);
+			return CallAnswer.notRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.UNAVAILABLE, failure.reason())
+				.avoid(avoid);
+		}
+		return CallAnswer.mayHaveRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY, failure.reason());
+	}
+
+	private void observe(EndpointLoad target, CallAnswer answer, double tookMillis) {
+		long now = this.clock.millis();
+		if (answer.load() > 0) {
+			target.hint(now, answer.load());
+		}
+		if (answer.verdict() != ExecutionVerdict.NOT_RUN) {
+			target.finished(now, tookMillis, answer.isError());
+		}
+		else if (answer.avoidMillis() > 0) {
+			target.refused(now + answer.avoidMillis());
+		}
+		else {
+			target.abandoned();
+		}
+	}
+
+	private Optional<EndpointLoad> choose(ServiceConfiguration service, Collection<EndpointLoad> tried) {
+		BalancingContext context = new BalancingContext(this.self.failureDomain(), this.clock.millis(), tried,
+				this.random);
+		Map<String, Integer> split = this.withdrawn.split(service);
+		String version = draw(split);
+		Optional<EndpointLoad> chosen = this.balancing.choose(this.directory.candidates(service.name(), version),
+				context);
+		if (chosen.isPresent()) {
+			return chosen;
+		}
+		// Another version takes the call, but only one that has a share.
+		for (Map.Entry<String, Integer> entry : split.entrySet()) {
+			if (entry.getValue() > 0 && !entry.getKey().equals(version)) {
+				chosen = this.balancing.choose(this.directory.candidates(service.name(), entry.getKey()), context);
+				if (chosen.isPresent()) {
+					return chosen;
+				}
+			}
+		}
+		return Optional.empty();
+	}
+
+	private String draw(Map<String, Integer> split) {
+		int point = this.random.nextInt(ServiceConfiguration.WHOLE_SHARE);
+		String last = "";
+		for (Map.Entry<String, Integer> entry : split.entrySet()) {
+			last = entry.getKey();
+			point -= entry.getValue();
+			if (point < 0) {
+				return last;
+			}
+		}
+		return last;
+	}
+
+	private static boolean isRetryable(RoutedCall call, CallAnswer answer) {
+		if (answer.status() == HttpStatus.OVER_SHARE || answer.status() == HttpStatus.BAD_REQUEST) {
+			return false;
+		}
+		return answer.verdict() == ExecutionVerdict.NOT_RUN || call.route().idempotent();
+	}
+
+	// Keeps the uncertainty of an earlier attempt: a refusal of the last attempt does not
+	// prove that the call did not run.
+	private static RoutedAnswer withEarlier(RoutedAnswer last, ExecutionVerdict earlier) {
+		if (earlier == ExecutionVerdict.MAY_HAVE_RUN && last.answer().verdict() == ExecutionVerdict.NOT_RUN) {
+			return new RoutedAnswer(
+					CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY,
+							"an earlier attempt may have run; the last one was refused: " + last.answer().reason()),
+					last.version());
+		}
+		return last;
+	}
+
+	private static CallAnswer late() {
+		return CallAnswer.notRun(HttpStatus.GATEWAY_TIMEOUT, "deadline passed before the call was sent");
+	}
+
+	private static CallAnswer noEndpoint(ServiceConfiguration service) {
+		return CallAnswer.notRun(HttpStatus.UNAVAILABLE,
+				"no backend server of " + service.name() + " accepts work now");
+	}
+
+	void prune(Collection<String> services) {
+		this.retryBudgets.keySet().retainAll(services);
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -0,0 +1,105 @@
+package io.lavenderroad.node;
+
+import java.io.IOException;
+import java.util.List;
+
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.wire.Fields;
+import io.lavenderroad.core.wire.MessageType;
+import io.lavenderroad.core.wire.WireException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Messages between nodes. Their codes are 300 to 349.
+ */
+public final class NodeMessages {
+
+	private static final int CALL_REQUEST = 300;
+
+	private static final int CALL_ANSWER = 301;
+
+	private static final int CANCEL_CALL = 302;
+
+	private static final List<ExecutionVerdict> VERDICTS = List.of(ExecutionVerdict.values());
+
+	private static final List<MessageType<?>> TYPES = List.of(
+			new MessageType<>(CALL_REQUEST, CallRequest.class, NodeMessages::packRequest, NodeMessages::unpackRequest),
+			new MessageType<>(CALL_ANSWER, CallAnswer.class, NodeMessages::packAnswer, NodeMessages::unpackAnswer),
+			new MessageType<>(CANCEL_CALL, CancelCall.class, (message, packer) -> packer.packLong(message.callId()),
+					(unpacker) -> new CancelCall(unpacker.unpackLong())));
+
+	private NodeMessages() {
+	}
+
+	/**
+	 * Returns the message types for the catalog of the process.
+	 * @return the types
+	 */
+	public static List<MessageType<?>> types() {
+		return TYPES;
+	}
+
+	/**
+	 * Tells whether a message belongs to the node, for a daemon that shares one frame
+	 * server among its parts.
+	 * @param message a message
+	 * @return true if {@link NodeProxy#handler()} takes it
+	 */
+	public static boolean owns(Object message) {
+		return TYPES.stream().anyMatch((type) -> type.type().isInstance(message));
+	}
+
+	static void packAnswer(CallAnswer answer, MessagePacker packer) throws IOException {
+		packer.packInt(answer.verdict().ordinal());
+		packer.packInt(answer.status());
+		packer.packString(answer.reason());
+		Fields.packList(packer, answer.headers(), (text, target) -> target.packString(text));
+		Fields.packBytes(packer, answer.body());
+		packer.packInt(answer.load());
+		packer.packInt(answer.avoidMillis());
+	}
+
+	static CallAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
+		return new CallAnswer(verdict(unpacker.unpackInt()), unpacker.unpackInt(), unpacker.unpackString(),
+				headers(unpacker), Fields.unpackBytes(unpacker), unpacker.unpackInt(), unpacker.unpackInt());
+	}
+
+	private static void packRequest(CallRequest request, MessagePacker packer) throws IOException {
+		packer.packLong(request.callId());
+		packer.packString(request.service());
+		packer.packString(request.version());
+		packer.packString(request.route());
+		packer.packString(request.method());
+		packer.packString(request.target());
+		Fields.packList(packer, request.headers(), (text, target) -> target.packString(text));
+		Fields.packBytes(packer, request.body());
+		packer.packString(request.customer());
+		packer.packString(request.key());
+		packer.packInt(request.remainingMillis());
+		packer.packInt(request.attemptBudget());
+	}
+
+	private static CallRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
+		return new CallRequest(unpacker.unpackLong(), unpacker.unpackString(), unpacker.unpackString(),
+				unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(), headers(unpacker),
+				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
+				unpacker.unpackInt());
+	}
+
+	private static List<String> headers(MessageUnpacker unpacker) throws IOException {
+		List<String> headers = Fields.unpackList(unpacker, MessageUnpacker::unpackString);
+		if (headers.size() % 2 != 0) {
+			throw new WireException("headers have " + headers.size() + " texts in place of pairs");
+		}
+		return headers;
+	}
+
+	private static ExecutionVerdict verdict(int ordinal) {
+		if (ordinal < 0 || ordinal >= VERDICTS.size()) {
+			throw new WireException("verdict " + ordinal + " is outside 0 to " + (VERDICTS.size() - 1));
+		}
+		return VERDICTS.get(ordinal);
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -0,0 +1,418 @@
+package io.lavenderroad.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import com.sun.net.httpserver.HttpServer;
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.WireException;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MeshView;
+import io.lavenderroad.policy.calls.BalancingPolicy;
+import io.lavenderroad.policy.calls.TwoChoices;
+import org.tinylog.Logger;
+
+/**
+ * The proxy beside one backend server: accepts calls of callers over HTTP, sends them to
+ * the node of a suitable backend server, and admits the calls of other nodes to its own
+ * one.
+ */
+public final class NodeProxy implements AutoCloseable {
+
+	private static final int HTTP_BACKLOG = 1_024;
+
+	private static final long TICK_MILLIS = 1_000;
+
+	private final Clock clock;
+
+	private final MeshView view;
+
+	private final Consumer<EndpointState> announcer;
+
+	private final HttpServer callerServer;
+
+	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+
+	private final Admission admission;
+
+	private final BackendClient backend;
+
+	private final CallServer callServer;
+
+	private final CallRouter router;
+
+	private final EndpointDirectory directory;
+
+	private final PeerConnections connections;
+
+	private final EvidenceRecorder evidence = new EvidenceRecorder();
+
+	private final WithdrawnVersions withdrawn;
+
+	private final ConnectionHandler handler = new NodeHandler();
+
+	private final AtomicBoolean closed = new AtomicBoolean();
+
+	/**
+	 * Guards the evidence that was recorded but not yet handed out.
+	 */
+	private final ReentrantLock evidenceLock = new ReentrantLock();
+
+	private Evidence untaken = Evidence.NONE;
+
+	private Evidence unevaluated = Evidence.NONE;
+
+	private NodeProxy(Builder builder) throws IOException {
+		this.clock = builder.clock;
+		this.view = Objects.requireNonNull(builder.view, "view");
+		this.announcer = builder.announcer;
+		Endpoint self = Objects.requireNonNull(builder.self, "self");
+		this.admission = new Admission(this.clock, builder.random, self.slots(), builder.limited);
+		this.backend = new BackendClient(Objects.requireNonNull(builder.backendAddress, "backendAddress"),
+				builder.largestAnswerBytes, this.executor);
+		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend);
+		this.directory = new EndpointDirectory(this.view, this.clock);
+		this.connections = new PeerConnections(Objects.requireNonNull(builder.wireOptions, "wireOptions"),
+				this.handler);
+		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
+		NodeParts parts = new NodeParts(this.clock, builder.random, self, this.directory, this.connections,
+				this.evidence, this.withdrawn);
+		this.router = new CallRouter(parts, builder.balancing, this.callServer);
+		this.callerServer = HttpServer.create(Objects.requireNonNull(builder.callerAddress, "callerAddress"),
+				HTTP_BACKLOG);
+		this.callerServer.setExecutor(this.executor);
+		this.callerServer.createContext("/", new CallerApi(this.clock, this.view, self.service(), this.router));
+	}
+
+	/**
+	 * Creates a builder.
+	 * @return the builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	/**
+	 * Returns what handles the messages of {@link NodeMessages} on connections that other
+	 * nodes open.
+	 * @return the handler
+	 */
+	public ConnectionHandler handler() {
+		return this.handler;
+	}
+
+	/**
+	 * Returns where callers send HTTP requests.
+	 * @return the bound address
+	 */
+	public InetSocketAddress callerAddress() {
+		return this.callerServer.getAddress();
+	}
+
+	/**
+	 * Takes the observations since the last call. Each observation is returned exactly
+	 * once.
+	 * @return the evidence of this node
+	 */
+	public Evidence takeEvidence() {
+		this.evidenceLock.lock();
+		try {
+			collect();
+			Evidence taken = this.untaken;
+			this.untaken = Evidence.NONE;
+			return taken;
+		}
+		finally {
+			this.evidenceLock.unlock();
+		}
+	}
+
+	/**
+	 * Starts leaving: announces {@code DRAINING} and refuses new calls to the backend
+	 * server as "not run" from now on. Calls in flight go on.
+	 */
+	public void drain() {
+		if (this.admission.drain()) {
+			Logger.info("node: Draining, {} calls in flight.", this.admission.load());
+			this.announcer.accept(EndpointState.DRAINING);
+		}
+	}
+
+	/**
+	 * Waits for the calls in flight at the backend server.
+	 * @param timeoutMillis longest wait
+	 * @return true if none is left
+	 */
+	public boolean awaitIdle(long timeoutMillis) {
+		return this.admission.awaitIdle(timeoutMillis);
+	}
+
+	/**
+	 * Stops the node without waiting. For a graceful stop {@link #drain()} and
+	 * {@link #awaitIdle(long)} come first.
+	 */
+	@Override
+	public void close() {
+		if (!this.closed.compareAndSet(false, true)) {
+			return;
+		}
+		this.admission.drain();
+		this.callerServer.stop(0);
+		this.connections.close();
+		this.backend.close();
+		this.executor.shutdownNow();
+	}
+
+	private void start() {
+		this.callerServer.start();
+		Thread.ofVirtual().name("node tick").start(this::tickUntilClosed);
+	}
+
+	private void tickUntilClosed() {
+		while (!this.closed.get()) {
+			try {
+				Thread.sleep(TICK_MILLIS);
+				tick();
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "node: Periodic work failed.");
+			}
+		}
+	}
+
+	private void tick() {
+		this.connections.closeIdle();
+		this.directory.prune();
+		Evidence recent;
+		this.evidenceLock.lock();
+		try {
+			collect();
+			recent = this.unevaluated;
+			this.unevaluated = Evidence.NONE;
+		}
+		finally {
+			this.evidenceLock.unlock();
+		}
+		this.view.configuration().ifPresent((configuration) -> {
+			this.router.prune(configuration.services().keySet());
+			this.withdrawn.evaluate(configuration, recent, this.clock.millis());
+		});
+	}
+
+	private void collect() {
+		Evidence recorded = this.evidence.take();
+		if (!recorded.isEmpty()) {
+			this.untaken = this.untaken.plus(recorded);
+			this.unevaluated = this.unevaluated.plus(recorded);
+		}
+	}
+
+	/**
+	 * Builds {@link NodeProxy}.
+	 */
+	public static final class Builder {
+
+		private Clock clock = Clock.system();
+
+		private RandomGenerator random = new ThreadRandom();
+
+		private MeshView view;
+
+		private Endpoint self;
+
+		private InetSocketAddress callerAddress;
+
+		private WireOptions wireOptions;
+
+		private String backendAddress;
+
+		private int largestAnswerBytes = 4 * 1024 * 1024;
+
+		private Consumer<EndpointState> announcer = (state) -> {
+		};
+
+		private BalancingPolicy balancing = new TwoChoices();
+
+		private LocalWithdrawal withdrawal = LocalWithdrawal.never();
+
+		private boolean limited = true;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets what the node knows of the mesh.
+		 * @param view the view
+		 * @return this builder
+		 */
+		public Builder view(MeshView view) {
+			this.view = view;
+			return this;
+		}
+
+		/**
+		 * Sets the announcement of the backend server beside the node.
+		 * @param self the endpoint
+		 * @return this builder
+		 */
+		public Builder self(Endpoint self) {
+			this.self = self;
+			return this;
+		}
+
+		/**
+		 * Sets where callers send HTTP requests.
+		 * @param address the address; port 0 picks a free one
+		 * @return this builder
+		 */
+		public Builder callerAddress(InetSocketAddress address) {
+			this.callerAddress = address;
+			return this;
+		}
+
+		/**
+		 * Sets identity and limits of connections to other nodes.
+		 * @param options the options; their catalog holds {@link NodeMessages#types()}
+		 * @return this builder
+		 */
+		public Builder wireOptions(WireOptions options) {
+			this.wireOptions = options;
+			return this;
+		}
+
+		/**
+		 * Sets where the backend server accepts HTTP.
+		 * @param address {@code ip:port}
+		 * @return this builder
+		 */
+		public Builder backendAddress(String address) {
+			this.backendAddress = address;
+			return this;
+		}
+
+		/**
+		 * Sets the largest answer body of the backend server. Answers over the limit end
+		 * as "may have run".
+		 * @param bytes the limit
+		 * @return this builder
+		 */
+		public Builder largestAnswerBytes(int bytes) {
+			this.largestAnswerBytes = bytes;
+			return this;
+		}
+
+		/**
+		 * Sets the clock.
+		 * @param clock the clock
+		 * @return this builder
+		 */
+		public Builder clock(Clock clock) {
+			this.clock = clock;
+			return this;
+		}
+
+		/**
+		 * Sets the source of randomness.
+		 * @param random a generator that is safe for use by many threads
+		 * @return this builder
+		 */
+		public Builder random(RandomGenerator random) {
+			this.random = random;
+			return this;
+		}
+
+		/**
+		 * Sets who announces the state of the backend server to the mesh.
+		 * @param announcer is told each new state; must not block
+		 * @return this builder
+		 */
+		public Builder announcer(Consumer<EndpointState> announcer) {
+			this.announcer = announcer;
+			return this;
+		}
+
+		/**
+		 * Sets the balancing policy.
+		 * @param balancing the policy
+		 * @return this builder
+		 */
+		public Builder balancing(BalancingPolicy balancing) {
+			this.balancing = balancing;
+			return this;
+		}
+
+		/**
+		 * Sets what decides on local withdrawals.
+		 * @param withdrawal the function
+		 * @return this builder
+		 */
+		public Builder withdrawal(LocalWithdrawal withdrawal) {
+			this.withdrawal = withdrawal;
+			return this;
+		}
+
+		/**
+		 * Sets whether slots and queue are limited. Without limits every call runs at
+		 * once; that is the baseline of comparisons.
+		 * @param limited false for the baseline
+		 * @return this builder
+		 */
+		public Builder limited(boolean limited) {
+			this.limited = limited;
+			return this;
+		}
+
+		/**
+		 * Creates and starts the node.
+		 * @return the running node
+		 * @throws IOException if an address cannot be bound
+		 */
+		public NodeProxy start() throws IOException {
+			HttpProperties.set();
+			NodeProxy proxy = new NodeProxy(this);
+			proxy.start();
+			return proxy;
+		}
+
+	}
+
+	private final class NodeHandler implements ConnectionHandler {
+
+		@Override
+		public void received(Connection connection, Object message) {
+			if (message instanceof CancelCall cancel) {
+				NodeProxy.this.callServer.cancel(connection, cancel.callId());
+			}
+		}
+
+		@Override
+		public Object answer(Connection connection, Object request) {
+			if (request instanceof CallRequest call) {
+				return NodeProxy.this.callServer.serve(connection, call);
+			}
+			throw new WireException("request " + request.getClass().getSimpleName() + " is not for a node");
+		}
+
+		@Override
+		public void closed(Connection connection, String reason) {
+			NodeProxy.this.callServer.closed(connection);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -0,0 +1,181 @@
+package io.lavenderroad.node;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.wire.CallFailure;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.WireOptions;
+import io.vavr.control.Either;
+
+/**
+ * Connections to other nodes: opened on demand, kept, replaced when silent and closed
+ * when idle.
+ */
+final class PeerConnections implements AutoCloseable {
+
+	/**
+	 * Idle connections are closed after this time. Opening one costs about 1 ms.
+	 */
+	static final long IDLE_MILLIS = 60_000;
+
+	/**
+	 * A connection without a frame for this many heartbeat intervals gets no new calls.
+	 * The silence limit of the wire closes it later.
+	 */
+	private static final double SUSPECT_HEARTBEATS = 1.8;
+
+	private final WireOptions options;
+
+	private final ConnectionHandler handler;
+
+	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+
+	private volatile boolean closed;
+
+	PeerConnections(WireOptions options, ConnectionHandler handler) {
+		this.options = options;
+		this.handler = handler;
+	}
+
+	/**
+	 * Sends a request to a node and waits for the answer.
+	 * @param <T> type of the answer
+	 * @param address {@code ip:port} of the node
+	 * @param request the request
+	 * @param timeoutMillis longest wait
+	 * @param answerType class of the answer
+	 * @param afterTimeout one-way message sent if the answer does not arrive in time, or
+	 * null
+	 * @return the answer, or why there is none and whether the request may have run
+	 */
+	<T> Either<CallFailure, T> call(String address, Object request, long timeoutMillis, Class<T> answerType,
+			Object afterTimeout) {
+		long start = this.options.clock().millis();
+		Either<CallFailure, Peer> connected = connect(address, timeoutMillis);
+		if (connected.isLeft()) {
+			return Either.left(connected.getLeft());
+		}
+		Peer peer = connected.get();
+		peer.inUse.incrementAndGet();
+		try {
+			long remaining = timeoutMillis - (this.options.clock().millis() - start);
+			if (remaining <= 0) {
+				return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "deadline passed while connecting"));
+			}
+			Connection connection = peer.connection.join().get();
+			Either<CallFailure, T> answer = connection.call(request, remaining, answerType);
+			if (answer.isLeft() && afterTimeout != null && connection.isOpen()) {
+				connection.send(afterTimeout);
+			}
+			return answer;
+		}
+		finally {
+			peer.lastUsedMillis = this.options.clock().millis();
+			peer.inUse.decrementAndGet();
+		}
+	}
+
+	/**
+	 * Closes connections without recent calls.
+	 */
+	void closeIdle() {
+		long now = this.options.clock().millis();
+		this.peers.forEach((address, peer) -> {
+			if (peer.inUse.get() == 0 && now - peer.lastUsedMillis > IDLE_MILLIS && this.peers.remove(address, peer)) {
+				peer.close("idle for " + IDLE_MILLIS + " ms");
+			}
+		});
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.peers.values().forEach((peer) -> peer.close("node is stopping"));
+		this.peers.clear();
+	}
+
+	private Either<CallFailure, Peer> connect(String address, long timeoutMillis) {
+		if (this.closed) {
+			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "node is stopping"));
+		}
+		long now = this.options.clock().millis();
+		Peer peer = this.peers.compute(address, (key, known) -> isUsable(known, now) ? known : open(address, now));
+		try {
+			Either<CallFailure, Connection> result = peer.connection.get(timeoutMillis, TimeUnit.MILLISECONDS);
+			if (result.isLeft()) {
+				this.peers.remove(address, peer);
+				return Either.left(result.getLeft());
+			}
+			return Either.right(peer);
+		}
+		catch (TimeoutException ex) {
+			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "deadline passed while connecting"));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "interrupted while connecting"));
+		}
+		catch (ExecutionException ex) {
+			this.peers.remove(address, peer);
+			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "cannot connect: " + ex.getCause()));
+		}
+	}
+
+	private boolean isUsable(Peer peer, long nowMillis) {
+		if (peer == null) {
+			return false;
+		}
+		Either<CallFailure, Connection> result = peer.connection.getNow(null);
+		if (result == null) {
+			return !peer.connection.isCompletedExceptionally();
+		}
+		return result.isRight() && result.get().isOpen()
+				&& nowMillis - result.get().lastReceivedMillis() < SUSPECT_HEARTBEATS * this.options.heartbeatMillis();
+	}
+
+	private Peer open(String address, long nowMillis) {
+		Peer peer = new Peer(nowMillis);
+		Thread.ofVirtual().name("connect " + address).start(() -> {
+			try {
+				peer.connection.complete(Connection.open(parse(address), this.options, this.handler));
+			}
+			catch (RuntimeException ex) {
+				peer.connection.completeExceptionally(ex);
+			}
+		});
+		return peer;
+	}
+
+	private static InetSocketAddress parse(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	private static final class Peer {
+
+		private final CompletableFuture<Either<CallFailure, Connection>> connection = new CompletableFuture<>();
+
+		private final AtomicInteger inUse = new AtomicInteger();
+
+		private volatile long lastUsedMillis;
+
+		private Peer(long nowMillis) {
+			this.lastUsedMillis = nowMillis;
+		}
+
+		private void close(String reason) {
+			this.connection.thenAccept((result) -> result.forEach((open) -> open.close(reason)));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/RoutedCall.java
@@ -0,0 +1,25 @@
+package io.lavenderroad.node;
+
+import java.util.List;
+
+import io.lavenderroad.model.Route;
+import io.lavenderroad.model.ServiceConfiguration;
+
+/**
+ * A checked call with its route.
+ *
+ * @param service the service
+ * @param route the route
+ * @param method HTTP method
+ * @param target path with query
+ * @param headers end-to-end headers: names and values in turn
+ * @param body whole request body
+ * @param customer customer of the call, empty if unnamed
+ * @param key idempotency key, empty if there is none
+ * @param deadlineMillis when the answer is due, on the clock of this node
+ * @param attemptBudget retries that this node and all later ones may spend
+ */
+record RoutedCall(ServiceConfiguration service, Route route, String method, String target, List<String> headers,
+		byte[] body, String customer, String key, long deadlineMillis, int attemptBudget) {
+
+}
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/ThreadRandom.java
@@ -0,0 +1,16 @@
+package io.lavenderroad.node;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
+
+/**
+ * Default source of randomness, without a lock between threads.
+ */
+final class ThreadRandom implements RandomGenerator {
+
+	@Override
+	public long nextLong() {
+		return ThreadLocalRandom.current().nextLong();
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
@@ -0,0 +1,34 @@
+package io.lavenderroad.policy.calls;
+
+import java.util.Collection;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+/**
+ * Circumstances of one choice.
+ *
+ * @param failureDomain failure domain of the caller's node
+ * @param nowMillis clock reading in milliseconds
+ * @param tried endpoints that this call has already tried
+ * @param random source of randomness
+ */
+public record BalancingContext(String failureDomain, long nowMillis, Collection<EndpointLoad> tried,
+		RandomGenerator random) {
+
+	public BalancingContext {
+		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(tried, "tried");
+		Objects.requireNonNull(random, "random");
+	}
+
+	/**
+	 * Tells whether an endpoint may get this call.
+	 * @param candidate the endpoint
+	 * @return true if it accepts work, is not avoided and was not tried
+	 */
+	public boolean allows(EndpointLoad candidate) {
+		return candidate.endpoint().state().acceptsWork() && !candidate.isAvoided(this.nowMillis)
+				&& !this.tried.contains(candidate);
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/CallPoliciesPlugin.java
@@ -0,0 +1,17 @@
+package io.lavenderroad.policy.calls;
+
+import io.lavenderroad.core.kernel.Kernel;
+import io.lavenderroad.core.kernel.Plugin;
+
+/**
+ * Registers the balancing policies.
+ */
+public final class CallPoliciesPlugin implements Plugin {
+
+	@Override
+	public void register(Kernel kernel) {
+		kernel.register(BalancingPolicy.POINT, TwoChoices.NAME, new TwoChoices());
+		kernel.register(BalancingPolicy.POINT, RoundRobin.NAME, new RoundRobin());
+	}
+
+}
