--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/MoveSituation.java
@@ -0,0 +1,42 @@
+package io.lavenderroad.policy.moves;
+
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MoveState;
+
+/**
+ * Everything a policy may look at.
+ *
+ * @param nowMillis the time, milliseconds since the epoch
+ * @param move durable state of the move
+ * @param evidence what this leader has observed of both versions
+ * @param oldServers backend servers of the old version
+ * @param newServers backend servers of the new version
+ */
+public record MoveSituation(long nowMillis, MoveState move, MoveEvidence evidence, VersionServers oldServers,
+		VersionServers newServers) {
+
+	/**
+	 * Returns the observations since the start of the move.
+	 * @return merged evidence of both versions
+	 */
+	public Evidence sinceStart() {
+		return this.evidence.sinceStart();
+	}
+
+	/**
+	 * Returns the observations since the last step.
+	 * @return merged evidence of both versions
+	 */
+	public Evidence sinceStep() {
+		return this.evidence.sinceStep();
+	}
+
+	/**
+	 * Returns the call rate of the service over both versions.
+	 * @return calls and refusals per second
+	 */
+	public double callsPerSecond() {
+		return this.evidence.callsPerSecond();
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/RequiredEvidence.java
@@ -0,0 +1,69 @@
+package io.lavenderroad.policy.moves;
+
+/**
+ * How many calls of the new version the comparison needs.
+ */
+final class RequiredEvidence {
+
+	/**
+	 * Normal quantile of the stated miss rate of 1%.
+	 */
+	private static final double MISS_RATE_QUANTILE = 2.33;
+
+	/**
+	 * Windows near the beginning of a fault whose parts of the mixture all count.
+	 */
+	private static final double STARTING_WINDOWS = 5;
+
+	private final double alpha;
+
+	private final double horizonSeconds;
+
+	RequiredEvidence(double alpha, double horizonSeconds) {
+		this.alpha = alpha;
+		this.horizonSeconds = Math.max(1, horizonSeconds);
+	}
+
+	/**
+	 * Returns the calls after which a version with more errors is found with a
+	 * probability of 99%.
+	 * @param oldShare error share of the old version
+	 * @param difference error share of the new version above that
+	 * @param newShareBasisPoints share of the new version in 1/10,000, at least 1
+	 * @param scopeWeight weight of all routes or of one route in the mixture
+	 * @param first whether the calls are the first ones of the new version
+	 * @return calls of the new version
+	 */
+	double calls(double oldShare, double difference, int newShareBasisPoints, double scopeWeight, boolean first) {
+		double newPart = Math.min(newShareBasisPoints, 9_999) / 10_000.0;
+		double callRatio = newPart / (1 - newPart);
+		double newShare = Math.min(1, oldShare + difference);
+		double least = Double.MAX_VALUE;
+		for (double effect : SequentialComparison.EFFECTS) {
+			SequentialComparison.Bet bet = SequentialComparison.Bet.of(Signal.ERRORS.ratio(), effect, callRatio);
+			double oldRate = oldShare / callRatio;
+			double drift = newShare * bet.logNew() + oldRate * bet.logOld()
+					- Signal.ERRORS.slack() * Math.expm1(bet.logNew());
+			double variance = newShare * bet.logNew() * bet.logNew() + oldRate * bet.logOld() * bet.logOld();
+			if (drift > 0) {
+				least = Math.min(least, calls(drift, variance, threshold(scopeWeight, first)));
+			}
+		}
+		return Math.ceil(least);
+	}
+
+	private double threshold(double scopeWeight, boolean first) {
+		double start = first ? SequentialComparison.START_WEIGHT
+				: Math.min(1, (1 - SequentialComparison.START_WEIGHT) * STARTING_WINDOWS / this.horizonSeconds);
+		double weight = Signal.ERRORS.weight() * scopeWeight / SequentialComparison.EFFECTS.length * start;
+		return -Math.log(this.alpha * weight);
+	}
+
+	// Solves n * drift - z * sqrt(n * variance) = threshold for n.
+	private static double calls(double drift, double variance, double threshold) {
+		double spread = MISS_RATE_QUANTILE * Math.sqrt(variance);
+		double root = (spread + Math.sqrt(spread * spread + 4 * drift * threshold)) / (2 * drift);
+		return root * root;
+	}
+
+}
--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/Signal.java
@@ -0,0 +1,68 @@
+package io.lavenderroad.policy.moves;
+
+/**
+ * What is compared between versions. A new version is tolerated while its share of events
+ * is at most {@code ratio * old share + slack}.
+ */
+public enum Signal {
+
+	/**
+	 * Calls that failed.
+	 */
+	ERRORS(1.5, 0.001, 0.4, "errors"),
+
+	/**
+	 * Calls refused as "not run".
+	 */
+	REFUSALS(2.0, 0.02, 0.1, "refusals"),
+
+	/**
+	 * Calls slower than the bucket above the median of the old version.
+	 */
+	SLOW(1.6, 0.05, 0.25, "calls above the old median"),
+
+	/**
+	 * Calls slower than the bucket above the 95th percentile of the old version.
+	 */
+	VERY_SLOW(2.0, 0.01, 0.25, "calls above the old 95th percentile");
+
+	private final double ratio;
+
+	private final double slack;
+
+	private final double weight;
+
+	private final String label;
+
+	Signal(double ratio, double slack, double weight, String label) {
+		this.ratio = ratio;
+		this.slack = slack;
+		this.weight = weight;
+		this.label = label;
+	}
+
+	double ratio() {
+		return this.ratio;
+	}
+
+	double slack() {
+		return this.slack;
+	}
+
+	double weight() {
+		return this.weight;
+	}
+
+	/**
+	 * Returns the name used in figures.
+	 * @return words for an operator
+	 */
+	public String label() {
+		return this.label;
+	}
+
+	boolean comparesLatency() {
+		return this == SLOW || this == VERY_SLOW;
+	}
+
+}
