Add the benchmark of move decisions

Nothing measured the decisions against section 1.7. MoveBenchmark drives the real controller and policies over kinds of versions, service sizes and both thin-evidence settings; only call outcomes are drawn.

--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/MoveBenchmark.java
@@ -0,0 +1,233 @@
+package io.lavenderroad.bench.moves;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ForkJoinPool;
+import java.util.stream.IntStream;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.lavenderroad.core.kernel.Kernel;
+import io.lavenderroad.model.MoveParameters;
+import io.lavenderroad.model.ThinEvidence;
+import io.lavenderroad.policy.moves.MoveEvidence;
+
+/**
+ * Measures the decisions about moves against the targets of section 1.7 of the design
+ * page: every good version done by the deadline, every bad one taken back, under 1% of
+ * the calls meeting a version that is bad at once, and false alarms at most at the stated
+ * rate. Ends with exit code 1 if the policy {@code sequential} misses a target.
+ */
+public final class MoveBenchmark {
+
+	private static final double EXPOSURE_TARGET = 0.01;
+
+	@Parameter(names = "--seeds", description = "runs of each cell")
+	private int seeds = 40;
+
+	@Parameter(names = "--seed", description = "first seed")
+	private long firstSeed = 1;
+
+	@Parameter(names = "--minutes", description = "time from the start to the deadline")
+	private long minutes = 30;
+
+	@Parameter(names = "--threads", description = "runs at the same time")
+	private int threads = 4;
+
+	@Parameter(names = "--policies", description = "policies to compare")
+	private List<String> policies = Arrays.asList(MoveParameters.DEFAULT_POLICY, "linear", "threshold");
+
+	@Parameter(names = "--details", description = "print each run that misses a target")
+	private boolean details;
+
+	@Parameter(names = "--help", help = true)
+	private boolean help;
+
+	private final List<String> misses = new ArrayList<>();
+
+	private long goodRuns;
+
+	private long falseAlarms;
+
+	private MoveBenchmark() {
+	}
+
+	/**
+	 * Runs the benchmark.
+	 * @param arguments see {@code --help}
+	 */
+	public static void main(String[] arguments) {
+		// The log of each step of some ten thousand moves would hide the table.
+		System.setProperty("tinylog.level", "error");
+		MoveBenchmark benchmark = new MoveBenchmark();
+		JCommander commander = JCommander.newBuilder().programName("bench moves").addObject(benchmark).build();
+		try {
+			commander.parse(arguments);
+		}
+		catch (ParameterException ex) {
+			System.err.println(ex.getMessage());
+			System.exit(2);
+		}
+		if (benchmark.help) {
+			commander.usage();
+			return;
+		}
+		System.exit(benchmark.run(System.out) ? 0 : 1);
+	}
+
+	private boolean run(PrintStream out) {
+		Kernel kernel = Kernel.load();
+		out.printf("%d runs a cell from seed %d, %d minutes to the deadline%n%n", this.seeds, this.firstSeed,
+				this.minutes);
+		out.println("| policy | thin evidence | service | new version | done on time | taken back "
+				+ "| s to zero p50 / p99 | % of calls until verdict mean / max | % of calls of the move "
+				+ "| false alarms | warned |");
+		out.println("|---|---|---|---|---|---|---|---|---|---|---|");
+		try (ForkJoinPool pool = new ForkJoinPool(this.threads)) {
+			for (String policy : this.policies) {
+				for (ThinEvidence thin : ThinEvidence.values()) {
+					for (ServiceSize size : ServiceSize.ALL) {
+						for (VersionKind kind : VersionKind.values()) {
+							cell(out, pool, kernel, new Cell(policy, thin, size, kind));
+						}
+					}
+				}
+			}
+		}
+		return conclude(out);
+	}
+
+	private void cell(PrintStream out, ForkJoinPool pool, Kernel kernel, Cell cell) {
+		List<RunResult> results = pool
+			.submit(() -> IntStream.range(0, this.seeds)
+				.parallel()
+				.mapToObj((index) -> MoveRun.run(kernel, cell.size(), cell.kind(), cell.policy(), cell.thin(),
+						this.minutes, cell.seed(this.firstSeed + index)))
+				.toList())
+			.join();
+		List<RunResult> bad = results.stream().filter(RunResult::wasBad).toList();
+		long doneOnTime = results.stream().filter((result) -> isDoneOnTime(result)).count();
+		long takenBack = bad.stream().filter(RunResult::isTakenBack).count();
+		long alarms = cell.kind().isBad() ? early(results) : results.stream().filter(RunResult::isTakenBack).count();
+		double[] seconds = bad.stream().mapToDouble(RunResult::secondsToZero).sorted().toArray();
+		double mean = bad.stream().mapToDouble(RunResult::badShare).average().orElse(0);
+		double most = bad.stream().mapToDouble(RunResult::badShare).max().orElse(0);
+		double ofMove = bad.stream().mapToDouble(RunResult::badShareOfMove).average().orElse(0);
+		long warned = results.stream().filter((result) -> result.warnedMillis() >= 0).count();
+		out.printf(Locale.ROOT, "| %s | %s | %s | %s | %s | %s | %s | %s | %s | %d | %d |%n", cell.policy(),
+				cell.thin().name().toLowerCase(Locale.ROOT), cell.size().name(), cell.kind().label(),
+				cell.kind().isBad() ? "" : doneOnTime + "/" + results.size(),
+				cell.kind().isBad() ? takenBack + "/" + bad.size() : "", cell.kind().isBad() ? quantiles(seconds) : "",
+				cell.kind().isBad() ? String.format(Locale.ROOT, "%.2f / %.2f", mean * 100, most * 100) : "",
+				cell.kind().isBad() ? String.format(Locale.ROOT, "%.3f", ofMove * 100) : "", alarms, warned);
+		if (cell.policy().equals(MoveParameters.DEFAULT_POLICY)) {
+			judge(cell, results, bad, mean);
+		}
+		if (this.details) {
+			details(out, cell, results);
+		}
+	}
+
+	private void judge(Cell cell, List<RunResult> results, List<RunResult> bad, double exposure) {
+		if (!cell.kind().isBad()) {
+			this.goodRuns += results.size();
+			this.falseAlarms += results.stream().filter(RunResult::isTakenBack).count();
+			long late = results.stream().filter((result) -> !result.isTakenBack() && !isDoneOnTime(result)).count();
+			boolean mayMiss = cell.size().thin() && cell.thin() == ThinEvidence.HOLD;
+			if (late > 0 && !mayMiss) {
+				this.misses.add(cell + ": " + late + " good moves not done by the deadline");
+			}
+			long unwarned = results.stream().filter((result) -> !result.isTakenBack() && isUnwarned(result)).count();
+			if (unwarned > 0) {
+				this.misses.add(cell + ": " + unwarned + " missed deadlines without a warning in the first half");
+			}
+			return;
+		}
+		this.goodRuns += results.size();
+		this.falseAlarms += early(results);
+		long missed = bad.stream().filter((result) -> !result.isTakenBack()).count();
+		if (missed > 0) {
+			this.misses.add(cell + ": " + missed + " of " + bad.size() + " bad versions not taken back");
+		}
+		if (cell.kind().isBadAtOnce() && exposure >= EXPOSURE_TARGET) {
+			this.misses
+				.add(String.format(Locale.ROOT, "%s: %.2f%% of the calls met the bad version", cell, exposure * 100));
+		}
+	}
+
+	private boolean isUnwarned(RunResult result) {
+		return !isDoneOnTime(result) && (result.warnedMillis() < 0 || result.warnedMillis() > this.minutes * 30_000);
+	}
+
+	private boolean isDoneOnTime(RunResult result) {
+		return result.isDone() && result.finishedMillis() <= this.minutes * 60_000;
+	}
+
+	// A version taken back before it was bad is a false alarm too.
+	private static long early(List<RunResult> results) {
+		return results.stream().filter((result) -> result.isTakenBack() && !result.wasBad()).count();
+	}
+
+	private static String quantiles(double[] sorted) {
+		if (sorted.length == 0) {
+			return "-";
+		}
+		int last = Math.min(sorted.length - 1, (int) Math.ceil(sorted.length * 0.99) - 1);
+		return String.format(Locale.ROOT, "%.0f / %.0f", sorted[(sorted.length - 1) / 2], sorted[last]);
+	}
+
+	private boolean conclude(PrintStream out) {
+		double rate = (this.goodRuns > 0) ? (double) this.falseAlarms / this.goodRuns : 0;
+		out.printf(Locale.ROOT, "%nTargets of section 1.7 for the policy %s:%n", MoveParameters.DEFAULT_POLICY);
+		out.println("- every good version done by the deadline, except with hold on a thin service");
+		out.println("- every bad version taken back");
+		out.println("- under 1% of the calls until the verdict meet a version that is bad at once, mean of the runs");
+		out.println("- a warning in the first half of the time where the deadline is missed");
+		out.printf(Locale.ROOT, "- false alarms: %d in %d runs of good time, stated rate %.4f, measured %.4f%n",
+				this.falseAlarms, this.goodRuns, MoveEvidence.FALSE_ALARM_RATE, rate);
+		if (rate > MoveEvidence.FALSE_ALARM_RATE) {
+			this.misses.add("the false-alarm rate is above the stated one");
+		}
+		this.misses.forEach((miss) -> out.println("MISSED: " + miss));
+		out.println(this.misses.isEmpty() ? "all targets met" : this.misses.size() + " targets missed");
+		return this.misses.isEmpty();
+	}
+
+	private void details(PrintStream out, Cell cell, List<RunResult> results) {
+		for (int index = 0; index < results.size(); index++) {
+			RunResult result = results.get(index);
+			boolean missed = cell.kind().isBad() ? result.wasBad() != result.isTakenBack() : !isDoneOnTime(result);
+			if (missed) {
+				out.println("seed " + (this.firstSeed + index) + " " + result);
+			}
+		}
+	}
+
+	/**
+	 * One line of the table.
+	 *
+	 * @param policy name of the policy
+	 * @param thin what to do without enough evidence
+	 * @param size size of the service
+	 * @param kind kind of the new version
+	 */
+	private record Cell(String policy, ThinEvidence thin, ServiceSize size, VersionKind kind) {
+
+		// The policies meet the same outcomes as long as they choose the same shares.
+		long seed(long index) {
+			return (index * 1_000_003 + this.size.name().hashCode()) * 31 + this.kind.ordinal();
+		}
+
+		@Override
+		public String toString() {
+			return this.policy + ", " + this.thin.name().toLowerCase(Locale.ROOT) + ", " + this.size.name() + ", "
+					+ this.kind.label();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/MoveRun.java
@@ -0,0 +1,325 @@
+package io.lavenderroad.bench.moves;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.lavenderroad.control.moves.MoveController;
+import io.lavenderroad.control.moves.MoveStore;
+import io.lavenderroad.core.kernel.Kernel;
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.LatencyHistogram;
+import io.lavenderroad.model.MoveParameters;
+import io.lavenderroad.model.MoveState;
+import io.lavenderroad.model.MoveStatus;
+import io.lavenderroad.model.ObservationKey;
+import io.lavenderroad.model.Observations;
+import io.lavenderroad.model.Route;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.ThinEvidence;
+
+/**
+ * One move decided by the real controller and policy, one tick a second. Only the
+ * outcomes of calls are drawn. A share decided in one tick is in force two ticks later.
+ */
+final class MoveRun implements MoveStore {
+
+	private static final String SERVICE = "service";
+
+	private static final String OLD = "v1";
+
+	private static final String NEW = "v2";
+
+	private static final long TICK_MILLIS = 1_000;
+
+	/**
+	 * Ticks until a decided share is in force: commit and distribution.
+	 */
+	private static final int TICKS_UNTIL_IN_FORCE = 2;
+
+	private static final double LATENCY_SIGMA = 0.5;
+
+	private static final double MEAN_LATENCY_MILLIS = 34;
+
+	private static final double COLD_SLOWDOWN = 4;
+
+	private static final double SLOWDOWN_OF_FULL_QUEUE = 3.5;
+
+	private static final double TIMEOUTS_UNDER_OVERLOAD = 0.02;
+
+	private static final long SURGE_MILLIS = 120_000;
+
+	private static final List<RouteLoad> ROUTES = List.of(new RouteLoad("read", 0.6, 20),
+			new RouteLoad("write", 0.2995, 40), new RouteLoad("report", 0.1, 60), new RouteLoad("rare", 0.0005, 40));
+
+	private static final String BAD_ROUTE = "report";
+
+	private final ServiceSize size;
+
+	private final VersionKind kind;
+
+	private final long deadlineMillis;
+
+	private final Draws draws;
+
+	private final ServiceConfiguration configuration;
+
+	private final List<Endpoint> endpoints = new ArrayList<>();
+
+	private final int[] shares = new int[TICKS_UNTIL_IN_FORCE + 1];
+
+	private final double oldErrorShare;
+
+	private final double newErrorRatio;
+
+	private final double newLatencyRatio;
+
+	private final double severity;
+
+	private final double slowdown;
+
+	private final double onset;
+
+	private final double loadThreshold;
+
+	private final double dependencyStart;
+
+	private final double dependencyLength;
+
+	private final double dependencyErrors;
+
+	private final double coldSeconds;
+
+	private MoveState move;
+
+	private double noise;
+
+	private long firstNewMillis = -1;
+
+	private long firstBadMillis = -1;
+
+	private long lastBadMillis = -1;
+
+	private long badCalls;
+
+	private long allCalls;
+
+	private long callsUntilVerdict;
+
+	private MoveRun(ServiceSize size, VersionKind kind, String policy, ThinEvidence thin, long minutes, long seed) {
+		this.size = size;
+		this.kind = kind;
+		this.deadlineMillis = minutes * 60_000;
+		this.draws = new Draws(new SplittableRandom(seed));
+		MoveParameters parameters = new MoveParameters("move", OLD, NEW, this.deadlineMillis, thin, policy);
+		this.move = MoveState.started(SERVICE, parameters, 0);
+		this.configuration = ServiceConfiguration.builder(SERVICE)
+			.routes(ROUTES.stream().map((route) -> new Route(route.name(), "*", "/", true, 1_000, 1_000)).toList())
+			.build();
+		for (int worker = 0; worker < size.workers(); worker++) {
+			this.endpoints.add(endpoint(OLD, worker));
+			this.endpoints.add(endpoint(NEW, worker));
+		}
+		this.oldErrorShare = this.draws.logUniform(0.0002, 0.005);
+		this.newErrorRatio = this.draws.uniform(0.8, 1.25);
+		this.newLatencyRatio = this.draws.uniform(0.9, 1.1);
+		this.severity = this.draws.uniform((kind == VersionKind.BAD_ROUTE) ? 0.3 : 0.1, 1);
+		this.slowdown = this.draws.uniform(2, 5);
+		this.onset = this.draws.uniform(0.1, 0.9) * this.deadlineMillis;
+		this.loadThreshold = this.draws.uniform(2_000, 8_000);
+		this.dependencyStart = kind.isBad() ? 0 : this.draws.uniform(0, 0.8) * this.deadlineMillis;
+		this.dependencyLength = this.draws.uniform(0.05, 0.2) * this.deadlineMillis;
+		this.dependencyErrors = this.draws.uniform(0.1, 0.6);
+		this.coldSeconds = this.draws.uniform(20, 50);
+	}
+
+	/**
+	 * Runs one move.
+	 * @param kernel holds the policies
+	 * @param size size of the service
+	 * @param kind kind of the new version
+	 * @param policy name of the policy
+	 * @param thin what to do without enough evidence
+	 * @param minutes time to the deadline
+	 * @param seed seed of the outcomes
+	 * @return what happened
+	 */
+	static RunResult run(Kernel kernel, ServiceSize size, VersionKind kind, String policy, ThinEvidence thin,
+			long minutes, long seed) {
+		MoveRun run = new MoveRun(size, kind, policy, thin, minutes, seed);
+		return run.run(new MoveController(run, kernel));
+	}
+
+	private RunResult run(MoveController controller) {
+		long endMillis = this.deadlineMillis + TICK_MILLIS * TICKS_UNTIL_IN_FORCE;
+		long warnedMillis = -1;
+		for (long now = TICK_MILLIS; now <= endMillis; now += TICK_MILLIS) {
+			int share = this.shares[0];
+			controller.add(draw(now, share));
+			controller.tick(now);
+			System.arraycopy(this.shares, 1, this.shares, 0, this.shares.length - 1);
+			this.shares[this.shares.length - 1] = this.move.shareBasisPoints();
+			if (warnedMillis < 0 && !this.move.warnings().isEmpty()) {
+				warnedMillis = now;
+			}
+			if (this.move.status() == MoveStatus.TAKEN_BACK && this.shares[0] == 0) {
+				break;
+			}
+		}
+		return new RunResult(this.move.status(), this.move.finishedMillis(), warnedMillis, this.firstNewMillis,
+				this.firstBadMillis, this.lastBadMillis, ratio(this.badCalls, this.callsUntilVerdict),
+				ratio(this.badCalls, this.size.callsPerSecond() * this.deadlineMillis / 1_000), this.move.reason(),
+				this.move.figures());
+	}
+
+	private static double ratio(double part, double whole) {
+		return (whole > 0) ? part / whole : 0;
+	}
+
+	private Evidence draw(long now, int share) {
+		this.noise = 0.9 * this.noise + 0.1 * this.draws.gaussian();
+		if (share > 0 && this.firstNewMillis < 0) {
+			this.firstNewMillis = now;
+		}
+		boolean bad = isBadNow(now, share);
+		if (bad && share > 0) {
+			this.firstBadMillis = (this.firstBadMillis < 0) ? now : this.firstBadMillis;
+			this.lastBadMillis = now;
+		}
+		double rate = callsPerSecond(now);
+		double newLoad = load(rate * share / ServiceConfiguration.WHOLE_SHARE);
+		double oldLoad = load(rate * (ServiceConfiguration.WHOLE_SHARE - share) / ServiceConfiguration.WHOLE_SHARE);
+		Map<ObservationKey, Observations> observations = new HashMap<>();
+		for (RouteLoad route : ROUTES) {
+			long calls = this.draws.poisson(rate * route.weight() * TICK_MILLIS / 1_000);
+			long newCalls = this.draws.binomial(calls, share / (double) ServiceConfiguration.WHOLE_SHARE);
+			put(observations, route, OLD, outcome(calls - newCalls, oldErrors(now, oldLoad),
+					route.medianMillis() * commonSlowdown(now) * slowdown(oldLoad), oldLoad));
+			put(observations, route, NEW, outcome(newCalls, newErrors(now, newLoad, bad, route),
+					route.medianMillis() * commonSlowdown(now) * slowdown(newLoad) * newSlowdown(now, bad), newLoad));
+			count(calls, newCalls, bad);
+		}
+		return Evidence.of(observations);
+	}
+
+	private void count(long calls, long newCalls, boolean bad) {
+		this.allCalls += calls;
+		this.badCalls += bad ? newCalls : 0;
+		if (!this.move.status().isFinal() || bad && newCalls > 0) {
+			this.callsUntilVerdict = this.allCalls;
+		}
+	}
+
+	private static void put(Map<ObservationKey, Observations> observations, RouteLoad route, String version,
+			Observations outcome) {
+		if (outcome.calls() + outcome.refusals() > 0) {
+			observations.put(new ObservationKey(SERVICE, route.name(), version), outcome);
+		}
+	}
+
+	private Observations outcome(long calls, double errorShare, double medianMillis, double load) {
+		long refusals = this.draws.binomial(calls, (load > 1) ? 1 - 1 / load : 0);
+		long run = calls - refusals;
+		LatencyHistogram latencies = this.draws.latencies(run, medianMillis, LATENCY_SIGMA);
+		return new Observations(run, this.draws.binomial(run, errorShare), refusals, latencies);
+	}
+
+	private boolean isBadNow(long now, int share) {
+		return switch (this.kind) {
+			case FAILING_AT_ONCE, SLOW_AT_ONCE, BAD_ROUTE, BAD_COLD, BAD_DEPENDENCY -> true;
+			case FAILING_LATE, SLOW_LATE -> now >= this.onset;
+			case BAD_UNDER_LOAD -> share >= this.loadThreshold;
+			default -> false;
+		};
+	}
+
+	private double oldErrors(long now, double load) {
+		double usual = this.oldErrorShare * Math.exp(this.noise);
+		double timeouts = (load > 1) ? TIMEOUTS_UNDER_OVERLOAD : 0;
+		return Math.min(1, usual + timeouts + (dependencyFails(now) ? this.dependencyErrors : 0));
+	}
+
+	private double newErrors(long now, double load, boolean bad, RouteLoad route) {
+		double usual = this.oldErrorShare * (this.newErrorRatio - 1) * Math.exp(this.noise) + oldErrors(now, load);
+		boolean fails = bad && (this.kind.isFailing() || this.kind == VersionKind.BAD_UNDER_LOAD
+				|| this.kind == VersionKind.BAD_ROUTE && route.name().equals(BAD_ROUTE));
+		return Math.clamp(usual + (fails ? this.severity : 0), 0, 1);
+	}
+
+	private double newSlowdown(long now, boolean bad) {
+		boolean cold = this.kind.hasColdStart() && this.firstNewMillis >= 0
+				&& now - this.firstNewMillis < this.coldSeconds * 1_000;
+		boolean slow = bad && (this.kind.isSlow() || this.kind == VersionKind.BAD_UNDER_LOAD);
+		return this.newLatencyRatio * (cold ? COLD_SLOWDOWN : 1) * (slow ? this.slowdown : 1);
+	}
+
+	private boolean dependencyFails(long now) {
+		return this.kind.hasDependencyFailure() && now >= this.dependencyStart
+				&& now < this.dependencyStart + this.dependencyLength;
+	}
+
+	private double commonSlowdown(long now) {
+		return dependencyFails(now) ? 2 : 1;
+	}
+
+	private double callsPerSecond(long now) {
+		double usual = this.size.callsPerSecond() * (1 + 0.2 * Math.sin(now / 400_000.0));
+		boolean surge = this.kind == VersionKind.GOOD_SURGE && now >= this.dependencyStart
+				&& now < this.dependencyStart + SURGE_MILLIS;
+		return surge ? 3 * this.size.workers() * ServiceSize.SLOTS * 1_000 / MEAN_LATENCY_MILLIS : usual;
+	}
+
+	private double load(double callsPerSecond) {
+		return callsPerSecond * MEAN_LATENCY_MILLIS / 1_000 / (this.size.workers() * ServiceSize.SLOTS);
+	}
+
+	private static double slowdown(double load) {
+		return (load > 1) ? SLOWDOWN_OF_FULL_QUEUE : 1 + 0.5 * load * load;
+	}
+
+	private static Endpoint endpoint(String version, int worker) {
+		return new Endpoint(version + "-" + worker, 0, 1, EndpointState.READY, SERVICE, version, "region", "domain",
+				"127.0.0.1:1", ServiceSize.SLOTS, 100, "control");
+	}
+
+	@Override
+	public Collection<MoveState> moves() {
+		return List.of(this.move);
+	}
+
+	@Override
+	public Optional<ServiceConfiguration> service(String service) {
+		return Optional.of(this.configuration);
+	}
+
+	@Override
+	public List<Endpoint> endpoints(String service) {
+		return this.endpoints;
+	}
+
+	@Override
+	public boolean propose(MoveState expected, MoveState next) {
+		if (!expected.equals(this.move)) {
+			return false;
+		}
+		this.move = next;
+		return true;
+	}
+
+	/**
+	 * Calls of one route.
+	 *
+	 * @param name name of the route
+	 * @param weight share of the calls of the service
+	 * @param medianMillis median latency of the old version without load
+	 */
+	private record RouteLoad(String name, double weight, double medianMillis) {
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/RunResult.java
@@ -0,0 +1,40 @@
+package io.lavenderroad.bench.moves;
+
+import io.lavenderroad.model.MoveStatus;
+
+/**
+ * What happened in one run. Times count from the start of the move; -1 stands for never.
+ *
+ * @param status status at the end of the run
+ * @param finishedMillis when the verdict was reached, 0 without one
+ * @param warnedMillis when the operator was first warned
+ * @param firstNewMillis when the new version got its first calls
+ * @param firstBadMillis when the version was first bad while it had a share
+ * @param lastBadMillis when it last had a share while it was bad
+ * @param badShare calls that met the bad version as a part of all calls until the verdict
+ * was in force
+ * @param badShareOfMove calls that met the bad version as a part of all calls from the
+ * start to the deadline
+ * @param reason reason of the verdict
+ * @param figures figures of the verdict
+ */
+record RunResult(MoveStatus status, long finishedMillis, long warnedMillis, long firstNewMillis, long firstBadMillis,
+		long lastBadMillis, double badShare, double badShareOfMove, String reason, String figures) {
+
+	boolean isDone() {
+		return this.status == MoveStatus.DONE;
+	}
+
+	boolean isTakenBack() {
+		return this.status == MoveStatus.TAKEN_BACK;
+	}
+
+	boolean wasBad() {
+		return this.firstBadMillis >= 0;
+	}
+
+	double secondsToZero() {
+		return (this.lastBadMillis - this.firstBadMillis) / 1_000.0 + 1;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmark of the decisions about moves.
+ */
+package io.lavenderroad.bench.moves;
