--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/AdminServer.java
@@ -0,0 +1,77 @@
+package io.lavenderroad.daemon;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * HTTP on the admin port of a daemon: {@code GET /status} and {@code POST /drain}.
+ */
+final class AdminServer implements AutoCloseable {
+
+	private static final int OK = 200;
+
+	private static final int METHOD_NOT_ALLOWED = 405;
+
+	private static final int INTERNAL_ERROR = 500;
+
+	private final HttpServer server;
+
+	private AdminServer(HttpServer server) {
+		this.server = server;
+	}
+
+	static AdminServer start(InetSocketAddress address, Supplier<Map<String, Object>> status, Runnable drain)
+			throws IOException {
+		HttpServer server = HttpServer.create(address, 0);
+		server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+		server.createContext("/status", (exchange) -> answer(exchange, "GET", status));
+		server.createContext("/drain", (exchange) -> answer(exchange, "POST", () -> {
+			drain.run();
+			return Map.of("state", "draining");
+		}));
+		server.start();
+		return new AdminServer(server);
+	}
+
+	HttpServer server() {
+		return this.server;
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+	}
+
+	private static void answer(HttpExchange exchange, String method, Supplier<Map<String, Object>> body)
+			throws IOException {
+		try (exchange) {
+			if (!exchange.getRequestMethod().equals(method)) {
+				send(exchange, METHOD_NOT_ALLOWED, Map.of("error", "only " + method + " is allowed"));
+				return;
+			}
+			send(exchange, OK, body.get());
+		}
+		catch (RuntimeException ex) {
+			send(exchange, INTERNAL_ERROR, Map.of("error", String.valueOf(ex.getMessage())));
+		}
+	}
+
+	private static void send(HttpExchange exchange, int status, Map<String, Object> body) throws IOException {
+		byte[] bytes = JSON.std.asString(body).getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Content-Type", "application/json");
+		exchange.sendResponseHeaders(status, bytes.length);
+		try (OutputStream output = exchange.getResponseBody()) {
+			output.write(bytes);
+		}
+	}
+
+}
