Wire the control role and run the thin whole path

Change: control role with log, state machine, root of the relay tree, move controller and operators' API. A step of a move says whether the ramp is complete, since the move policy keeps a small share on the old version.

--- a/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
@@ -200,12 +200,12 @@
 	}
 
 	/**
-	 * Returns the file in which the stand-in beside a node records what it ran.
+	 * Returns the address of the stand-in beside a node.
 	 * @param nodeId id of the node
-	 * @return the file
+	 * @return {@code ip:port} of its HTTP server
 	 */
-	public Path backendRecord(String nodeId) {
-		return this.folder.resolve(nodeId + ".ran");
+	public String backendAddress(String nodeId) {
+		return address(nodeId) + ":" + BACKEND_PORT;
 	}
 
 	/**
@@ -268,8 +268,8 @@
 
 	private void startBackend(String id, String service, String version, int slots, List<String> arguments) {
 		List<String> command = new ArrayList<>(List.of(this.home.resolve("bin/stand-in-backend").toString(),
-				"--address", address(id), "--port", String.valueOf(BACKEND_PORT), "--service", service, "--version",
-				version, "--slots", String.valueOf(slots), "--record", backendRecord(id).toString()));
+				"--address", address(id), "--port", String.valueOf(BACKEND_PORT), "--name",
+				service + "/" + version + "/" + id, "--set", "slots=" + slots));
 		command.addAll(arguments);
 		this.backends.put(id, DaemonProcess.start(id + " backend", command, this.folder.resolve(id + ".backend.out")));
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/Command.java
+++ b/control/src/main/java/io/lavenderroad/control/state/Command.java
@@ -47,9 +47,11 @@
 	 * @param moveId id of the move
 	 * @param expectedStep step of the move that the decision was made for
 	 * @param shareBasisPoints share of the new version in 1/10,000
+	 * @param rampComplete whether this is the last share of the ramp, after which the new
+	 * version is only watched; the old one may keep a small share for the comparison
 	 * @param reason why the share changes
 	 */
-	record StepMove(long atMillis, String moveId, int expectedStep, int shareBasisPoints,
+	record StepMove(long atMillis, String moveId, int expectedStep, int shareBasisPoints, boolean rampComplete,
 			String reason) implements Command {
 
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
+++ b/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
@@ -105,6 +105,7 @@
 			case StepMove step -> {
 				packHeader(packer, STEP_MOVE, step.atMillis(), step.moveId(), step.expectedStep());
 				packer.packInt(step.shareBasisPoints());
+				packer.packBoolean(step.rampComplete());
 				packer.packString(step.reason());
 			}
 			case WithdrawMove withdraw -> {
@@ -163,7 +164,8 @@
 		String moveId = unpacker.unpackString();
 		int step = unpacker.unpackInt();
 		return switch (code) {
-			case STEP_MOVE -> new StepMove(atMillis, moveId, step, unpacker.unpackInt(), unpacker.unpackString());
+			case STEP_MOVE -> new StepMove(atMillis, moveId, step, unpacker.unpackInt(), unpacker.unpackBoolean(),
+					unpacker.unpackString());
 			case WITHDRAW_MOVE -> new WithdrawMove(atMillis, moveId, step, unpacker.unpackString(),
 					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
 			case FINISH_MOVE ->
--- a/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
@@ -338,7 +338,8 @@
 		if (step.shareBasisPoints() < 0 || step.shareBasisPoints() > ServiceConfiguration.WHOLE_SHARE) {
 			return refused("share " + step.shareBasisPoints() + " is not between 0 and 10000");
 		}
-		MoveState next = MoveChanges.stepped(move, step.shareBasisPoints(), step.atMillis(), step.reason());
+		MoveState next = MoveChanges.stepped(move, step.shareBasisPoints(), step.rampComplete(), step.atMillis(),
+				step.reason());
 		this.state.moves.put(next.id(), next);
 		changeTraffic(next);
 		recordMove(next, "", next.parameters().to() + " gets " + ParameterType.percent(next.shareBasisPoints()) + ": "
--- a/control/src/main/java/io/lavenderroad/control/state/MoveChanges.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MoveChanges.java
@@ -22,9 +22,8 @@
 	private MoveChanges() {
 	}
 
-	static MoveState stepped(MoveState move, int shareBasisPoints, long atMillis, String reason) {
-		MoveStatus status = (shareBasisPoints == ServiceConfiguration.WHOLE_SHARE) ? MoveStatus.WATCHING
-				: MoveStatus.RAMPING;
+	static MoveState stepped(MoveState move, int shareBasisPoints, boolean rampComplete, long atMillis, String reason) {
+		MoveStatus status = rampComplete ? MoveStatus.WATCHING : MoveStatus.RAMPING;
 		return new MoveState(move.service(), move.parameters(), move.startedMillis(), status, move.step() + 1,
 				shareBasisPoints, atMillis, reason, "", "", 0, move.warnings());
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/MoveService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MoveService.java
@@ -32,11 +32,14 @@
 	 * Sets the share of the new version.
 	 * @param move state of the move that the decision was made for
 	 * @param shareBasisPoints share in 1/10,000
+	 * @param rampComplete whether this is the last share of the ramp
 	 * @param reason why the share changes
 	 * @return the outcome, or why the command is not known to be committed
 	 */
-	public Either<CommandFailure, CommandOutcome> step(MoveState move, int shareBasisPoints, String reason) {
-		return propose(new StepMove(this.clock.millis(), move.id(), move.step(), shareBasisPoints, reason));
+	public Either<CommandFailure, CommandOutcome> step(MoveState move, int shareBasisPoints, boolean rampComplete,
+			String reason) {
+		return propose(
+				new StepMove(this.clock.millis(), move.id(), move.step(), shareBasisPoints, rampComplete, reason));
 	}
 
 	/**
--- a/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
@@ -68,7 +68,7 @@
 	public void stepOfAMoveIsNoConflictForAChange() {
 		TestMesh mesh = new TestMesh();
 		long base = mesh.accept("change-1", MOVING);
-		mesh.moves.step(mesh.move(), 500, "first step");
+		mesh.moves.step(mesh.move(), 500, false, "first step");
 		ChangeOutcome outcome = mesh.apply("change-2", base, "  desk: { current: v1, queue: 30, move: { to: v2 } }\n")
 			.get();
 		Assert.assertEquals(outcome, new ChangeOutcome("change-2", true, 3, ""));
@@ -81,9 +81,9 @@
 		mesh.accept("change-1", MOVING);
 		Assert.assertEquals(mesh.split(), Map.of("v1", 10_000));
 		MoveState started = mesh.move();
-		Assert.assertTrue(mesh.moves.step(started, 500, "first step").get().applied());
-		Assert.assertEquals(mesh.moves.step(started, 500, "first step").get().kind(), CommandOutcome.Kind.STALE);
-		Assert.assertEquals(mesh.moves.step(started, 2_000, "late").get().kind(), CommandOutcome.Kind.STALE);
+		Assert.assertTrue(mesh.moves.step(started, 500, false, "first step").get().applied());
+		Assert.assertEquals(mesh.moves.step(started, 500, false, "first step").get().kind(), CommandOutcome.Kind.STALE);
+		Assert.assertEquals(mesh.moves.step(started, 2_000, false, "late").get().kind(), CommandOutcome.Kind.STALE);
 		Assert.assertEquals(mesh.moves.finish(mesh.move(), "early", "").get().kind(), CommandOutcome.Kind.REFUSED);
 		Assert.assertEquals(mesh.split(), Map.of("v1", 9_500, "v2", 500));
 		Assert.assertEquals(mesh.stateMachine.configuration().version(), 2);
@@ -93,10 +93,10 @@
 	public void withdrawnVersionIsTriedAgainOnlyOnRequest() {
 		TestMesh mesh = new TestMesh();
 		mesh.accept("change-1", MOVING);
-		mesh.moves.step(mesh.move(), 500, "first step");
+		mesh.moves.step(mesh.move(), 500, false, "first step");
 		mesh.moves.withdraw(mesh.move(), "errors", "orders", "12/300 against 1/900");
 		Assert.assertEquals(mesh.move().status(), MoveStatus.TAKEN_BACK);
-		Assert.assertFalse(mesh.moves.step(mesh.move(), 1_000, "late").get().applied());
+		Assert.assertFalse(mesh.moves.step(mesh.move(), 1_000, false, "late").get().applied());
 		mesh.accept("change-2", "  desk: { current: v1, queue: 11, move: { to: v2, deadline: 2h } }\n");
 		Assert.assertEquals(mesh.split(), Map.of("v1", 10_000));
 		Assert.assertEquals(mesh.stateMachine.activeMoves().size(), 0);
@@ -108,7 +108,7 @@
 	public void removingTheMoveTakesTheNewVersionBack() {
 		TestMesh mesh = new TestMesh();
 		mesh.accept("change-1", MOVING);
-		mesh.moves.step(mesh.move(), 500, "first step");
+		mesh.moves.step(mesh.move(), 500, false, "first step");
 		mesh.accept("change-2", STABLE);
 		Assert.assertEquals(mesh.split(), Map.of("v1", 10_000));
 		Assert.assertEquals(mesh.move().status(), MoveStatus.TAKEN_BACK);
@@ -119,7 +119,7 @@
 	public void finishedMoveIsNotRevertedByLaterDocuments() {
 		TestMesh mesh = new TestMesh();
 		mesh.accept("change-1", MOVING);
-		mesh.moves.step(mesh.move(), 10_000, "last step");
+		mesh.moves.step(mesh.move(), 10_000, true, "last step");
 		mesh.moves.finish(mesh.move(), "watched", "");
 		mesh.accept("change-2", "  desk: { current: v1, queue: 11, move: { to: v2 } }\n");
 		Assert.assertEquals(mesh.split(), Map.of("v2", 10_000));
@@ -203,7 +203,7 @@
 					case 0 -> mesh.moves.withdraw(move, "errors", "orders", "figures");
 					case 1 -> mesh.moves.warn(move, "warning " + index);
 					case 2 -> mesh.moves.finish(move, "watched", "");
-					default -> mesh.moves.step(move, random.nextInt(3) * 5_000, "step");
+					default -> mesh.moves.step(move, random.nextInt(3) * 5_000, random.nextBoolean(), "step");
 				}
 			}
 		}
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -0,0 +1,177 @@
+package io.lavenderroad.daemon;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import io.lavenderroad.control.api.ConvergenceView;
+import io.lavenderroad.control.api.OperatorApi;
+import io.lavenderroad.control.log.DurableLog;
+import io.lavenderroad.control.log.StorageFileSystem;
+import io.lavenderroad.control.raft.ControlMember;
+import io.lavenderroad.control.raft.ControlMessages;
+import io.lavenderroad.control.raft.Member;
+import io.lavenderroad.control.raft.MemberOptions;
+import io.lavenderroad.control.raft.MemberSet;
+import io.lavenderroad.control.state.ChangeService;
+import io.lavenderroad.control.state.MeshStateMachine;
+import io.lavenderroad.control.state.MoveService;
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.kernel.Kernel;
+import io.lavenderroad.core.wire.DispatchingHandler;
+import io.lavenderroad.core.wire.FrameServer;
+import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.distribution.ConvergenceStatus;
+import io.lavenderroad.distribution.DistributionMessages;
+import io.lavenderroad.distribution.RootDistribution;
+import io.lavenderroad.model.Evidence;
+import io.lavenderroad.policy.moves.MovePolicy;
+
+/**
+ * A control member: replicated log, state of the mesh, root of the relay tree, moves and
+ * the operators' API.
+ */
+final class ControlRole implements RunningRole {
+
+	private static final long SEGMENT_BYTES = 16 * 1024 * 1024;
+
+	private static final long MOVE_TICK_MILLIS = 500;
+
+	private static final long SHUTDOWN_MILLIS = 5_000;
+
+	private final DurableLog log;
+
+	private final ControlMember<MeshCommands.Adapter> member;
+
+	private final RootDistribution root;
+
+	private final LeaderMoves leaderMoves;
+
+	private final FrameServer server;
+
+	private final OperatorApi api;
+
+	private final AdminServer admin;
+
+	private final PeriodicTask moveTask;
+
+	private ControlRole(DaemonSettings settings, Kernel kernel) throws IOException {
+		Clock clock = Clock.system();
+		RandomGenerator random = new Random();
+		MeshStateMachine mesh = new MeshStateMachine();
+		WireOptions options = WireSetup.options(settings, clock, ControlMessages.types(), DistributionMessages.types());
+		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
+		this.member = member(settings, clock, random, mesh);
+		MeshCommands commands = new MeshCommands(this.member, settings.ports().http());
+		MoveService moveService = new MoveService(commands, clock);
+		this.root = RootDistribution.builder()
+			.options(options)
+			.clock(clock)
+			.random(random)
+			.peers(peers(settings))
+			.confirmCommittedVersion(() -> confirmedVersion(commands, mesh))
+			.evidenceListener(this::addEvidence)
+			.build();
+		this.leaderMoves = LeaderMoves.create(mesh, moveService, (service) -> this.root.registry().live(service),
+				kernel, clock);
+		mesh.onConfiguration(this.root::publish);
+		this.member.addLeadershipListener(this.leaderMoves::leadershipChanged);
+		DispatchingHandler handler = DispatchingHandler.builder()
+			.add(ControlMessages.types(), this.member.handler())
+			.add(DistributionMessages.types(), this.root.handler())
+			.build();
+		this.server = FrameServer.start(settings.socketAddress(settings.ports().framesBind()), options, handler);
+		this.member.start(options);
+		this.root.publish(mesh.configuration());
+		this.root.start();
+		this.api = api(settings, kernel, clock, mesh, commands, moveService);
+		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, () -> {
+		});
+		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, this.leaderMoves::tick);
+	}
+
+	static RunningRole start(DaemonSettings settings, Kernel kernel) throws IOException {
+		return new ControlRole(settings, kernel);
+	}
+
+	@Override
+	public void shutDown() {
+		this.moveTask.close();
+		this.api.close();
+		this.member.shutdown(SHUTDOWN_MILLIS);
+		this.root.close();
+		this.server.close();
+		this.admin.close();
+		this.log.close();
+	}
+
+	private ControlMember<MeshCommands.Adapter> member(DaemonSettings settings, Clock clock, RandomGenerator random,
+			MeshStateMachine mesh) {
+		List<Member> voters = settings.members()
+			.stream()
+			.map((member) -> Member.voter(member.id(), member.address()))
+			.toList();
+		return ControlMember.<MeshCommands.Adapter>builder()
+			.id(settings.id())
+			.initialMembers(voters.isEmpty() ? MemberSet.empty() : MemberSet.of(voters))
+			.options(MemberOptions.builder().build())
+			.clock(clock)
+			.random(random)
+			.log(this.log)
+			.stateMachine(new MeshCommands.Adapter(mesh))
+			.build();
+	}
+
+	private OperatorApi api(DaemonSettings settings, Kernel kernel, Clock clock, MeshStateMachine mesh,
+			MeshCommands commands, MoveService moveService) throws IOException {
+		Predicate<String> knownPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
+		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock);
+		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
+				new RaftAdministration(this.member, commands), this::convergence, () -> "");
+		operatorApi.start(settings.socketAddress(settings.ports().http()));
+		return operatorApi;
+	}
+
+	private void addEvidence(Evidence evidence) {
+		this.leaderMoves.add(evidence);
+	}
+
+	private ConvergenceView.Convergence convergence() {
+		ConvergenceStatus status = this.root.status();
+		return new ConvergenceView.Convergence(status.versions(),
+				status.laggards()
+					.stream()
+					.map((node) -> new ConvergenceView.LaggingNode(node.nodeId(), node.version(), 0))
+					.toList(),
+				status.rejected()
+					.stream()
+					.map((rejected) -> new ConvergenceView.RejectedVersion(rejected.nodeId(), rejected.version(),
+							rejected.reason()))
+					.toList());
+	}
+
+	private Map<String, Object> status() {
+		Map<String, Object> status = new TreeMap<>();
+		status.put("distribution", this.root.status());
+		status.put("role", this.member.status().role().name());
+		return status;
+	}
+
+	private static Optional<Long> confirmedVersion(MeshCommands commands, MeshStateMachine mesh) {
+		return commands.confirm().toJavaOptional().map((index) -> mesh.configuration().version());
+	}
+
+	private static List<String> peers(DaemonSettings settings) {
+		return settings.members()
+			.stream()
+			.filter((member) -> !member.id().equals(settings.id()))
+			.map(DaemonSettings.MemberSettings::address)
+			.toList();
+	}
+
+}
--- a/daemon/src/main/java/io/lavenderroad/daemon/MoveWatch.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/MoveWatch.java
@@ -29,9 +29,8 @@
 		if (previousMove != null && !previousMove.equals(move.id())) {
 			this.comparisons.remove(previousMove);
 		}
-		LocalComparison comparison = this.comparisons.computeIfAbsent(move.id(),
-				(id) -> LocalComparison.start(service.name(), move,
-						service.routes().stream().map(Route::name).toList(), nowMillis));
+		LocalComparison comparison = this.comparisons.computeIfAbsent(move.id(), (id) -> LocalComparison
+			.start(service.name(), move, service.routes().stream().map(Route::name).toList(), nowMillis));
 		WindowConditions conditions = new WindowConditions(WINDOW_SECONDS, false, refusesBoth(service, move, recent));
 		int share = service.split().getOrDefault(move.to(), 0);
 		LocalComparison next = comparison.plus(recent.observations(), conditions, share);
