--- a/control/src/main/java/io/lavenderroad/control/raft/Quorum.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/Quorum.java
@@ -50,6 +50,14 @@
 		return all;
 	}
 
+	/**
+	 * Returns the size of the smallest list.
+	 * @return count of voters
+	 */
+	public int smallestList() {
+		return this.voterLists.stream().mapToInt(Set::size).min().orElse(0);
+	}
+
 	/**
 	 * Tells whether some voters suffice.
 	 * @param agrees whether a voter agrees
--- a/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
@@ -54,6 +54,48 @@
 		Assert.assertTrue(commands > 20, "accepted commands: " + commands);
 	}
 
+	@Test
+	public void voteIsGivenOncePerTermAndNeverToAShorterLog() {
+		SimulatedGroup group = new SimulatedGroup(17, THREE);
+		String leader = group.awaitLeader();
+		String voter = follower(group, leader);
+		MemberStatus status = group.status(voter);
+		long term = status.term() + 1;
+		VoteRequest first = new VoteRequest(term, "x", status.lastIndex(), status.term(), false, false);
+		Assert.assertFalse(group.member(voter).handleVote(first).granted(), "the voter hears a leader");
+		Assert.assertEquals(group.status(voter).term(), status.term());
+		group.restart(voter);
+		Assert.assertFalse(group.member(voter)
+			.handleVote(new VoteRequest(term, "w", status.lastIndex() - 1, status.term(), false, false))
+			.granted());
+		Assert.assertTrue(group.member(voter).handleVote(first).granted());
+		group.restart(voter);
+		Assert.assertFalse(group.member(voter)
+			.handleVote(new VoteRequest(term, "y", status.lastIndex() + 9, term, false, false))
+			.granted());
+		Assert.assertTrue(group.member(voter).handleVote(first).granted(), "a repeated request gets the same answer");
+	}
+
+	@Test
+	public void entryOfAnEarlierTermIsNotCommittedByCountingCopies() {
+		SimulatedGroup group = new SimulatedGroup(18, THREE);
+		String old = group.awaitLeader();
+		group.isolate(old);
+		group.propose(old, "x".repeat(SimulatedGroup.OPTIONS.batchBytes()));
+		group.step();
+		long index = group.status(old).lastIndex();
+		group.restart(old);
+		String other = follower(group, old);
+		String absent = group.ids().stream().filter((id) -> !id.equals(old) && !id.equals(other)).findFirst().get();
+		group.isolate(absent);
+		group.heal(old);
+		group.stepUntil("a copy of the entry", () -> {
+			Assert.assertNotEquals(group.status(old).commitIndex(), index);
+			return group.status(old).commitIndex() > index;
+		});
+		Assert.assertTrue(group.status(old).term() > 1);
+	}
+
 	@Test
 	public void isolatedMemberThatReturnsDoesNotRaiseTheTerm() {
 		SimulatedGroup group = new SimulatedGroup(2, THREE);
--- /dev/null
+++ b/control/src/test/java/io/lavenderroad/control/raft/MembershipOrderComparisonTests.java
@@ -0,0 +1,37 @@
+package io.lavenderroad.control.raft;
+
+import java.util.List;
+import java.util.Set;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against an order of changes in which a single loss stops writes although all
+ * requested members were alive before.
+ */
+public class MembershipOrderComparisonTests {
+
+	@Test
+	public void noSingleLossStopsWritesWhileAMemberIsReplaced() {
+		List<MembershipOrderComparison.Step> steps = steps("add before remove");
+		Assert.assertEquals(steps.size(), 4);
+		for (MembershipOrderComparison.Step step : steps) {
+			Assert.assertEquals(step.stoppingLosses(Set.of()), Set.of(), step.name());
+			Assert.assertTrue(step.quorum().smallestList() >= 3, step.name());
+		}
+	}
+
+	@Test
+	public void votersOfTwoStopAtAnyLoss() {
+		for (MembershipOrderComparison.Step step : steps("joint consensus, demotes first")) {
+			boolean shrunk = step.quorum().smallestList() < 3;
+			Assert.assertEquals(step.stoppingLosses(Set.of()), shrunk ? Set.of("2", "3") : Set.of(), step.name());
+		}
+	}
+
+	private static List<MembershipOrderComparison.Step> steps(String order) {
+		return MembershipOrderComparison.steps().stream().filter((step) -> step.order().startsWith(order)).toList();
+	}
+
+}
