Add rendering, the state machine of the mesh and the operators' API

Cause: operators have no way yet to state templates and parameters, and the control members have nothing to replicate.

Change: io.lavenderroad.model.rendering reads templates and parameters documents and renders them to services; control.state holds the state machine, the commands and the services that propose changes and move decisions; control.api serves them over HTTP.

Conclusion: a first usable version; the HTTP API has no tests yet.

--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -0,0 +1,313 @@
+package io.lavenderroad.control.api;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.lavenderroad.control.state.ChangeService;
+import io.lavenderroad.control.state.CommandFailure;
+import io.lavenderroad.control.state.CommandOutcome;
+import io.lavenderroad.control.state.MeshStateMachine;
+import io.lavenderroad.control.state.MoveService;
+import io.lavenderroad.control.state.ReadConfirmation;
+import io.lavenderroad.core.Location;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.model.Change;
+import io.lavenderroad.model.ChangeOutcome;
+import io.vavr.control.Either;
+import org.tinylog.Logger;
+
+/**
+ * Operators' HTTP API of one control member. Every refusal carries a verdict and a
+ * reason. Input of any kind leads to an answer; the server keeps running.
+ */
+public final class OperatorApi implements AutoCloseable {
+
+	/**
+	 * Largest request body. It holds the largest change with every character escaped to
+	 * two bytes.
+	 */
+	public static final int LARGEST_BODY_BYTES = 2 * ChangeService.MOST_DOCUMENT_CHARACTERS;
+
+	private static final int DEFAULT_HISTORY = 50;
+
+	private static final int MOST_HISTORY = 10_000;
+
+	private static final int STOP_SECONDS = 1;
+
+	private final MeshStateMachine stateMachine;
+
+	private final ChangeService changes;
+
+	private final MoveService moves;
+
+	private final ReadConfirmation confirmation;
+
+	private final MemberAdministration members;
+
+	private final ConvergenceView convergence;
+
+	private final Supplier<String> metrics;
+
+	private HttpServer server;
+
+	private ExecutorService executor;
+
+	/**
+	 * Creates the API.
+	 * @param stateMachine state machine of this member
+	 * @param changes accepts changes
+	 * @param moves accepts withdrawals
+	 * @param confirmation makes reads linearizable
+	 * @param members administration of the members
+	 * @param convergence versions that are active on nodes
+	 * @param metrics text of the metrics
+	 */
+	public OperatorApi(MeshStateMachine stateMachine, ChangeService changes, MoveService moves,
+			ReadConfirmation confirmation, MemberAdministration members, ConvergenceView convergence,
+			Supplier<String> metrics) {
+		this.stateMachine = stateMachine;
+		this.changes = changes;
+		this.moves = moves;
+		this.confirmation = confirmation;
+		this.members = members;
+		this.convergence = convergence;
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Starts to accept requests.
+	 * @param address address to bind; port 0 chooses a free one
+	 * @return the bound address
+	 * @throws IOException if the address cannot be bound
+	 */
+	public InetSocketAddress start(InetSocketAddress address) throws IOException {
+		this.server = HttpServer.create(address, 0);
+		this.executor = Executors.newVirtualThreadPerTaskExecutor();
+		this.server.setExecutor(this.executor);
+		this.server.createContext("/", this::handle);
+		this.server.start();
+		return this.server.getAddress();
+	}
+
+	@Override
+	public void close() {
+		if (this.server != null) {
+			this.server.stop(STOP_SECONDS);
+			this.executor.close();
+		}
+	}
+
+	private void handle(HttpExchange exchange) {
+		try (exchange) {
+			ApiResponse response;
+			try {
+				response = respond(exchange);
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "api: request {} {} failed", exchange.getRequestMethod(), exchange.getRequestURI());
+				response = ApiResponse.failed("internal error: " + ex);
+			}
+			send(exchange, response);
+		}
+		catch (IOException ex) {
+			Logger.debug("api: connection to {} broke: {}", exchange.getRemoteAddress(), ex.getMessage());
+		}
+	}
+
+	private ApiResponse respond(HttpExchange exchange) throws IOException {
+		byte[] body;
+		try (InputStream input = exchange.getRequestBody()) {
+			body = input.readNBytes(LARGEST_BODY_BYTES + 1);
+		}
+		if (body.length > LARGEST_BODY_BYTES) {
+			return ApiResponse.notRun(ApiResponse.TOO_LARGE, "the body is over " + LARGEST_BODY_BYTES + " bytes");
+		}
+		String method = exchange.getRequestMethod();
+		String path = exchange.getRequestURI().getPath();
+		List<String> segments = Arrays.asList(path.substring(1).split("/", -1));
+		String resource = (segments.size() > 1) ? segments.get(0) + "/" + segments.get(1) : segments.get(0);
+		return switch (resource) {
+			case "metrics" -> get(method, segments, 1,
+					() -> new ApiResponse(ApiResponse.OK, "text/plain; charset=utf-8", this.metrics.get()));
+			case "v1/status" -> get(method, segments, 2, this::status);
+			case "v1/changes" -> changes(method, segments, body);
+			case "v1/diff" -> post(method, segments, 2, body, this::diff);
+			case "v1/history" -> get(method, segments, 2, () -> history(exchange.getRequestURI().getRawQuery()));
+			case "v1/configuration" -> get(method, segments, 2, this::configuration);
+			case "v1/moves" -> moves(method, segments, body);
+			case "v1/members" -> members(method, segments, body);
+			case "v1/nodes" -> get(method, segments, 2, () -> ApiResponse.json(ApiResponse.OK,
+					ApiJson.nodes(this.stateMachine.configuration().version(), this.convergence.convergence())));
+			default -> unknownPath();
+		};
+	}
+
+	private ApiResponse status() {
+		return ApiResponse.json(ApiResponse.OK,
+				ApiJson.status(this.members.status(), this.stateMachine.configuration(),
+						this.stateMachine.lastChangeVersion(), this.stateMachine.appliedIndex(),
+						this.stateMachine.activeMoves(), this.convergence.convergence()));
+	}
+
+	private ApiResponse changes(String method, List<String> segments, byte[] body) {
+		if (segments.size() == 2) {
+			return post(method, segments, 2, body, this::apply);
+		}
+		return get(method, segments, 3, () -> this.changes.outcome(segments.get(2))
+			.fold(ApiResponse::of,
+					(outcome) -> outcome.map((known) -> ApiResponse.json(ApiResponse.OK, ApiJson.outcome(known)))
+						.orElseGet(() -> ApiResponse.notRun(ApiResponse.NOT_FOUND,
+								"change " + segments.get(2) + " has not run so far"))));
+	}
+
+	private ApiResponse apply(JsonInput input) {
+		Change change = new Change(input.text("changeId", Optional.empty()), input.number("baseVersion"),
+				input.text("operator", Optional.empty()), input.texts("put"), input.textList("removed"));
+		return checked(input, () -> this.changes.apply(change).fold(ApiResponse::of, OperatorApi::outcome));
+	}
+
+	private static ApiResponse outcome(ChangeOutcome outcome) {
+		return ApiResponse.json(outcome.accepted() ? ApiResponse.OK : ApiResponse.CONFLICT, ApiJson.outcome(outcome));
+	}
+
+	private ApiResponse diff(JsonInput input) {
+		var put = input.texts("put");
+		List<String> removed = input.textList("removed");
+		return checked(input, () -> this.changes.diff(put, removed)
+			.fold(ApiResponse::of, (dryRun) -> ApiResponse.json(ApiResponse.OK, ApiJson.dryRun(dryRun))));
+	}
+
+	private ApiResponse history(String query) {
+		int limit = DEFAULT_HISTORY;
+		if (query != null) {
+			String text = URLDecoder.decode(query, StandardCharsets.UTF_8);
+			if (!text.matches("limit=[0-9]{1,5}") || Integer.parseInt(text.substring(6)) > MOST_HISTORY) {
+				return ApiResponse.invalid(List.of(new Problem(new Location("query", 0, 0, "limit"), "'" + text + "'",
+						"limit=N with N from 0 to " + MOST_HISTORY)));
+			}
+			limit = Integer.parseInt(text.substring(6));
+		}
+		int most = limit;
+		return confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson.history(this.stateMachine.history(most))));
+	}
+
+	private ApiResponse configuration() {
+		return confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson.configuration(this.stateMachine.configuration(),
+				this.stateMachine.lastChangeVersion(), this.stateMachine.documents())));
+	}
+
+	private ApiResponse moves(String method, List<String> segments, byte[] body) {
+		if (segments.size() == 2) {
+			return get(method, segments, 2,
+					() -> confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson.moves(this.stateMachine.moves()))));
+		}
+		String id = segments.get(2);
+		if (segments.size() == 3) {
+			return get(method, segments, 3, () -> confirmed(() -> move(id)));
+		}
+		if (!segments.get(3).equals("withdraw")) {
+			return unknownPath();
+		}
+		return post(method, segments, 4, body, (input) -> withdraw(id, input));
+	}
+
+	private ApiResponse move(String id) {
+		return this.stateMachine.move(id)
+			.map((move) -> ApiResponse.json(ApiResponse.OK, ApiJson.move(move)))
+			.orElseGet(() -> ApiResponse.notRun(ApiResponse.NOT_FOUND, "move " + id + " is unknown"));
+	}
+
+	private ApiResponse withdraw(String id, JsonInput input) {
+		String operator = input.text("operator", Optional.empty());
+		String reason = input.text("reason", Optional.of(""));
+		return checked(input, () -> {
+			Either<CommandFailure, CommandOutcome> outcome = this.moves.withdrawByOperator(id, operator, reason);
+			if (outcome.isLeft()) {
+				return ApiResponse.of(outcome.getLeft());
+			}
+			return outcome.get().applied() ? move(id)
+					: ApiResponse.notRun(ApiResponse.CONFLICT, outcome.get().reason());
+		});
+	}
+
+	private ApiResponse members(String method, List<String> segments, byte[] body) {
+		if (segments.size() == 2 && method.equals("POST")) {
+			return post(method, segments, 2, body, this::addMember);
+		}
+		if (segments.size() == 2) {
+			return get(method, segments, 2,
+					() -> ApiResponse.json(ApiResponse.OK, ApiJson.members(this.members.members())));
+		}
+		if (segments.size() != 3) {
+			return unknownPath();
+		}
+		return method.equals("DELETE") ? members(this.members.remove(segments.get(2))) : wrongMethod("DELETE");
+	}
+
+	private ApiResponse addMember(JsonInput input) {
+		String id = input.text("id", Optional.empty());
+		String address = input.text("address", Optional.empty());
+		return checked(input, () -> members(this.members.add(id, address)));
+	}
+
+	private static ApiResponse members(Either<CommandFailure, List<MemberAdministration.Member>> result) {
+		return result.fold(ApiResponse::of, (members) -> ApiResponse.json(ApiResponse.OK, ApiJson.members(members)));
+	}
+
+	private ApiResponse confirmed(Supplier<ApiResponse> reader) {
+		return this.confirmation.confirm().fold(ApiResponse::of, (index) -> reader.get());
+	}
+
+	private static ApiResponse checked(JsonInput input, Supplier<ApiResponse> action) {
+		List<Problem> problems = input.finish();
+		return problems.isEmpty() ? action.get() : ApiResponse.invalid(problems);
+	}
+
+	private static ApiResponse get(String method, List<String> segments, int length, Supplier<ApiResponse> action) {
+		if (segments.size() != length) {
+			return unknownPath();
+		}
+		return method.equals("GET") ? action.get() : wrongMethod("GET");
+	}
+
+	private static ApiResponse post(String method, List<String> segments, int length, byte[] body,
+			Function<JsonInput, ApiResponse> action) {
+		if (segments.size() != length) {
+			return unknownPath();
+		}
+		return method.equals("POST")
+				? JsonInput.parse(body).fold((problem) -> ApiResponse.invalid(List.of(problem)), action)
+				: wrongMethod("POST");
+	}
+
+	private static ApiResponse unknownPath() {
+		return ApiResponse.notRun(ApiResponse.NOT_FOUND, "unknown path");
+	}
+
+	private static ApiResponse wrongMethod(String allowed) {
+		return ApiResponse.notRun(ApiResponse.METHOD_NOT_ALLOWED, "only " + allowed + " is allowed here");
+	}
+
+	private static void send(HttpExchange exchange, ApiResponse response) throws IOException {
+		byte[] bytes = response.body().getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Content-Type", response.contentType());
+		exchange.sendResponseHeaders(response.status(), bytes.length);
+		try (OutputStream output = exchange.getResponseBody()) {
+			output.write(bytes);
+		}
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/api/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' HTTP API of the control members.
+ */
+package io.lavenderroad.control.api;
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -0,0 +1,297 @@
+package io.lavenderroad.control.state;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+
+import io.lavenderroad.control.state.Command.ApplyChange;
+import io.lavenderroad.control.state.MeshStateMachine.RenderingBase;
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.Location;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.model.Change;
+import io.lavenderroad.model.ChangeOutcome;
+import io.lavenderroad.model.MoveState;
+import io.lavenderroad.model.MoveStatus;
+import io.lavenderroad.model.rendering.Difference;
+import io.lavenderroad.model.rendering.MeshRenderer;
+import io.lavenderroad.model.rendering.RenderedMesh;
+import io.lavenderroad.model.rendering.RenderedService;
+import io.vavr.collection.Seq;
+import io.vavr.control.Either;
+
+/**
+ * Accepts changes at the leader: it renders the documents, checks the result and proposes
+ * both to the replicated log.
+ */
+public final class ChangeService {
+
+	/**
+	 * Largest total size of the documents of one change, in characters.
+	 */
+	public static final int MOST_DOCUMENT_CHARACTERS = 4 * 1024 * 1024;
+
+	/**
+	 * A proposal turns stale only if another change is accepted between rendering and
+	 * commit, which then also conflicts with the base version. Three rounds cover a
+	 * change of leaders in between.
+	 */
+	private static final int MOST_ROUNDS = 3;
+
+	private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+
+	private static final Pattern OPERATOR = Pattern.compile("[\\p{L}\\p{N}][\\p{L}\\p{N} .@_-]{0,99}");
+
+	private static final Pattern DOCUMENT_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._/-]{0,199}");
+
+	private final MeshStateMachine stateMachine;
+
+	private final CommandLog log;
+
+	private final ReadConfirmation confirmation;
+
+	private final Predicate<String> knownPolicy;
+
+	private final Clock clock;
+
+	/**
+	 * Creates the service.
+	 * @param stateMachine state machine of this member
+	 * @param log way into the replicated log
+	 * @param confirmation proves that this member leads
+	 * @param knownPolicy tells whether a move policy is registered under a name
+	 * @param clock source of time
+	 */
+	public ChangeService(MeshStateMachine stateMachine, CommandLog log, ReadConfirmation confirmation,
+			Predicate<String> knownPolicy, Clock clock) {
+		this.stateMachine = stateMachine;
+		this.log = log;
+		this.confirmation = confirmation;
+		this.knownPolicy = knownPolicy;
+		this.clock = clock;
+	}
+
+	/**
+	 * Applies a change. The same change id gives the first outcome again.
+	 * @param change the change
+	 * @return the outcome decided by the state machine, or why there is none
+	 */
+	public Either<ChangeRefusal, ChangeOutcome> apply(Change change) {
+		List<Problem> problems = check(change);
+		if (!problems.isEmpty()) {
+			return Either.left(ChangeRefusal.invalid(problems));
+		}
+		for (int round = 0; round < MOST_ROUNDS; round++) {
+			Either<ChangeRefusal, CommandOutcome> outcome = confirmed().flatMap((index) -> propose(change));
+			if (outcome.isLeft()) {
+				return Either.left(outcome.getLeft());
+			}
+			if (outcome.get().kind() != CommandOutcome.Kind.STALE) {
+				return Either.right(MeshStateMachine.toChangeOutcome(change.changeId(), outcome.get()));
+			}
+		}
+		return Either.left(ChangeRefusal.notRun("other changes were accepted at the same time; try again"));
+	}
+
+	/**
+	 * Tells what a change would do, without applying it.
+	 * @param put texts of documents by name
+	 * @param removed names of the documents that are removed
+	 * @return the difference to the version in force, or why there is none
+	 */
+	public Either<ChangeRefusal, DryRun> diff(SortedMap<String, String> put, List<String> removed) {
+		String changeId = "dry-run";
+		List<Problem> problems = check(new Change(changeId, 0, changeId, put, removed));
+		if (!problems.isEmpty()) {
+			return Either.left(ChangeRefusal.invalid(problems));
+		}
+		return confirmed().flatMap((index) -> {
+			RenderingBase base = this.stateMachine.renderingBase();
+			return render(base, changeId, put, removed).map((rendered) -> {
+				MeshPlan plan = rendered.plan();
+				Difference difference = Difference.between(plan.before(), plan.configuration());
+				return new DryRun(plan.before().version(), difference, notes(rendered.mesh()));
+			});
+		});
+	}
+
+	/**
+	 * Finds the outcome of a change.
+	 * @param changeId id of the change
+	 * @return the outcome, empty if the change has not run and is not known; or why the
+	 * answer might be old
+	 */
+	public Either<ChangeRefusal, Optional<ChangeOutcome>> outcome(String changeId) {
+		return confirmed().map((index) -> this.stateMachine.outcome(changeId));
+	}
+
+	private Either<ChangeRefusal, Long> confirmed() {
+		return this.confirmation.confirm().mapLeft(ChangeRefusal::of);
+	}
+
+	private Either<ChangeRefusal, CommandOutcome> propose(Change change) {
+		RenderingBase base = this.stateMachine.renderingBase();
+		boolean decided = this.stateMachine.outcome(change.changeId()).isPresent()
+				|| change.baseVersion() < base.lastChangeVersion();
+		String digest = digest(change);
+		if (decided) {
+			// The documents do not matter any more. The state machine still decides, so
+			// that the outcome is recorded.
+			Change empty = Change.putting(change.changeId(), change.baseVersion(), change.operator(), Map.of());
+			return propose(new ApplyChange(this.clock.millis(), empty, digest, base.lastChangeVersion(),
+					new TreeMap<>(), List.of()));
+		}
+		if (change.baseVersion() > base.configuration().version()) {
+			return Either.left(ChangeRefusal.notRun("base version " + change.baseVersion() + " does not exist; version "
+					+ base.configuration().version() + " is in force"));
+		}
+		return render(base, change.changeId(), change.put(), change.removed())
+			.flatMap((rendered) -> propose(new ApplyChange(rendered.atMillis(), change, digest,
+					base.lastChangeVersion(), rendered.changed(), rendered.removed())));
+	}
+
+	private Either<ChangeRefusal, CommandOutcome> propose(ApplyChange command) {
+		return this.log.propose(CommandBinding.toBytes(command))
+			.mapLeft(ChangeRefusal::of)
+			.map(CommandBinding::outcomeFromBytes);
+	}
+
+	private Either<ChangeRefusal, Rendered> render(RenderingBase base, String changeId, SortedMap<String, String> put,
+			List<String> removed) {
+		SortedMap<String, String> documents = new TreeMap<>(base.documents());
+		List<Problem> problems = new ArrayList<>();
+		for (String name : removed) {
+			if (documents.remove(name) == null) {
+				problems.add(new Problem(Location.of(name), "a document that does not exist",
+						"one of " + String.join(", ", base.documents().keySet())));
+			}
+		}
+		documents.putAll(put);
+		Either<Seq<Problem>, RenderedMesh> mesh = MeshRenderer.render(documents);
+		mesh.peekLeft((found) -> problems.addAll(found.asJava()));
+		if (!problems.isEmpty()) {
+			return Either.left(ChangeRefusal.invalid(problems));
+		}
+		SortedMap<String, RenderedService> changed = new TreeMap<>(mesh.get().services());
+		changed.entrySet().removeIf((entry) -> entry.getValue().equals(base.requested().get(entry.getKey())));
+		List<String> gone = base.requested()
+			.keySet()
+			.stream()
+			.filter((name) -> !mesh.get().services().containsKey(name))
+			.toList();
+		long atMillis = this.clock.millis();
+		MeshPlan plan = this.stateMachine.plan(atMillis, changeId, changed, gone);
+		plan.problems().forEach((problem) -> problems.add(locate(problem, mesh.get())));
+		checkPolicies(changed, mesh.get(), problems);
+		return problems.isEmpty() ? Either.right(new Rendered(atMillis, mesh.get(), changed, gone, plan))
+				: Either.left(ChangeRefusal.invalid(problems));
+	}
+
+	private void checkPolicies(SortedMap<String, RenderedService> services, RenderedMesh mesh, List<Problem> problems) {
+		for (RenderedService service : services.values()) {
+			service.move()
+				.filter((move) -> !this.knownPolicy.test(move.policy()))
+				.ifPresent((move) -> problems.add(locate(new PlanProblem(service.name(), "move.policy",
+						"unknown policy '" + move.policy() + "'", "the name of a registered move policy"), mesh)));
+		}
+	}
+
+	private static Problem locate(PlanProblem problem, RenderedMesh mesh) {
+		Location service = mesh.locations().getOrDefault(problem.service(), Location.of("configuration"));
+		String path = problem.key().isEmpty() ? service.path() : service.path() + "." + problem.key();
+		return new Problem(new Location(service.source(), service.line(), service.column(), path), problem.found(),
+				problem.allowed());
+	}
+
+	private List<String> notes(RenderedMesh mesh) {
+		List<String> notes = new ArrayList<>();
+		for (MoveState move : this.stateMachine.moves()) {
+			boolean stillAsked = Optional.ofNullable(mesh.services().get(move.service()))
+				.flatMap(RenderedService::move)
+				.filter((request) -> request.to().equals(move.parameters().to()))
+				.isPresent();
+			if (stillAsked && move.status() == MoveStatus.TAKEN_BACK) {
+				notes.add("service " + move.service() + ": version " + move.parameters().to()
+						+ " was taken back; a larger attempt tries it again");
+			}
+		}
+		return new ArrayList<>(new TreeSet<>(notes));
+	}
+
+	private static List<Problem> check(Change change) {
+		List<Problem> problems = new ArrayList<>();
+		match(CHANGE_ID, change.changeId(), "changeId", "letters, digits, dots, underscores and hyphens", problems);
+		match(OPERATOR, change.operator(), "operator", "a name of at most 100 characters", problems);
+		if (change.baseVersion() < 0) {
+			problems.add(problem("baseVersion", String.valueOf(change.baseVersion()), "0 or more"));
+		}
+		if (change.put().isEmpty() && change.removed().isEmpty()) {
+			problems.add(problem("put", "no documents", "documents to put or to remove"));
+		}
+		change.put()
+			.keySet()
+			.forEach((name) -> match(DOCUMENT_NAME, name, "put", "document names such as template/shop", problems));
+		long characters = change.put().values().stream().mapToLong(String::length).sum();
+		if (characters > MOST_DOCUMENT_CHARACTERS) {
+			problems.add(problem("put", characters + " characters", "at most " + MOST_DOCUMENT_CHARACTERS));
+		}
+		change.removed()
+			.stream()
+			.filter(change.put()::containsKey)
+			.forEach((name) -> problems.add(problem("removed", "'" + name + "', which is also put", "either")));
+		return problems;
+	}
+
+	private static void match(Pattern pattern, String value, String key, String allowed, List<Problem> problems) {
+		if (!pattern.matcher(value).matches()) {
+			problems.add(problem(key, "'" + value.substring(0, Math.min(value.length(), 60)) + "'", allowed));
+		}
+	}
+
+	private static Problem problem(String key, String found, String allowed) {
+		return new Problem(new Location("change", 0, 0, key), found, allowed);
+	}
+
+	private static String digest(Change change) {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			change.put().forEach((name, text) -> {
+				digest.update((name + '\0' + text.length() + '\0').getBytes(StandardCharsets.UTF_8));
+				digest.update(text.getBytes(StandardCharsets.UTF_8));
+			});
+			change.removed()
+				.stream()
+				.sorted()
+				.forEach((name) -> digest.update(('-' + name + '\0').getBytes(StandardCharsets.UTF_8)));
+			return HexFormat.of().formatHex(digest.digest()).substring(0, 16);
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is part of every Java platform", ex);
+		}
+	}
+
+	/**
+	 * Documents rendered against the state of this member.
+	 *
+	 * @param atMillis time of the rendering, milliseconds since the epoch
+	 * @param mesh all services
+	 * @param changed services that differ from those of the last change
+	 * @param removed names of the services that are no longer set
+	 * @param plan what the change would do
+	 */
+	private record Rendered(long atMillis, RenderedMesh mesh, SortedMap<String, RenderedService> changed,
+			List<String> removed, MeshPlan plan) {
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
@@ -0,0 +1,189 @@
+package io.lavenderroad.control.state;
+
+import java.io.IOException;
+import java.util.TreeMap;
+
+import io.lavenderroad.control.state.Command.ApplyChange;
+import io.lavenderroad.control.state.Command.FinishMove;
+import io.lavenderroad.control.state.Command.StepMove;
+import io.lavenderroad.control.state.Command.WarnOfMove;
+import io.lavenderroad.control.state.Command.WithdrawMove;
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.wire.Fields;
+import io.lavenderroad.model.Change;
+import io.lavenderroad.model.binding.ConfigurationBinding;
+import io.lavenderroad.model.rendering.RenderedService;
+import io.lavenderroad.model.rendering.RenderingBinding;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * MessagePack binding of commands and outcomes. A command starts with the format version
+ * and a code for its kind.
+ */
+public final class CommandBinding {
+
+	private static final int FORMAT_VERSION = 1;
+
+	private static final int APPLY_CHANGE = 1;
+
+	private static final int STEP_MOVE = 2;
+
+	private static final int WITHDRAW_MOVE = 3;
+
+	private static final int FINISH_MOVE = 4;
+
+	private static final int WARN_OF_MOVE = 5;
+
+	private CommandBinding() {
+	}
+
+	/**
+	 * Encodes a command.
+	 * @param command the command
+	 * @return the bytes
+	 */
+	public static byte[] toBytes(Command command) {
+		return ConfigurationBinding.toBytes(command, CommandBinding::pack);
+	}
+
+	/**
+	 * Decodes a command.
+	 * @param bytes the bytes
+	 * @return the command
+	 * @throws LavenderroadException if the bytes are no command of a known format
+	 */
+	public static Command fromBytes(byte[] bytes) {
+		try {
+			return unpack(Fields.unpacker(bytes));
+		}
+		catch (IOException | MessagePackException | IllegalArgumentException | NullPointerException ex) {
+			throw new LavenderroadException("malformed command of " + bytes.length + " bytes: " + ex, ex);
+		}
+	}
+
+	/**
+	 * Encodes an outcome.
+	 * @param outcome the outcome
+	 * @return the bytes
+	 */
+	public static byte[] outcomeToBytes(CommandOutcome outcome) {
+		return ConfigurationBinding.toBytes(outcome, CommandBinding::packOutcome);
+	}
+
+	/**
+	 * Decodes an outcome.
+	 * @param bytes the bytes
+	 * @return the outcome
+	 * @throws LavenderroadException if the bytes are no outcome
+	 */
+	public static CommandOutcome outcomeFromBytes(byte[] bytes) {
+		try {
+			return unpackOutcome(Fields.unpacker(bytes));
+		}
+		catch (IOException | MessagePackException | IllegalArgumentException ex) {
+			throw new LavenderroadException("malformed outcome of " + bytes.length + " bytes: " + ex, ex);
+		}
+	}
+
+	static void packOutcome(CommandOutcome outcome, MessagePacker packer) throws IOException {
+		packer.packString(outcome.kind().name());
+		packer.packLong(outcome.version());
+		packer.packString(outcome.reason());
+	}
+
+	static CommandOutcome unpackOutcome(MessageUnpacker unpacker) throws IOException {
+		return new CommandOutcome(CommandOutcome.Kind.valueOf(unpacker.unpackString()), unpacker.unpackLong(),
+				unpacker.unpackString());
+	}
+
+	private static void pack(Command command, MessagePacker packer) throws IOException {
+		packer.packInt(FORMAT_VERSION);
+		switch (command) {
+			case ApplyChange apply -> packApply(apply, packer);
+			case StepMove step -> {
+				packHeader(packer, STEP_MOVE, step.atMillis(), step.moveId(), step.expectedStep());
+				packer.packInt(step.shareBasisPoints());
+				packer.packString(step.reason());
+			}
+			case WithdrawMove withdraw -> {
+				packHeader(packer, WITHDRAW_MOVE, withdraw.atMillis(), withdraw.moveId(), withdraw.expectedStep());
+				packer.packString(withdraw.operator());
+				packer.packString(withdraw.reason());
+				packer.packString(withdraw.route());
+				packer.packString(withdraw.figures());
+			}
+			case FinishMove finish -> {
+				packHeader(packer, FINISH_MOVE, finish.atMillis(), finish.moveId(), finish.expectedStep());
+				packer.packString(finish.reason());
+				packer.packString(finish.figures());
+			}
+			case WarnOfMove warn -> {
+				packHeader(packer, WARN_OF_MOVE, warn.atMillis(), warn.moveId(), warn.expectedStep());
+				packer.packString(warn.warning());
+			}
+		}
+	}
+
+	private static void packHeader(MessagePacker packer, int code, long atMillis, String moveId, int expectedStep)
+			throws IOException {
+		packer.packInt(code);
+		packer.packLong(atMillis);
+		packer.packString(moveId);
+		packer.packInt(expectedStep);
+	}
+
+	private static void packApply(ApplyChange apply, MessagePacker packer) throws IOException {
+		packer.packInt(APPLY_CHANGE);
+		packer.packLong(apply.atMillis());
+		Change change = apply.change();
+		packer.packString(change.changeId());
+		packer.packLong(change.baseVersion());
+		packer.packString(change.operator());
+		Fields.packMap(packer, change.put(), (text, target) -> target.packString(text));
+		Fields.packList(packer, change.removed(), (name, target) -> target.packString(name));
+		packer.packString(apply.digest());
+		packer.packLong(apply.renderedAfter());
+		Fields.packList(packer, apply.services().values(), RenderingBinding::packService);
+		Fields.packList(packer, apply.removedServices(), (name, target) -> target.packString(name));
+	}
+
+	private static Command unpack(MessageUnpacker unpacker) throws IOException {
+		int format = unpacker.unpackInt();
+		if (format != FORMAT_VERSION) {
+			throw new LavenderroadException(
+					"command format " + format + " is unknown; this program knows " + FORMAT_VERSION);
+		}
+		int code = unpacker.unpackInt();
+		long atMillis = unpacker.unpackLong();
+		if (code == APPLY_CHANGE) {
+			return unpackApply(atMillis, unpacker);
+		}
+		String moveId = unpacker.unpackString();
+		int step = unpacker.unpackInt();
+		return switch (code) {
+			case STEP_MOVE -> new StepMove(atMillis, moveId, step, unpacker.unpackInt(), unpacker.unpackString());
+			case WITHDRAW_MOVE -> new WithdrawMove(atMillis, moveId, step, unpacker.unpackString(),
+					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
+			case FINISH_MOVE ->
+				new FinishMove(atMillis, moveId, step, unpacker.unpackString(), unpacker.unpackString());
+			case WARN_OF_MOVE -> new WarnOfMove(atMillis, moveId, step, unpacker.unpackString());
+			default -> throw new LavenderroadException("command code " + code + " is unknown");
+		};
+	}
+
+	private static ApplyChange unpackApply(long atMillis, MessageUnpacker unpacker) throws IOException {
+		Change change = new Change(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
+				Fields.unpackMap(unpacker, MessageUnpacker::unpackString),
+				Fields.unpackList(unpacker, MessageUnpacker::unpackString));
+		String digest = unpacker.unpackString();
+		long renderedAfter = unpacker.unpackLong();
+		TreeMap<String, RenderedService> services = new TreeMap<>();
+		Fields.unpackList(unpacker, RenderingBinding::unpackService)
+			.forEach((service) -> services.put(service.name(), service));
+		return new ApplyChange(atMillis, change, digest, renderedAfter, services,
+				Fields.unpackList(unpacker, MessageUnpacker::unpackString));
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshPlan.java
@@ -0,0 +1,69 @@
+package io.lavenderroad.control.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+
+import io.lavenderroad.control.state.ServicePlanner.PlannedService;
+import io.lavenderroad.control.state.ServicePlanner.ServiceBefore;
+import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.MoveState;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.rendering.RenderedService;
+
+/**
+ * What a change does to the whole mesh.
+ *
+ * @param before configuration before the change
+ * @param configuration configuration after the change
+ * @param endedMoves moves that the change ends
+ * @param moves moves that the change starts or gives other parameters
+ * @param problems why the change is not allowed; empty if it is
+ */
+record MeshPlan(MeshConfiguration before, MeshConfiguration configuration, List<MoveState> endedMoves,
+		List<MoveState> moves, List<PlanProblem> problems) {
+
+	/**
+	 * Plans a change.
+	 * @param state state before the change
+	 * @param planner planner for the change
+	 * @param services rendered services that differ from those of the last change
+	 * @param removed names of the services that the documents no longer set
+	 * @return the plan
+	 */
+	static MeshPlan of(MeshState state, ServicePlanner planner, SortedMap<String, RenderedService> services,
+			List<String> removed) {
+		List<ServiceConfiguration> changed = new ArrayList<>();
+		List<MoveState> ended = new ArrayList<>();
+		List<MoveState> moves = new ArrayList<>();
+		List<PlanProblem> problems = new ArrayList<>();
+		for (Map.Entry<String, RenderedService> entry : services.entrySet()) {
+			Optional<ServiceBefore> before = state.before(entry.getKey());
+			planner.plan(before, entry.getValue()).peekLeft(problems::add).peek((planned) -> {
+				planned.ended().ifPresent(ended::add);
+				planned.move().ifPresent(moves::add);
+				if (differs(before, planned)) {
+					changed.add(planned.live());
+				}
+			});
+		}
+		for (String name : removed) {
+			state.before(name).flatMap(planner::remove).ifPresent(ended::add);
+		}
+		MeshConfiguration next = state.configuration.next(state.configuration.version() + 1, changed, removed);
+		next.missingResources()
+			.forEach((missing) -> problems.add(new PlanProblem("", "", missing, "resources that exist")));
+		return new MeshPlan(state.configuration, next, ended, moves, problems);
+	}
+
+	private static boolean differs(Optional<ServiceBefore> before, PlannedService planned) {
+		if (before.isEmpty()) {
+			return true;
+		}
+		ServiceConfiguration live = before.get().live();
+		return !planned.live().toBuilder().modifiedVersion(live.modifiedVersion()).build().equals(live);
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/state/MoveService.java
@@ -0,0 +1,93 @@
+package io.lavenderroad.control.state;
+
+import io.lavenderroad.control.state.Command.FinishMove;
+import io.lavenderroad.control.state.Command.StepMove;
+import io.lavenderroad.control.state.Command.WarnOfMove;
+import io.lavenderroad.control.state.Command.WithdrawMove;
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.model.MoveState;
+import io.vavr.control.Either;
+
+/**
+ * Proposes decisions about moves to the replicated log. Each decision carries the step of
+ * the move that it was made for, so that a repeated or late one has no effect.
+ */
+public final class MoveService {
+
+	private final CommandLog log;
+
+	private final Clock clock;
+
+	/**
+	 * Creates the service.
+	 * @param log way into the replicated log
+	 * @param clock source of time
+	 */
+	public MoveService(CommandLog log, Clock clock) {
+		this.log = log;
+		this.clock = clock;
+	}
+
+	/**
+	 * Sets the share of the new version.
+	 * @param move state of the move that the decision was made for
+	 * @param shareBasisPoints share in 1/10,000
+	 * @param reason why the share changes
+	 * @return the outcome, or why the command is not known to be committed
+	 */
+	public Either<CommandFailure, CommandOutcome> step(MoveState move, int shareBasisPoints, String reason) {
+		return propose(new StepMove(this.clock.millis(), move.id(), move.step(), shareBasisPoints, reason));
+	}
+
+	/**
+	 * Takes the new version back because of evidence.
+	 * @param move state of the move that the decision was made for
+	 * @param reason why it is taken back
+	 * @param route route that decided, or empty
+	 * @param figures figures behind the decision
+	 * @return the outcome, or why the command is not known to be committed
+	 */
+	public Either<CommandFailure, CommandOutcome> withdraw(MoveState move, String reason, String route,
+			String figures) {
+		return propose(new WithdrawMove(this.clock.millis(), move.id(), move.step(), "", reason, route, figures));
+	}
+
+	/**
+	 * Takes the new version back because an operator asks for it, at whatever step the
+	 * move is.
+	 * @param moveId id of the move
+	 * @param operator name of the operator
+	 * @param reason reason given by the operator
+	 * @return the outcome, or why the command is not known to be committed
+	 */
+	public Either<CommandFailure, CommandOutcome> withdrawByOperator(String moveId, String operator, String reason) {
+		return propose(new WithdrawMove(this.clock.millis(), moveId, Command.ANY_STEP, operator,
+				"withdrawn by " + operator + (reason.isEmpty() ? "" : ": " + reason), "", ""));
+	}
+
+	/**
+	 * Finishes a move whose new version has the whole traffic.
+	 * @param move state of the move that the decision was made for
+	 * @param reason why it is done
+	 * @param figures figures behind the verdict
+	 * @return the outcome, or why the command is not known to be committed
+	 */
+	public Either<CommandFailure, CommandOutcome> finish(MoveState move, String reason, String figures) {
+		return propose(new FinishMove(this.clock.millis(), move.id(), move.step(), reason, figures));
+	}
+
+	/**
+	 * Records an early warning.
+	 * @param move state of the move that the warning was made for
+	 * @param warning the warning
+	 * @return the outcome, or why the command is not known to be committed
+	 */
+	public Either<CommandFailure, CommandOutcome> warn(MoveState move, String warning) {
+		return propose(new WarnOfMove(this.clock.millis(), move.id(), move.step(), warning));
+	}
+
+	private Either<CommandFailure, CommandOutcome> propose(Command command) {
+		return this.log.propose(CommandBinding.toBytes(command)).map(CommandBinding::outcomeFromBytes);
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/rendering/MeshRenderer.java
@@ -0,0 +1,135 @@
+package io.lavenderroad.model.rendering;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import io.lavenderroad.core.Location;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.core.settings.YamlDocument;
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+
+/**
+ * Renders templates and parameters documents to services. The result depends on the texts
+ * of the documents only, so every process renders the same documents to the same
+ * services.
+ */
+public final class MeshRenderer {
+
+	static final String KIND_KEY = "kind";
+
+	private static final String TEMPLATE = "template";
+
+	private static final String PARAMETERS = "parameters";
+
+	private final Map<String, Template> templates = new TreeMap<>();
+
+	private final Map<String, Location> teams = new TreeMap<>();
+
+	private final Map<String, Location> declared = new TreeMap<>();
+
+	private final SortedMap<String, RenderedService> services = new TreeMap<>();
+
+	private final Map<String, Location> callsLocations = new TreeMap<>();
+
+	private final List<Problem> problems = new ArrayList<>();
+
+	private boolean templateFailed;
+
+	private MeshRenderer() {
+	}
+
+	/**
+	 * Renders documents.
+	 * @param documents texts of all templates and parameters documents by name
+	 * @return the services, or every problem in the order of document and line
+	 */
+	public static Either<Seq<Problem>, RenderedMesh> render(SortedMap<String, String> documents) {
+		return new MeshRenderer().renderAll(documents);
+	}
+
+	/**
+	 * Returns the name under which the tool stores a document: its kind and the name that
+	 * it states, so that it does not depend on where the operator keeps the file.
+	 * @param source name of the file for locations
+	 * @param text the document
+	 * @return a name such as {@code template/shop}, or the problems
+	 */
+	public static Either<Seq<Problem>, String> documentName(String source, String text) {
+		return YamlDocument.read(source, text, (root) -> {
+			String kind = root.child(KIND_KEY).word(List.of(TEMPLATE, PARAMETERS), null);
+			String key = kind.equals(TEMPLATE) ? "name" : "team";
+			return kind + "/" + root.child(key)
+				.requiredText(ParameterType.NAME.allowed(Optional.empty()), ParametersDocument.NAME);
+		});
+	}
+
+	private Either<Seq<Problem>, RenderedMesh> renderAll(SortedMap<String, String> documents) {
+		SortedMap<String, String> parameters = new TreeMap<>();
+		documents.forEach((source, text) -> {
+			Either<Seq<Problem>, String> kind = YamlDocument.read(source, text,
+					(root) -> root.child(KIND_KEY).word(List.of(TEMPLATE, PARAMETERS), null));
+			if (kind.isLeft()) {
+				this.problems.addAll(kind.getLeft().asJava());
+				this.templateFailed = true;
+			}
+			else if (kind.get().equals(TEMPLATE)) {
+				addTemplate(source, text);
+			}
+			else {
+				parameters.put(source, text);
+			}
+		});
+		parameters.forEach(this::addParameters);
+		checkCalls();
+		if (this.problems.isEmpty()) {
+			return Either.right(new RenderedMesh(this.services, this.declared));
+		}
+		Comparator<Problem> order = Comparator.comparing((Problem problem) -> problem.location().source())
+			.thenComparing((problem) -> problem.location().line())
+			.thenComparing((problem) -> problem.location().column());
+		return Either.left(Vector.ofAll(this.problems.stream().distinct().sorted(order).toList()));
+	}
+
+	private void addTemplate(String source, String text) {
+		Either<Seq<Problem>, Template> template = YamlDocument.read(source, text, Template::read);
+		if (template.isLeft()) {
+			this.problems.addAll(template.getLeft().asJava());
+			this.templateFailed = true;
+			return;
+		}
+		Template first = this.templates.putIfAbsent(template.get().name(), template.get());
+		if (first != null) {
+			this.problems.add(new Problem(template.get().location(),
+					"template '" + first.name() + "', which is also at " + first.location(), "each template once"));
+		}
+	}
+
+	private void addParameters(String source, String text) {
+		Either<Seq<Problem>, List<RenderedService>> rendered = YamlDocument.read(source, text,
+				(root) -> new ParametersDocument(this.templates, this.templateFailed, this.teams, this.declared,
+						this.callsLocations)
+					.read(root));
+		rendered.peekLeft((found) -> this.problems.addAll(found.asJava()));
+		rendered.peek((found) -> found.forEach((service) -> this.services.put(service.name(), service)));
+	}
+
+	private void checkCalls() {
+		for (RenderedService service : this.services.values()) {
+			for (String call : service.configuration().calls()) {
+				if (!this.declared.containsKey(call)) {
+					this.problems.add(new Problem(this.callsLocations.get(service.name()),
+							"service '" + service.name() + "' calls the unknown service '" + call + "'",
+							"services that a parameters document sets"));
+				}
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/rendering/MoveStructure.java
@@ -0,0 +1,92 @@
+package io.lavenderroad.model.rendering;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import io.lavenderroad.core.settings.YamlNode;
+import io.lavenderroad.model.MoveParameters;
+import io.lavenderroad.model.ThinEvidence;
+
+/**
+ * Defaults for the moves of a service as a template declares them.
+ *
+ * @param deadline when a move must be finished
+ * @param thinEvidence what to do without enough evidence, {@code hold} or {@code proceed}
+ * @param policy name of the move policy
+ */
+record MoveStructure(Field<Deadline> deadline, Field<String> thinEvidence, Field<String> policy) {
+
+	static final String DEADLINE_KEY = "deadline";
+
+	static final String THIN_EVIDENCE_KEY = "thin-evidence";
+
+	static final String POLICY_KEY = "policy";
+
+	static MoveStructure read(YamlNode node, ParameterScope scope) {
+		YamlNode thinEvidence = node.child(THIN_EVIDENCE_KEY);
+		MoveStructure move = new MoveStructure(
+				Field.read(node.child(DEADLINE_KEY), ParameterType.DEADLINE, Optional.empty(), scope),
+				Field.read(thinEvidence, ParameterType.NAME, Optional.empty(), scope),
+				Field.read(node.child(POLICY_KEY), ParameterType.NAME, Optional.empty(), scope));
+		move.thinEvidence.literal().ifPresent((word) -> parseThinEvidence(word, thinEvidence));
+		node.rejectUnknownKeys();
+		return move;
+	}
+
+	static ThinEvidence parseThinEvidence(String word, YamlNode node) {
+		for (ThinEvidence value : ThinEvidence.values()) {
+			if (value.name().toLowerCase(Locale.ROOT).equals(word)) {
+				return value;
+			}
+		}
+		node.problem("'" + word + "'", "hold or proceed");
+		return ThinEvidence.HOLD;
+	}
+
+	/**
+	 * Builds the request of a team.
+	 * @param current version that serves now
+	 * @param node the key {@code move} of the service
+	 * @param values values of the parameters
+	 * @return the request, or empty if no move is asked for or it is wrong
+	 */
+	Optional<MoveRequest> resolve(String current, YamlNode node, Map<String, ParameterValue> values) {
+		if (!node.present()) {
+			return Optional.empty();
+		}
+		YamlNode toNode = node.child("to");
+		Optional<String> to = readRequired(toNode, ParameterType.VERSION);
+		if (to.isPresent() && to.get().equals(current)) {
+			toNode.problem(toNode.describe(), "a version other than the current one");
+		}
+		YamlNode deadlineNode = node.child(DEADLINE_KEY);
+		Optional<Deadline> deadline = deadlineNode.present()
+				? ParameterType.DEADLINE.read(deadlineNode, Optional.empty()) : this.deadline.resolve(values);
+		if (deadline.isEmpty() && !deadlineNode.present()) {
+			deadlineNode.problem("nothing", ParameterType.DEADLINE.allowed(Optional.empty()));
+		}
+		YamlNode thinNode = node.child(THIN_EVIDENCE_KEY);
+		String thin = override(thinNode, this.thinEvidence, values).orElse("hold");
+		String policy = override(node.child(POLICY_KEY), this.policy, values).orElse(MoveParameters.DEFAULT_POLICY);
+		int attempt = ParameterType.INTEGER.read(node.child("attempt"), Optional.of(new Range(1, 1_000_000))).orElse(1);
+		node.rejectUnknownKeys();
+		if (to.isEmpty() || deadline.isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(new MoveRequest(current, to.get(), attempt, deadline.get(), parseThinEvidence(thin, thinNode), policy));
+	}
+
+	private static Optional<String> override(YamlNode node, Field<String> field, Map<String, ParameterValue> values) {
+		return node.present() ? ParameterType.NAME.read(node, Optional.empty()) : field.resolve(values);
+	}
+
+	private static <T> Optional<T> readRequired(YamlNode node, ParameterType<T> type) {
+		if (!node.present()) {
+			node.problem("nothing", type.allowed(Optional.empty()));
+		}
+		return type.read(node, Optional.empty());
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/rendering/ServiceStructure.java
@@ -0,0 +1,88 @@
+package io.lavenderroad.model.rendering;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.lavenderroad.core.settings.YamlNode;
+import io.lavenderroad.model.Route;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.ServiceLimits;
+
+/**
+ * Service as a template declares it.
+ *
+ * @param name name of the structure
+ * @param openToCallers whether outside callers may use the service
+ * @param calls services that it calls
+ * @param queueLength requests that may wait for a slot
+ * @param customerShare largest share of one customer
+ * @param retryBudget retries allowed per call
+ * @param routes routes in the order in which they are tried
+ * @param current version that serves when a team states none
+ * @param move defaults for moves
+ * @param references names of the parameters that the structure refers to
+ */
+record ServiceStructure(String name, Field<Boolean> openToCallers, @SuppressWarnings("rawtypes") Field<List> calls,
+		Field<Integer> queueLength, Field<Integer> customerShare, Field<Integer> retryBudget,
+		List<RouteStructure> routes, Field<String> current, MoveStructure move, Set<String> references) {
+
+	private static final Optional<Range> QUEUE_LENGTH = Optional.of(new Range(0, 10_000));
+
+	static ServiceStructure read(String name, YamlNode node, Map<String, ParameterDeclaration> declarations) {
+		ParameterScope scope = new ParameterScope(declarations);
+		YamlNode limits = node.child("limits");
+		ServiceStructure structure = new ServiceStructure(name,
+				Field.read(node.child("open-to-callers"), ParameterType.TRUTH, Optional.empty(), scope),
+				Field.read(node.child("calls"), ParameterType.LIST, Optional.empty(), scope),
+				Field.read(limits.child("queue-length"), ParameterType.INTEGER, QUEUE_LENGTH, scope),
+				Field.read(limits.child("customer-share"), ParameterType.SHARE, Optional.empty(), scope),
+				Field.read(limits.child("retry-budget"), ParameterType.SHARE, Optional.empty(), scope),
+				readRoutes(node.child("routes"), scope),
+				Field.read(node.child("current"), ParameterType.VERSION, Optional.empty(), scope),
+				MoveStructure.read(node.child("move"), scope), scope.references());
+		limits.rejectUnknownKeys();
+		node.rejectUnknownKeys();
+		return structure;
+	}
+
+	@SuppressWarnings("unchecked")
+	ServiceConfiguration.Builder resolve(String serviceName, Map<String, ParameterValue> values) {
+		ServiceLimits defaults = ServiceLimits.DEFAULT;
+		List<Route> resolved = this.routes.stream().map((route) -> route.resolve(values)).toList();
+		return ServiceConfiguration.builder(serviceName)
+			.openToCallers(this.openToCallers.resolve(values).orElse(false))
+			.calls(this.calls.resolve(values).orElse(List.of()))
+			.routes(resolved)
+			.limits(new ServiceLimits(this.queueLength.resolve(values).orElse(defaults.queueLength()),
+					this.customerShare.resolve(values).orElse(defaults.customerShareBasisPoints()),
+					this.retryBudget.resolve(values).orElse(defaults.retryBudgetBasisPoints())));
+	}
+
+	private static List<RouteStructure> readRoutes(YamlNode node, ParameterScope scope) {
+		List<RouteStructure> routes = new ArrayList<>();
+		for (YamlNode item : node.items()) {
+			RouteStructure route = RouteStructure.read(item, scope);
+			for (RouteStructure earlier : routes) {
+				if (earlier.name().equals(route.name())) {
+					item.problem("route '" + route.name() + "' a second time", "each route name once in a service");
+				}
+				else if (earlier.hides(route)) {
+					item.problem("route '" + route.name() + "', which the earlier route '" + earlier.name() + "' hides",
+							"the more specific route first");
+				}
+			}
+			routes.add(route);
+		}
+		if (routes.isEmpty() && !node.present()) {
+			node.problem("nothing", "a list with at least one route");
+		}
+		else if (routes.isEmpty() && node.isSequence()) {
+			node.problem("an empty list", "a list with at least one route");
+		}
+		return routes;
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lavenderroad/model/rendering/Template.java
@@ -0,0 +1,66 @@
+package io.lavenderroad.model.rendering;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.regex.Pattern;
+
+import io.lavenderroad.core.Location;
+import io.lavenderroad.core.settings.YamlNode;
+
+/**
+ * Template with typed parameters and the structure of services.
+ *
+ * @param name name of the template
+ * @param location where the name stands
+ * @param parameters declared parameters by name
+ * @param structures services by name
+ */
+record Template(String name, Location location, Map<String, ParameterDeclaration> parameters,
+		Map<String, ServiceStructure> structures) {
+
+	/**
+	 * Keys of a service in a parameters document that no parameter may use as its name.
+	 */
+	static final Set<String> RESERVED_KEYS = Set.of("structure", "current", "move", "at-once");
+
+	private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
+
+	static Template read(YamlNode root) {
+		root.child(MeshRenderer.KIND_KEY);
+		String allowed = ParameterType.NAME.allowed(Optional.empty());
+		YamlNode nameNode = root.child("name");
+		String name = nameNode.requiredText(allowed, NAME);
+		Map<String, ParameterDeclaration> parameters = readParameters(root.child("parameters"));
+		Map<String, ServiceStructure> structures = new TreeMap<>();
+		YamlNode services = root.child("services");
+		for (String key : services.keys()) {
+			YamlNode service = services.child(key);
+			if (!NAME.matcher(key).matches()) {
+				service.problem("service '" + key + "'", allowed);
+			}
+			structures.put(key, ServiceStructure.read(key, service, parameters));
+		}
+		if (structures.isEmpty()) {
+			services.problem(services.describe(), "a mapping with at least one service");
+		}
+		root.rejectUnknownKeys();
+		return new Template(name, nameNode.location(), parameters, structures);
+	}
+
+	private static Map<String, ParameterDeclaration> readParameters(YamlNode node) {
+		Map<String, ParameterDeclaration> parameters = new TreeMap<>();
+		for (String key : node.keys()) {
+			YamlNode parameter = node.child(key);
+			if (RESERVED_KEYS.contains(key) || !NAME.matcher(key).matches()) {
+				parameter.problem("parameter '" + key + "'", ParameterType.NAME.allowed(Optional.empty())
+						+ ", other than structure, current, move and at-once");
+			}
+			parameters.put(key, ParameterDeclaration.read(key, parameter));
+		}
+		node.rejectUnknownKeys();
+		return parameters;
+	}
+
+}
