--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
@@ -137,6 +138,10 @@
 		}
 		String method = exchange.getRequestMethod();
 		String path = exchange.getRequestURI().getPath();
+		if (path == null || !path.startsWith("/")) {
+			return ApiResponse.invalid(List.of(new Problem(Location.of("request line"),
+					"'" + exchange.getRequestURI() + "'", "a path that starts with a slash")));
+		}
 		List<String> segments = Arrays.asList(path.substring(1).split("/", -1));
 		String resource = (segments.size() > 1) ? segments.get(0) + "/" + segments.get(1) : segments.get(0);
 		return switch (resource) {
@@ -184,7 +189,7 @@
 	}
 
 	private ApiResponse diff(JsonInput input) {
-		var put = input.texts("put");
+		SortedMap<String, String> put = input.texts("put");
 		List<String> removed = input.textList("removed");
 		return checked(input, () -> this.changes.diff(put, removed)
 			.fold(ApiResponse::of, (dryRun) -> ApiResponse.json(ApiResponse.OK, ApiJson.dryRun(dryRun))));
@@ -304,6 +309,10 @@
 	private static void send(HttpExchange exchange, ApiResponse response) throws IOException {
 		byte[] bytes = response.body().getBytes(StandardCharsets.UTF_8);
 		exchange.getResponseHeaders().set("Content-Type", response.contentType());
+		if (exchange.getRequestMethod().equals("HEAD")) {
+			exchange.sendResponseHeaders(response.status(), -1);
+			return;
+		}
 		exchange.sendResponseHeaders(response.status(), bytes.length);
 		try (OutputStream output = exchange.getResponseBody()) {
 			output.write(bytes);
