Keep the last version on disk and cache encoded services

Cause: a node with a data folder had no memory of its version, a relay encoded and hashed every service again for each child, a detached relay told its children an infinite root age, and an endpoint that the parents had forgotten stayed at a child for ever.

Change: VersionFile stores each version before it comes in force. ServiceConfiguration caches its encoded form and digest. The path and the root age outlive a loss of the parent. Entries unknown to the parent expire after 30 s unless they are confirmed. A root states the age of its quorum contact, so that nodes leave an isolated root.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -16,6 +16,7 @@
 import io.lavenderroad.distribution.DistributionMessages.Delta;
 import io.lavenderroad.distribution.DistributionMessages.Hop;
 import io.lavenderroad.distribution.DistributionMessages.ParentHeartbeat;
+import io.lavenderroad.distribution.DistributionMessages.PathUpdate;
 import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
 import io.lavenderroad.distribution.DistributionMessages.Report;
 import io.lavenderroad.distribution.DistributionMessages.Subscribe;
@@ -57,6 +58,10 @@
 
 	private SubtreeStatus status;
 
+	private volatile List<Hop> sentPath = List.of();
+
+	private volatile boolean subscribed;
+
 	private int redirectedSinceReport;
 
 	private volatile boolean heartbeatDue;
@@ -93,6 +98,14 @@
 		Thread.ofVirtual().name("child " + this.hop.id()).start(this::sendAll);
 	}
 
+	/**
+	 * Tells whether the child reads one-way messages yet.
+	 * @return true after its first statement
+	 */
+	boolean hasSubscribed() {
+		return this.subscribed;
+	}
+
 	/**
 	 * Describes the child for the decision about another caller.
 	 * @return the place
@@ -140,7 +153,7 @@
 				return this.status;
 			}
 			TreeMap<Long, Integer> versions = new TreeMap<>(Map.of(this.version, 1));
-			return new SubtreeStatus(versions, List.of(new NodeVersion(this.hop.id(), this.version)), List.of(), 1, 0,
+			return new SubtreeStatus(versions, List.of(new NodeVersion(this.hop.id(), this.version)), List.of(), 0, 0,
 					0);
 		}
 		finally {
@@ -154,6 +167,9 @@
 	 */
 	void subscribed(Subscribe subscribe) {
 		MeshConfiguration current = this.owner.current();
+		// The path may have changed after the answer to the attach request was written.
+		this.subscribed = true;
+		path(this.owner.path());
 		this.lock.lock();
 		try {
 			this.version = subscribe.version();
@@ -200,6 +216,25 @@
 		this.outbox.offer(message);
 	}
 
+	/**
+	 * Tells the child its path unless it knows it.
+	 * @param path from the root to the parent
+	 */
+	void path(List<Hop> path) {
+		if (!path.equals(this.sentPath)) {
+			this.sentPath = path;
+			this.outbox.offer(new PathUpdate(path));
+		}
+	}
+
+	/**
+	 * Notes the path of the answer to the attach request.
+	 * @param path from the root to the parent
+	 */
+	void acceptedWith(List<Hop> path) {
+		this.sentPath = path;
+	}
+
 	void requested(Collection<String> services) {
 		Set<String> wanted = new HashSet<>(services);
 		announce(this.owner.registry().select(wanted::contains, false));
--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -18,7 +18,6 @@
 import io.lavenderroad.distribution.DistributionMessages.EndpointUpdate;
 import io.lavenderroad.distribution.DistributionMessages.Hop;
 import io.lavenderroad.distribution.DistributionMessages.Leaving;
-import io.lavenderroad.distribution.DistributionMessages.PathUpdate;
 import io.lavenderroad.distribution.DistributionMessages.Redirected;
 import io.lavenderroad.distribution.DistributionMessages.RegistryRequest;
 import io.lavenderroad.distribution.DistributionMessages.Report;
@@ -78,6 +77,10 @@
 		return this.parent.rootAgeMillis();
 	}
 
+	List<Hop> path() {
+		return this.parent.path();
+	}
+
 	/**
 	 * Tells whether slices for children can be taken from the version in force.
 	 * @return true if it holds all services
@@ -199,7 +202,7 @@
 	 * @param path from the root to this process
 	 */
 	void pathChanged(List<Hop> path) {
-		this.byConnection.values().forEach((child) -> child.send(new PathUpdate(path)));
+		this.byConnection.values().stream().filter(Child::hasSubscribed).forEach((child) -> child.path(path));
 	}
 
 	/**
@@ -328,8 +331,10 @@
 		if (!connection.isOpen()) {
 			closed(connection);
 		}
+		List<Hop> path = this.parent.path();
+		child.acceptedWith(path);
 		child.start();
-		return new Accepted(this.parent.path(), current().version(), this.parent.rootAgeMillis());
+		return new Accepted(path, current().version(), this.parent.rootAgeMillis());
 	}
 
 	/**
--- a/distribution/src/main/java/io/lavenderroad/distribution/EndpointRegistry.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/EndpointRegistry.java
@@ -71,33 +71,85 @@
 	}
 
 	/**
-	 * Merges an announcement.
-	 * @param endpoint the announcement
-	 * @param fromBelow whether it came from this process or its subtree
+	 * Merges announcements.
+	 * @param endpoints the announcements
+	 * @param fromBelow whether they came from this process or its subtree
 	 * @param now milliseconds of the clock
-	 * @return true if it replaced what was known
+	 * @return what to pass on: the announcements that replaced what was known, and
+	 * expired copies of those whose node now serves another service, for receivers that
+	 * have only the old service in scope
 	 */
-	boolean merge(Endpoint endpoint, boolean fromBelow, long now) {
+	List<Endpoint> merge(Collection<Endpoint> endpoints, boolean fromBelow, long now) {
 		this.lock.lock();
 		try {
-			Entry known = this.entries.get(endpoint.nodeId());
-			if (known != null && !endpoint.replaces(known.endpoint())) {
-				return false;
-			}
-			if (known != null && !known.endpoint().service().equals(endpoint.service())) {
-				remove(known.endpoint());
+			List<Endpoint> news = new ArrayList<>();
+			endpoints.forEach((endpoint) -> merge(endpoint, fromBelow, now, news));
+			return news;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private void merge(Endpoint endpoint, boolean fromBelow, long now, List<Endpoint> news) {
+		Entry known = this.entries.get(endpoint.nodeId());
+		if (known != null && !endpoint.replaces(known.endpoint())) {
+			boolean same = !known.endpoint().replaces(endpoint);
+			if (same && !fromBelow && known.unconfirmedMillis() != 0) {
+				put(new Entry(known.endpoint(), known.fromBelow(), known.changedMillis(), 0));
 			}
-			Entry entry = new Entry(endpoint, fromBelow, now);
-			this.entries.put(endpoint.nodeId(), entry);
-			this.byService.computeIfAbsent(endpoint.service(), (name) -> new TreeMap<>()).put(endpoint.nodeId(), entry);
-			refresh(endpoint.service());
-			return true;
+			return;
+		}
+		if (known != null && !known.endpoint().service().equals(endpoint.service())) {
+			remove(known.endpoint());
+			news.add(known.endpoint().withState(EndpointState.EXPIRED));
+		}
+		put(new Entry(endpoint, fromBelow, now, 0));
+		refresh(endpoint.service());
+		news.add(endpoint);
+	}
+
+	private void put(Entry entry) {
+		Endpoint endpoint = entry.endpoint();
+		this.entries.put(endpoint.nodeId(), entry);
+		this.byService.computeIfAbsent(endpoint.service(), (name) -> new TreeMap<>()).put(endpoint.nodeId(), entry);
+	}
+
+	/**
+	 * Notes that the parent has other entries than this process for some services. Those
+	 * learned from above count as unconfirmed until they come from above again.
+	 * @param services selects the services
+	 * @param now milliseconds of the clock
+	 */
+	void doubt(Predicate<String> services, long now) {
+		this.lock.lock();
+		try {
+			List<Entry> doubtful = this.entries.values()
+				.stream()
+				.filter((entry) -> !entry.fromBelow() && services.test(entry.endpoint().service()))
+				.toList();
+			doubtful.forEach((entry) -> put(new Entry(entry.endpoint(), false, entry.changedMillis(), now)));
 		}
 		finally {
 			this.lock.unlock();
 		}
 	}
 
+	/**
+	 * Returns the entries that stayed unconfirmed for too long.
+	 * @param now milliseconds of the clock
+	 * @return the entries in the expired state
+	 */
+	List<Endpoint> unconfirmed(long now) {
+		return entries().stream()
+			.filter((entry) -> entry.unconfirmedMillis() != 0
+					&& now - entry.unconfirmedMillis() > TreeTimes.UNCONFIRMED_MILLIS)
+			.map(Entry::endpoint)
+			.filter((endpoint) -> endpoint.state() != EndpointState.EXPIRED)
+			.map((endpoint) -> endpoint.withState(EndpointState.EXPIRED))
+			.toList();
+	}
+
 	/**
 	 * Returns announcements of services, expired ones included.
 	 * @param services selects the services
@@ -243,8 +295,9 @@
 	 * @param endpoint the announcement
 	 * @param fromBelow whether it came from this process or its subtree
 	 * @param changedMillis when it was merged
+	 * @param unconfirmedMillis since when the parent does not know it, 0 if it does
 	 */
-	record Entry(Endpoint endpoint, boolean fromBelow, long changedMillis) {
+	record Entry(Endpoint endpoint, boolean fromBelow, long changedMillis, long unconfirmedMillis) {
 	}
 
 }
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -98,7 +99,9 @@
 
 	private Scope scope;
 
-	private boolean wholeRequested;
+	private volatile boolean wholeRequested;
+
+	private volatile ParentSession lastSession;
 
 	private volatile boolean floorConfirmed;
 
@@ -116,12 +119,25 @@
 		this.self = new Hop(this.own.nodeId(), this.own.frameAddress());
 		this.scope = Scope.of(this.own.service());
 		this.drainMillis = builder.drainMillis;
-		this.active = new ActiveConfiguration(builder.validator, ActiveConfiguration.Memory.NONE);
+		Optional<VersionFile> file = Optional.ofNullable(builder.dataFolder)
+			.map((folder) -> new VersionFile(folder, this.self.id()));
+		this.active = new ActiveConfiguration(builder.validator,
+				file.<ActiveConfiguration.Memory>map((value) -> value).orElse(ActiveConfiguration.Memory.NONE));
+		file.flatMap(VersionFile::load).ifPresent(this::restore);
 		this.children = new Children(new NodeParent(), Placement.RELAY, builder.attachesPerSecond);
 		this.uplink = new Uplink(new NodeUplink(), this.options, this.clock, builder.random, builder.seeds,
 				this::ownEndpoint);
 	}
 
+	private void restore(VersionFile.Stored stored) {
+		// It may be served at once: nothing newer was in force here.
+		this.active.restore(stored.configuration(), stored.everything());
+		this.floorConfirmed = true;
+		if (stored.everything()) {
+			this.scope = Scope.everything();
+		}
+	}
+
 	/**
 	 * Creates a builder.
 	 * @return the builder
@@ -135,7 +151,7 @@
 	 * in {@link DistributionMessages#types()} to {@link #handler()}.
 	 */
 	public void start() {
-		this.registry.merge(ownEndpoint(), true, this.clock.millis());
+		this.registry.merge(List.of(ownEndpoint()), true, this.clock.millis());
 		this.uplink.start();
 		Thread.ofVirtual().name("distribution " + this.self.id()).start(this::tick);
 		Thread.ofVirtual().name("report " + this.self.id()).start(this::reportAll);
@@ -266,12 +282,15 @@
 	}
 
 	private List<Hop> path() {
-		List<Hop> above = this.uplink.session().map(ParentSession::path).orElse(List.of());
-		return TreePath.extend(above, this.self);
+		// After a loss the last known path is kept until another parent accepts, so that
+		// the children keep the addresses of their ancestors.
+		ParentSession last = this.lastSession;
+		return TreePath.extend((last != null) ? last.path() : List.of(), this.self);
 	}
 
 	private long rootAgeMillis() {
-		return this.uplink.session().map(ParentSession::rootAgeMillis).orElse(Long.MAX_VALUE / 2);
+		ParentSession last = this.lastSession;
+		return (last != null) ? last.rootAgeMillis() : Long.MAX_VALUE / 2;
 	}
 
 	private long bytesSent() {
@@ -290,13 +309,32 @@
 		finally {
 			this.lock.unlock();
 		}
-		this.listeners.forEach(Runnable::run);
+		for (Runnable listener : this.listeners) {
+			try {
+				listener.run();
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "distribution: A listener of node {} failed.", this.self.id());
+			}
+		}
 	}
 
 	private void tick() {
+		long lastCleanupMillis = this.clock.millis();
 		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
 			this.children.expireLeases();
-			this.registry.forgetExpired(this.clock.millis());
+			long now = this.clock.millis();
+			if (now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS) {
+				lastCleanupMillis = now;
+				cleanUp(now);
+			}
+		}
+	}
+
+	private void cleanUp(long now) {
+		this.registry.forgetExpired(now);
+		if (rootAgeMillis() < TreeTimes.ROOT_AGE_LIMIT_MILLIS) {
+			endpointsFromAbove(this.registry.unconfirmed(now));
 		}
 	}
 
@@ -364,7 +402,7 @@
 	}
 
 	private void endpointsFromBelow(List<Endpoint> endpoints, String senderId) {
-		List<Endpoint> merged = merge(endpoints, true);
+		List<Endpoint> merged = this.registry.merge(endpoints, true, this.clock.millis());
 		if (!merged.isEmpty()) {
 			this.uplink.session().ifPresent((session) -> session.outbox().offer(merged));
 			this.children.announce(merged, senderId);
@@ -373,7 +411,7 @@
 	}
 
 	private void endpointsFromAbove(List<Endpoint> endpoints) {
-		List<Endpoint> merged = merge(endpoints, false);
+		List<Endpoint> merged = this.registry.merge(endpoints, false, this.clock.millis());
 		if (!merged.isEmpty()) {
 			this.children.announce(merged, null);
 			changed();
@@ -389,16 +427,12 @@
 		}
 	}
 
-	private List<Endpoint> merge(List<Endpoint> endpoints, boolean fromBelow) {
-		long now = this.clock.millis();
-		return endpoints.stream().filter((endpoint) -> this.registry.merge(endpoint, fromBelow, now)).toList();
-	}
-
 	private void compareRegistry(ParentSession session, Map<String, Long> parentDigests) {
 		Map<String, Long> mine = this.registry.digests((service) -> true);
 		Set<String> services = new TreeSet<>(mine.keySet());
 		services.addAll(parentDigests.keySet());
 		services.removeIf((service) -> Objects.equals(mine.get(service), parentDigests.get(service)));
+		this.registry.doubt(services::contains, this.clock.millis());
 		session.outbox().offer(this.registry.select(services::contains, true));
 		session.outbox().offer(new RegistryRequest(new ArrayList<>(services)));
 	}
@@ -431,7 +465,7 @@
 				Logger.debug("distribution: Node {} becomes a relay.", this.self.id());
 				this.uplink.session().ifPresent((session) -> subscribe(session, false, false));
 			}
-			long left = TreeTimes.HEARTBEAT_MILLIS * 1_000_000;
+			long left = TimeUnit.MILLISECONDS.toNanos(TreeTimes.WIDEN_MILLIS);
 			while (!ready() && left > 0) {
 				left = this.changed.awaitNanos(left);
 			}
@@ -768,6 +802,7 @@
 
 		@Override
 		public void attached(ParentSession session) {
+			NodeDistribution.this.lastSession = session;
 			NodeDistribution.this.attaches.incrementAndGet();
 			NodeDistribution.this.evidence.receiverChanged();
 			subscribe(session, false, false);
@@ -777,11 +812,6 @@
 			NodeDistribution.this.children.heartbeat();
 		}
 
-		@Override
-		public void detached(ParentSession session) {
-			NodeDistribution.this.children.pathChanged(path());
-		}
-
 		@Override
 		public void replaced(ParentSession session) {
 			Thread.ofVirtual().start(() -> NodeDistribution.this.evidence.betweenReports(() -> {
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -54,6 +55,8 @@
 
 	private final Consumer<Evidence> evidenceListener;
 
+	private final LongSupplier quorumAgeMillis;
+
 	private final Handler handler = new Handler();
 
 	private volatile boolean closed;
@@ -63,6 +66,7 @@
 		this.clock = builder.clock;
 		this.self = new Hop(options.hello().senderId(), options.hello().frameAddress());
 		this.evidenceListener = builder.evidenceListener;
+		this.quorumAgeMillis = builder.quorumAgeMillis;
 		this.localFloor = new FloorRequests(builder.confirmCommittedVersion);
 		this.children = new Children(new RootParent(), Placement.ROOT, builder.attachesPerSecond);
 		this.peers = new Peers(options, this.clock, builder.random, builder.peers, this.registry, this.handler);
@@ -170,15 +174,19 @@
 
 	private void tick() {
 		long lastHeartbeatMillis = 0;
+		long lastCleanupMillis = this.clock.millis();
 		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
 			long now = this.clock.millis();
 			this.children.expireLeases();
-			this.registry.forgetExpired(now);
-			expireOrphans(now);
 			if (now - lastHeartbeatMillis >= TreeTimes.HEARTBEAT_MILLIS) {
 				lastHeartbeatMillis = now;
 				this.children.heartbeat();
 				this.peers.report(subtreeStatus());
+				expireOrphans(now);
+			}
+			if (now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS) {
+				lastCleanupMillis = now;
+				this.registry.forgetExpired(now);
 			}
 		}
 	}
@@ -201,9 +209,7 @@
 
 	private void merge(List<Endpoint> endpoints, String childId, String peerId) {
 		long now = this.clock.millis();
-		List<Endpoint> merged = endpoints.stream()
-			.filter((endpoint) -> this.registry.merge(endpoint, peerId == null, now))
-			.toList();
+		List<Endpoint> merged = this.registry.merge(endpoints, peerId == null, now);
 		if (!merged.isEmpty()) {
 			this.children.announce(merged, childId);
 			this.peers.announce(merged, peerId);
@@ -244,6 +250,8 @@
 		private Consumer<Evidence> evidenceListener = (evidence) -> {
 		};
 
+		private LongSupplier quorumAgeMillis = () -> 0;
+
 		private int attachesPerSecond = TreeTimes.ROOT_ATTACHES_PER_SECOND;
 
 		private Builder() {
@@ -301,6 +309,19 @@
 			return this;
 		}
 
+		/**
+		 * Sets how the age of the last contact with a quorum is read: at the leader the
+		 * last successful quorum check, at a follower the last contact with the leader.
+		 * Nodes leave a root whose contact is older than 3 s when another one accepts
+		 * them, since an isolated root gets no new versions.
+		 * @param ageMillis returns the age in milliseconds
+		 * @return this builder
+		 */
+		public Builder quorumAgeMillis(LongSupplier ageMillis) {
+			this.quorumAgeMillis = ageMillis;
+			return this;
+		}
+
 		/**
 		 * Sets who takes evidence. Each root gets the evidence of the whole mesh.
 		 * @param listener gets evidence that it did not get before; must not block
@@ -415,7 +436,7 @@
 
 		@Override
 		public long rootAgeMillis() {
-			return 0;
+			return RootDistribution.this.quorumAgeMillis.getAsLong();
 		}
 
 		@Override
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -43,6 +43,29 @@
 	 */
 	static final long BYTES_REPORT_MILLIS = 10_000;
 
+	/**
+	 * Longest wait for the answer to an attach request. A relay may need
+	 * {@link #WIDEN_MILLIS} for it; a hung one must not use up the time in which the tree
+	 * has to heal.
+	 */
+	static final long ATTACH_TIMEOUT_MILLIS = 1_500;
+
+	/**
+	 * Longest wait of a new relay for the services that its children need.
+	 */
+	static final long WIDEN_MILLIS = 1_000;
+
+	/**
+	 * How long an endpoint is kept that the parent does not know. The parent may itself
+	 * be waiting for announcements after a restart.
+	 */
+	static final long UNCONFIRMED_MILLIS = 30_000;
+
+	/**
+	 * Interval of the removal of old entries of the registry.
+	 */
+	static final long CLEANUP_MILLIS = 10_000;
+
 	/**
 	 * Longest wait for an answer of a peer.
 	 */
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -96,7 +96,10 @@
 		try {
 			while (!this.closed) {
 				switch (health()) {
-					case GOOD -> pause(TreeTimes.CHECK_MILLIS);
+					case GOOD -> {
+						this.backoff.reset();
+						pause(TreeTimes.CHECK_MILLIS);
+					}
 					case MOVE -> search();
 					case LOST -> {
 						detach();
@@ -125,7 +128,6 @@
 		this.session = null;
 		Logger.info("distribution: Node {} lost its parent {}.", this.self.get().nodeId(), this.lostParent);
 		present.connection().close("parent " + this.lostParent + " is lost");
-		this.owner.detached(present);
 	}
 
 	private void search() throws InterruptedException {
@@ -172,7 +174,7 @@
 		Connection connection = opened.get();
 		this.owner.opened(connection);
 		Either<CallFailure, DistributionMessage> answer = connection.call(attach(candidates),
-				TreeTimes.CALL_TIMEOUT_MILLIS, DistributionMessage.class);
+				TreeTimes.ATTACH_TIMEOUT_MILLIS, DistributionMessage.class);
 		if (answer.isRight() && answer.get() instanceof Accepted accepted && use(connection, accepted)) {
 			return true;
 		}
@@ -256,12 +258,6 @@
 		 */
 		void attached(ParentSession session);
 
-		/**
-		 * The session has ended and there is no other one yet.
-		 * @param session the session
-		 */
-		void detached(ParentSession session);
-
 		/**
 		 * A new session has replaced this one, which is still open.
 		 * @param session the old session
--- a/model/src/main/java/io/lavenderroad/model/ServiceConfiguration.java
+++ b/model/src/main/java/io/lavenderroad/model/ServiceConfiguration.java
@@ -10,6 +10,8 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
+import io.lavenderroad.model.binding.ConfigurationBinding;
+
 /**
  * Immutable configuration of one service as nodes use it. The split is the only place
  * that says which version gets which traffic; during a move each step of the move changes
@@ -42,6 +44,10 @@
 
 	private final long modifiedVersion;
 
+	private volatile byte[] encoded;
+
+	private volatile byte[] digest;
+
 	private ServiceConfiguration(Builder builder) {
 		this.name = Objects.requireNonNull(builder.name, "name");
 		this.team = builder.team;
@@ -160,6 +166,33 @@
 		return this.modifiedVersion;
 	}
 
+	/**
+	 * Returns the MessagePack form. It is computed once, since a relay sends the same
+	 * service to many children.
+	 * @return the bytes, shared and not to be modified
+	 */
+	public byte[] encoded() {
+		byte[] bytes = this.encoded;
+		if (bytes == null) {
+			bytes = ConfigurationBinding.encode(this);
+			this.encoded = bytes;
+		}
+		return bytes;
+	}
+
+	/**
+	 * Returns the SHA-256 digest of the MessagePack form, computed once.
+	 * @return 32 bytes, shared and not to be modified
+	 */
+	public byte[] digest() {
+		byte[] bytes = this.digest;
+		if (bytes == null) {
+			bytes = ConfigurationBinding.sha256(encoded());
+			this.digest = bytes;
+		}
+		return bytes;
+	}
+
 	/**
 	 * Finds the route of a request.
 	 * @param method the HTTP method in upper case
--- a/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
+++ b/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
@@ -40,11 +40,29 @@
 		MessageDigest digest = sha256();
 		for (ServiceConfiguration service : services) {
 			digest.update(service.name().getBytes(StandardCharsets.UTF_8));
-			digest.update(sha256().digest(toBytes(service, ConfigurationBinding::packService)));
+			digest.update(service.digest());
 		}
 		return HexFormat.of().formatHex(digest.digest());
 	}
 
+	/**
+	 * Returns the digest of bytes.
+	 * @param bytes the bytes
+	 * @return the SHA-256 digest, 32 bytes
+	 */
+	public static byte[] sha256(byte[] bytes) {
+		return sha256().digest(bytes);
+	}
+
+	/**
+	 * Encodes a service without use of its cached form.
+	 * @param service the service
+	 * @return the bytes
+	 */
+	public static byte[] encode(ServiceConfiguration service) {
+		return toBytes(service, ConfigurationBinding::packFields);
+	}
+
 	/**
 	 * Encodes a value.
 	 * @param <T> type of the value
@@ -117,6 +135,10 @@
 	 * @throws IOException if the packer fails
 	 */
 	public static void packService(ServiceConfiguration service, MessagePacker packer) throws IOException {
+		packer.writePayload(service.encoded());
+	}
+
+	private static void packFields(ServiceConfiguration service, MessagePacker packer) throws IOException {
 		packer.packString(service.name());
 		packer.packString(service.team());
 		packer.packBoolean(service.openToCallers());
