--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Demonstration of the whole system on one machine.
+ */
+package io.lavenderroad.bench.demo;
--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load on a mesh from outside callers.
+ */
+package io.lavenderroad.bench.load;
