Stop a control member visibly when one of its tasks fails

Cause: an unexpected error in the timer, the group commit or the task of a peer would have ended that task silently; compaction could race with the choice of the next message to a peer.

--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -216,7 +216,7 @@
 			this.lock.unlock();
 		}
 		this.tasks.execute(this::runTimer);
-		this.tasks.execute(() -> runWhen(() -> !this.queue.isEmpty(), this::flush));
+		this.tasks.execute(() -> runWhen(() -> !this.queue.isEmpty(), () -> stopOnError(this::flush)));
 		this.tasks.execute(() -> runWhen(() -> this.failure == null && this.appliedIndex < this.commitIndex,
 				this::applyCommitted));
 	}
@@ -409,7 +409,8 @@
 	public void close() {
 		locked(() -> {
 			this.running = false;
-			stopWith("it is stopping");
+			Logger.info("control: {} is stopping.", this.id);
+			stopWith("member is stopping");
 			this.changed.signalAll();
 		});
 		this.tasks.shutdown();
@@ -1338,7 +1339,9 @@
 		try {
 			this.log.saveSnapshot(
 					new Snapshot(applied, this.log.term(applied).orElseThrow(), members, this.stateMachine.snapshot()));
-			this.log.compact(lastToForget(applied));
+			// Under the lock, so that a message to a peer never refers to a forgotten
+			// entry.
+			locked(() -> this.log.compact(lastToForget(applied)));
 		}
 		catch (StorageException ex) {
 			locked(() -> storageFailed(ex));
@@ -1542,7 +1545,9 @@
 		if (this.failure != null) {
 			return;
 		}
-		Logger.warn("control: {} stops voting and acknowledging: {}.", this.id, reason);
+		if (this.running) {
+			Logger.warn("control: {} stops voting and acknowledging: {}.", this.id, reason);
+		}
 		this.failure = reason;
 		follow(this.term, null);
 		refuseQueued("member has stopped: " + reason);
@@ -1625,7 +1630,7 @@
 		try {
 			while (locked(() -> this.running)) {
 				Thread.sleep(TICK_MILLIS);
-				tick();
+				stopOnError(this::tick);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -1633,6 +1638,21 @@
 		}
 	}
 
+	/**
+	 * Runs a step of a task. After an unexpected error the member stops visibly, in place
+	 * of going on without the task.
+	 * @param step the step
+	 */
+	private void stopOnError(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "control: Unexpected error.");
+			locked(() -> stopWith("unexpected error: " + ex));
+		}
+	}
+
 	private void runWhen(BooleanSupplier due, Runnable action) {
 		while (awaitDue(due)) {
 			action.run();
--- a/control/src/main/java/io/lavenderroad/control/raft/PeerTask.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/PeerTask.java
@@ -39,7 +39,7 @@
 		try {
 			Optional<PeerMessage> message = this.member.awaitMessage(this.peer);
 			while (message.isPresent()) {
-				send(message.get());
+				sendOrReport(message.get());
 				message = this.member.awaitMessage(this.peer);
 			}
 		}
@@ -55,6 +55,16 @@
 				&& Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)) < 65_536;
 	}
 
+	private void sendOrReport(PeerMessage message) {
+		try {
+			send(message);
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "control: Sending to member {} failed.", this.peer.member.id());
+			this.member.failed(this.peer.member.id(), message);
+		}
+	}
+
 	private void send(PeerMessage message) {
 		Either<CallFailure, Connection> open = connect();
 		if (open.isLeft()) {
