Test that an interrupt of a connection does not close the log

Cause: the threads of a connection are interrupted when it closes, and an interrupted write closes the file; the random test did not reach this case. Change: a test answers requests on an interrupted thread over real files. Conclusion: a broken connection cannot stop a member.

--- a/control/src/test/java/io/lavenderroad/control/raft/LoopbackGroupTests.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/LoopbackGroupTests.java
@@ -12,8 +12,11 @@
 import java.util.Random;
 
 import io.lavenderroad.control.log.DurableLog;
+import io.lavenderroad.control.log.EntryKind;
+import io.lavenderroad.control.log.LogEntry;
 import io.lavenderroad.control.log.StorageFileSystem;
 import io.lavenderroad.control.raft.ProposalOutcome.Accepted;
+import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.FrameServer;
@@ -79,6 +82,23 @@
 		}
 	}
 
+	@Test
+	public void interruptOfAConnectionDoesNotCloseTheLog() throws Exception {
+		Instance waiting = new Instance("d");
+		this.instances.add(waiting);
+		waiting.start(Files.createTempDirectory(Path.of("target"), "interrupted"), MemberSet.empty());
+		for (long index = 1; index <= 2; index++) {
+			AppendRequest request = new AppendRequest(5, "x", index - 1, (index > 1) ? 5 : 0, 0,
+					List.of(new LogEntry(index, 5, EntryKind.NO_OP, new byte[0])));
+			Thread.currentThread().interrupt();
+			Assert.assertThrows(LavenderroadException.class, () -> waiting.answer(null, request));
+			Assert.assertTrue(Thread.interrupted());
+			waiting.answer(null, request);
+		}
+		Assert.assertEquals(waiting.member.status().failure(), Optional.empty());
+		Assert.assertEquals(waiting.member.status().lastIndex(), 2);
+	}
+
 	private Accepted proposeUntilAccepted(String command) throws InterruptedException {
 		for (int attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
 			for (Instance instance : this.instances) {
