Add the operators' tool

Cause: operators had no command line for the HTTP API.

It goes through the control members, resends a change under the same id after a lost answer, and reports unknown with the command that finds out.

Conclusion: not yet run against a real control member.

--- /dev/null
+++ b/tool/src/main/java/io/lavenderroad/tool/Documents.java
@@ -0,0 +1,111 @@
+package io.lavenderroad.tool;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import io.lavenderroad.core.Location;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.model.rendering.MeshRenderer;
+import io.vavr.collection.Seq;
+import io.vavr.control.Either;
+
+/**
+ * Documents in the files and directories that an operator names. Each one is stored under
+ * its kind and the name that it states; problems are reported under the name of the file.
+ *
+ * @param texts text of each document by its name
+ * @param files file of each document by its name
+ */
+record Documents(SortedMap<String, String> texts, SortedMap<String, String> files) {
+
+	/**
+	 * Reads documents. Directories are searched for files that end in {@code .yml} or
+	 * {@code .yaml}.
+	 * @param paths files and directories
+	 * @return the documents
+	 * @throws ToolException if a file cannot be read or a document states no name
+	 */
+	static Documents read(List<String> paths) {
+		Documents documents = new Documents(new TreeMap<>(), new TreeMap<>());
+		List<Problem> problems = new ArrayList<>();
+		for (String path : paths) {
+			for (Path file : files(Path.of(path), problems)) {
+				documents.add(file, problems);
+			}
+		}
+		if (problems.isEmpty() && documents.texts.isEmpty()) {
+			problems.add(new Problem(Location.of(String.join(", ", paths)), "no documents",
+					"files that end in .yml or .yaml"));
+		}
+		if (!problems.isEmpty()) {
+			throw new ToolException(ExitCode.INVALID_INPUT, lines(problems));
+		}
+		return documents;
+	}
+
+	static String lines(List<Problem> problems) {
+		return String.join("\n", problems.stream().map(Problem::toString).toList());
+	}
+
+	/**
+	 * Replaces the name of a document by the name of its file.
+	 * @param source name of a document, or anything else
+	 * @return the name to show to the operator
+	 */
+	String shown(String source) {
+		return this.files.getOrDefault(source, source);
+	}
+
+	private void add(Path file, List<Problem> problems) {
+		String text;
+		try {
+			text = Files.readString(file);
+		}
+		catch (CharacterCodingException ex) {
+			problems.add(new Problem(Location.of(file.toString()), "bytes that are not UTF-8", "a YAML file in UTF-8"));
+			return;
+		}
+		catch (IOException ex) {
+			problems.add(new Problem(Location.of(file.toString()), "an unreadable file (" + ex.getMessage() + ")",
+					"a readable YAML file"));
+			return;
+		}
+		Either<Seq<Problem>, String> name = MeshRenderer.documentName(file.toString(), text);
+		name.peekLeft((found) -> problems.addAll(found.asJava()));
+		if (name.isLeft()) {
+			return;
+		}
+		String first = this.files.putIfAbsent(name.get(), file.toString());
+		if (first != null) {
+			problems.add(new Problem(Location.of(file.toString()), name.get() + ", which is also in " + first,
+					"each document once"));
+		}
+		this.texts.put(name.get(), text);
+	}
+
+	private static List<Path> files(Path path, List<Problem> problems) {
+		if (!Files.isDirectory(path)) {
+			return List.of(path);
+		}
+		try (Stream<Path> walk = Files.walk(path)) {
+			return walk.filter(Files::isRegularFile)
+				.filter((file) -> file.toString().endsWith(".yml") || file.toString().endsWith(".yaml"))
+				.sorted()
+				.toList();
+		}
+		catch (IOException | UncheckedIOException ex) {
+			problems.add(new Problem(Location.of(path.toString()), "an unreadable directory (" + ex.getMessage() + ")",
+					"a readable directory"));
+			return List.of();
+		}
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/io/lavenderroad/tool/HttpTransport.java
@@ -0,0 +1,36 @@
+package io.lavenderroad.tool;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.Optional;
+
+/**
+ * Sends one HTTP request to one control member.
+ */
+@FunctionalInterface
+interface HttpTransport {
+
+	/**
+	 * Sends a request and waits for the whole answer.
+	 * @param address {@code host:port} of the member
+	 * @param method method of the request
+	 * @param path path and query
+	 * @param body the JSON body
+	 * @return the answer
+	 * @throws ConnectException if no connection was made, so that the request was not
+	 * sent
+	 * @throws IOException if the answer was lost; the request may have run
+	 */
+	Answer send(String address, String method, String path, Optional<String> body) throws IOException;
+
+	/**
+	 * Answer of a member.
+	 *
+	 * @param status the HTTP status
+	 * @param body the body
+	 */
+	record Answer(int status, String body) {
+
+	}
+
+}
--- /dev/null
+++ b/tool/src/main/java/io/lavenderroad/tool/StatusCommand.java
@@ -0,0 +1,35 @@
+package io.lavenderroad.tool;
+
+import com.beust.jcommander.Parameters;
+import io.lavenderroad.tool.ControlClient.Reply;
+
+/**
+ * Shows the state of the mesh.
+ */
+@Parameters(commandDescription = "show version, leader, nodes and active moves")
+final class StatusCommand extends ToolCommand {
+
+	@Override
+	ExitCode run(ToolContext context) {
+		ControlClient client = context.client(this.options);
+		client.findLeader();
+		Reply reply = client.get("/v1/status");
+		JsonValue status = Answers.require(reply);
+		if (this.options.json()) {
+			context.out().println(reply.text());
+			return ExitCode.SUCCESS;
+		}
+		String leader = status.text("leader");
+		new Table("VERSION", "LAST CHANGE", "SERVICES", "NODES CURRENT", "LAGGING", "REJECTED", "LEADER", "TERM")
+			.row(status.number("version"), status.number("lastChangeVersion"), status.number("services"),
+					status.number("nodesCurrent") + " of " + status.number("nodes"), status.number("laggingNodes"),
+					status.number("rejectedVersions"), leader.isEmpty() ? "unknown" : leader, status.number("term"))
+			.print(context.out());
+		if (!status.objects("activeMoves").isEmpty()) {
+			context.out().println();
+			Moves.table(status.objects("activeMoves")).print(context.out());
+		}
+		return ExitCode.SUCCESS;
+	}
+
+}
