Tighten the checks around changes, members and convergence

Cause: withdrawals and member requests accepted texts of any length, a mesh without known nodes counted as converged, and calls were checked by the renderer alone.

Change: located problems for operator, reason, member id and address; watch needs at least one node; the state machine checks that every called service exists; a request must arrive within 30 s. The dry run names deadline, policy and thin evidence of a new move, and advises only about the documents of the change.

Conclusion: mutated commands lead to equal states and outcomes at two machines over 3,000 rounds from a fixed seed.

--- a/control/src/main/java/io/lavenderroad/control/api/JsonInput.java
+++ b/control/src/main/java/io/lavenderroad/control/api/JsonInput.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -24,6 +25,8 @@
 
 	private static final String OBJECT = "a JSON object";
 
+	private static final int LONGEST_QUOTE_CHARACTERS = 60;
+
 	private final Map<String, Object> fields;
 
 	private final List<Problem> problems = new ArrayList<>();
@@ -64,6 +67,14 @@
 		return fallback.orElse("");
 	}
 
+	String matching(String key, Pattern pattern, String allowed) {
+		String value = text(key, Optional.of(""));
+		if (!pattern.matcher(value).matches()) {
+			problem(key, value.isEmpty() ? "nothing" : quote(value), allowed);
+		}
+		return value;
+	}
+
 	long number(String key) {
 		Object value = this.fields.remove(key);
 		if (value instanceof Integer || value instanceof Long) {
@@ -120,6 +131,10 @@
 		this.problems.add(new Problem(new Location(SOURCE, 0, 0, key), found, allowed));
 	}
 
+	private static String quote(String value) {
+		return "'" + value.substring(0, Math.min(value.length(), LONGEST_QUOTE_CHARACTERS)) + "'";
+	}
+
 	private static String describe(Object value) {
 		return switch (value) {
 			case null -> "nothing";
--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -48,6 +49,25 @@
 
 	private static final int STOP_SECONDS = 1;
 
+	private static final Pattern REASON = Pattern.compile("[^\\p{Cntrl}]{0,500}");
+
+	private static final Pattern MEMBER_ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+
+	private static final Pattern MEMBER_ADDRESS = Pattern.compile("[0-9A-Fa-f.:\\[\\]]{2,45}:[0-9]{1,5}");
+
+	/**
+	 * Longest time to receive a request. A client that stops in the middle would hold its
+	 * connection for ever otherwise.
+	 */
+	private static final String REQUEST_SECONDS = "30";
+
+	private static final String MOST_CONNECTIONS = "500";
+
+	static {
+		setUnlessSet("sun.net.httpserver.maxReqTime", REQUEST_SECONDS);
+		setUnlessSet("jdk.httpserver.maxConnections", MOST_CONNECTIONS);
+	}
+
 	private final MeshStateMachine stateMachine;
 
 	private final ChangeService changes;
@@ -236,8 +256,8 @@
 	}
 
 	private ApiResponse withdraw(String id, JsonInput input) {
-		String operator = input.text("operator", Optional.empty());
-		String reason = input.text("reason", Optional.of(""));
+		String operator = input.matching("operator", ChangeService.OPERATOR, "a name of at most 100 characters");
+		String reason = input.matching("reason", REASON, "one line of at most 500 characters");
 		return checked(input, () -> {
 			Either<CommandFailure, CommandOutcome> outcome = this.moves.withdrawByOperator(id, operator, reason);
 			if (outcome.isLeft()) {
@@ -263,8 +283,8 @@
 	}
 
 	private ApiResponse addMember(JsonInput input) {
-		String id = input.text("id", Optional.empty());
-		String address = input.text("address", Optional.empty());
+		String id = input.matching("id", MEMBER_ID, "letters, digits, dots, underscores and hyphens");
+		String address = input.matching("address", MEMBER_ADDRESS, "IP:PORT of the frames port");
 		return checked(input, () -> members(this.members.add(id, address)));
 	}
 
@@ -298,6 +318,12 @@
 				: wrongMethod("POST");
 	}
 
+	private static void setUnlessSet(String property, String value) {
+		if (System.getProperty(property) == null) {
+			System.setProperty(property, value);
+		}
+	}
+
 	private static ApiResponse unknownPath() {
 		return ApiResponse.notRun(ApiResponse.NOT_FOUND, "unknown path");
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -48,9 +49,12 @@
 	 */
 	private static final int MOST_ROUNDS = 3;
 
-	private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+	/**
+	 * Allowed names of operators.
+	 */
+	public static final Pattern OPERATOR = Pattern.compile("[\\p{L}\\p{N}][\\p{L}\\p{N} .@_-]{0,99}");
 
-	private static final Pattern OPERATOR = Pattern.compile("[\\p{L}\\p{N}][\\p{L}\\p{N} .@_-]{0,99}");
+	private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
 
 	private static final Pattern DOCUMENT_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._/-]{0,199}");
 
@@ -120,7 +124,7 @@
 			return render(base, changeId, put, removed).map((rendered) -> {
 				MeshPlan plan = rendered.plan();
 				Difference difference = Difference.between(plan.before(), plan.configuration());
-				return new DryRun(plan.before().version(), difference, notes(rendered.mesh()));
+				return new DryRun(plan.before().version(), difference, notes(rendered.mesh(), put.keySet()));
 			});
 		});
 	}
@@ -213,10 +217,11 @@
 				problem.allowed());
 	}
 
-	private List<String> notes(RenderedMesh mesh) {
+	private List<String> notes(RenderedMesh mesh, Set<String> documents) {
 		List<String> notes = new ArrayList<>();
 		for (MoveState move : this.stateMachine.moves()) {
 			boolean stillAsked = Optional.ofNullable(mesh.services().get(move.service()))
+				.filter((service) -> documents.contains(mesh.locations().get(service.name()).source()))
 				.flatMap(RenderedService::move)
 				.filter((request) -> request.to().equals(move.parameters().to()))
 				.isPresent();
--- a/control/src/main/java/io/lavenderroad/control/state/MeshPlan.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshPlan.java
@@ -55,9 +55,19 @@
 		MeshConfiguration next = state.configuration.next(state.configuration.version() + 1, changed, removed);
 		next.missingResources()
 			.forEach((missing) -> problems.add(new PlanProblem("", "", missing, "resources that exist")));
+		next.services().values().forEach((service) -> checkCalls(service, next, problems));
 		return new MeshPlan(state.configuration, next, ended, moves, problems);
 	}
 
+	private static void checkCalls(ServiceConfiguration service, MeshConfiguration mesh, List<PlanProblem> problems) {
+		for (String call : service.calls()) {
+			if (mesh.service(call).isEmpty()) {
+				problems.add(new PlanProblem(service.name(), "calls", "the unknown service '" + call + "'",
+						"services that exist"));
+			}
+		}
+	}
+
 	private static boolean differs(Optional<ServiceBefore> before, PlannedService planned) {
 		if (before.isEmpty()) {
 			return true;
--- a/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
@@ -64,6 +64,44 @@
 		Assert.assertEquals(mesh.apply("change-3", 1, "  desk: { current: v1, queue: 12 }\n").get(), loser);
 	}
 
+	@Test
+	public void oneOfTwoChangesRenderedAtTheSameTimeWins() {
+		TestMesh mesh = new TestMesh();
+		mesh.accept("change-1", STABLE);
+		mesh.beforeCommit = () -> mesh.apply("change-2", 1, "  desk: { current: v1, queue: 11 }\n");
+		ChangeOutcome loser = mesh.apply("change-3", 1, "  desk: { current: v1, queue: 12 }\n").get();
+		Assert.assertFalse(loser.accepted());
+		Assert.assertTrue(loser.reason().contains("change-2"), loser.reason());
+		Assert.assertEquals(mesh.stateMachine.configuration().service("desk").orElseThrow().limits().queueLength(), 11);
+	}
+
+	@Test
+	public void moveThatEndsBeforeTheCommitIsNotReverted() {
+		TestMesh mesh = new TestMesh();
+		mesh.accept("change-1", MOVING);
+		mesh.moves.step(mesh.move(), 10_000, "last step");
+		mesh.beforeCommit = () -> mesh.moves.finish(mesh.move(), "watched", "");
+		ChangeOutcome outcome = mesh.apply("change-2", 2, STABLE).get();
+		Assert.assertFalse(outcome.accepted());
+		Assert.assertTrue(outcome.reason().contains("traffic is on v2"), outcome.reason());
+		Assert.assertEquals(mesh.split(), Map.of("v2", 10_000));
+	}
+
+	@Test
+	public void outcomesAreKeptWithinTheirAgeOrNumber() {
+		MeshState state = new MeshState();
+		CommandOutcome accepted = new CommandOutcome(CommandOutcome.Kind.APPLIED, 1, "");
+		for (int index = 0; index <= MeshState.LEAST_OUTCOMES; index++) {
+			state.remember("change-" + index, new StoredOutcome(accepted, "", state.commandMillis));
+		}
+		Assert.assertTrue(state.outcomes.containsKey("change-0"));
+		state.commandMillis += MeshState.OUTCOME_AGE_MILLIS + 1;
+		state.remember("late", new StoredOutcome(accepted, "", state.commandMillis));
+		Assert.assertEquals(state.outcomes.size(), MeshState.LEAST_OUTCOMES);
+		Assert.assertFalse(state.outcomes.containsKey("change-1"));
+		Assert.assertTrue(state.outcomes.containsKey("change-2"));
+	}
+
 	@Test
 	public void stepOfAMoveIsNoConflictForAChange() {
 		TestMesh mesh = new TestMesh();
@@ -190,6 +228,26 @@
 		Assert.assertEquals(mesh.stateMachine.configuration().version(), version);
 	}
 
+	@Test
+	public void mutatedCommandsLeadToEqualStates() {
+		TestMesh mesh = new TestMesh();
+		Random random = new Random(20261204);
+		randomCommands(mesh, random, 60);
+		MeshStateMachine first = new MeshStateMachine();
+		MeshStateMachine second = new MeshStateMachine();
+		long index = 0;
+		for (int round = 0; round < 3_000; round++) {
+			byte[] command = mesh.log.get(round % mesh.log.size()).clone();
+			for (int edit = random.nextInt(3); edit > 0; edit--) {
+				command[random.nextInt(command.length)] = (byte) random.nextInt(256);
+			}
+			index++;
+			Assert.assertEquals(first.apply(index, command), second.apply(index, command));
+			Assert.assertEquals(first.configuration().missingResources().size(), 0);
+		}
+		Assert.assertEquals(first.snapshot(), second.snapshot());
+	}
+
 	private static void randomCommands(TestMesh mesh, Random random, int count) {
 		String[] services = { STABLE, MOVING, "  desk: { current: v2 }\n",
 				"  desk: { current: v2, move: { to: v1, deadline: 10m } }\n",
--- a/control/src/test/java/io/lavenderroad/control/state/TestMesh.java
+++ b/control/src/test/java/io/lavenderroad/control/state/TestMesh.java
@@ -44,6 +44,12 @@
 
 	public boolean leads = true;
 
+	/**
+	 * Runs once before the next command is committed, as if another client came first.
+	 */
+	Runnable beforeCommit = () -> {
+	};
+
 	final List<byte[]> log = new ArrayList<>();
 
 	public final ChangeService changes = new ChangeService(this.stateMachine, this::propose, this::confirm,
@@ -52,6 +58,10 @@
 	public final MoveService moves = new MoveService(this::propose, () -> this.nowMillis);
 
 	public Either<CommandFailure, byte[]> propose(byte[] command) {
+		Runnable first = this.beforeCommit;
+		this.beforeCommit = () -> {
+		};
+		first.run();
 		this.log.add(command);
 		byte[] answer = this.stateMachine.apply(this.log.size(), command);
 		return this.answersLost
--- a/model/src/main/java/io/lavenderroad/model/rendering/Difference.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/Difference.java
@@ -1,7 +1,9 @@
 package io.lavenderroad.model.rendering;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
@@ -116,7 +118,11 @@
 
 		@Override
 		public String toString() {
-			return "service " + this.service + ": move from " + this.move.from() + " to " + this.move.to() + " starts";
+			return "service " + this.service + ": move from " + this.move.from() + " to " + this.move.to()
+					+ " starts; deadline " + Instant.ofEpochMilli(this.move.deadlineMillis()) + ", policy "
+					+ this.move.policy() + ", thin evidence: "
+					+ this.move.thinEvidence().name().toLowerCase(Locale.ROOT) + "; " + this.move.from()
+					+ " keeps the traffic until the first step";
 		}
 
 	}
@@ -230,7 +236,9 @@
 			}
 			if (sameMove(before, after)) {
 				add(texts, "deadline of the move", before, after,
-						(service) -> service.move().map(MoveParameters::deadlineMillis).orElse(0L));
+						(service) -> service.move()
+							.map((move) -> Instant.ofEpochMilli(move.deadlineMillis()).toString())
+							.orElse(""));
 				add(texts, "thin evidence", before, after,
 						(service) -> service.move().map((move) -> move.thinEvidence().name()).orElse(""));
 				add(texts, "policy of the move", before, after,
--- a/model/src/main/java/io/lavenderroad/model/rendering/MeshRenderer.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/MeshRenderer.java
@@ -66,7 +66,7 @@
 			String kind = root.child(KIND_KEY).word(List.of(TEMPLATE, PARAMETERS), null);
 			String key = kind.equals(TEMPLATE) ? "name" : "team";
 			return kind + "/" + root.child(key)
-				.requiredText(ParameterType.NAME.allowed(Optional.empty()), ParametersDocument.NAME);
+				.requiredText(ParameterType.NAME.allowed(Optional.empty()), ParameterType.NAME_PATTERN);
 		});
 	}
 
--- a/model/src/main/java/io/lavenderroad/model/rendering/ParameterType.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/ParameterType.java
@@ -23,7 +23,7 @@
 	 */
 	public static final long LONGEST_DURATION_MILLIS = 366L * 86_400_000;
 
-	private static final Pattern NAME_PATTERN = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
+	static final Pattern NAME_PATTERN = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
 
 	private static final Pattern VERSION_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
 
--- a/model/src/main/java/io/lavenderroad/model/rendering/ParametersDocument.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/ParametersDocument.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.regex.Pattern;
 
 import io.lavenderroad.core.Location;
 import io.lavenderroad.core.settings.YamlNode;
@@ -18,8 +17,6 @@
  */
 final class ParametersDocument {
 
-	static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
-
 	private final Map<String, Template> templates;
 
 	private final boolean templateFailed;
@@ -52,7 +49,7 @@
 	List<RenderedService> read(YamlNode root) {
 		root.child(MeshRenderer.KIND_KEY);
 		YamlNode teamNode = root.child("team");
-		String team = teamNode.requiredText(ParameterType.NAME.allowed(Optional.empty()), NAME);
+		String team = teamNode.requiredText(ParameterType.NAME.allowed(Optional.empty()), ParameterType.NAME_PATTERN);
 		Location first = this.teams.putIfAbsent(team, teamNode.location());
 		if (first != null && !team.isEmpty()) {
 			teamNode.problem("team '" + team + "', which is also at " + first, "one parameters document for each team");
@@ -77,7 +74,7 @@
 	}
 
 	private Optional<Template> findTemplate(YamlNode node) {
-		String name = node.requiredText("the name of a template", NAME);
+		String name = node.requiredText("the name of a template", ParameterType.NAME_PATTERN);
 		Template template = this.templates.get(name);
 		if (template == null && !name.isEmpty() && !this.templateFailed) {
 			node.problem("unknown template '" + name + "'", this.templates.isEmpty() ? "a template among the documents"
@@ -89,7 +86,7 @@
 	private void declareServices(YamlNode services) {
 		for (String key : new TreeSet<>(services.keys())) {
 			YamlNode service = services.child(key);
-			if (!NAME.matcher(key).matches()) {
+			if (!ParameterType.NAME_PATTERN.matcher(key).matches()) {
 				service.problem("service '" + key + "'", ParameterType.NAME.allowed(Optional.empty()));
 			}
 			Location first = this.declared.putIfAbsent(key, service.location());
--- a/model/src/main/java/io/lavenderroad/model/rendering/RouteStructure.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/RouteStructure.java
@@ -26,8 +26,6 @@
 
 	private static final Pattern PATH_PREFIX = Pattern.compile("/[A-Za-z0-9._~!&'()+,;=:@%/-]{0,255}");
 
-	private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
-
 	private static final Optional<Range> TIMEOUT_MILLIS = Optional.of(new Range(1, 600_000));
 
 	private static final long DEFAULT_TIMEOUT_MILLIS = 1_000;
@@ -41,7 +39,8 @@
 
 	static RouteStructure read(YamlNode node, ParameterScope scope) {
 		RouteStructure route = new RouteStructure(
-				node.child("name").requiredText(ParameterType.NAME.allowed(Optional.empty()), NAME),
+				node.child("name")
+					.requiredText(ParameterType.NAME.allowed(Optional.empty()), ParameterType.NAME_PATTERN),
 				node.child("method").word(METHODS, Route.ANY_METHOD),
 				node.child("path-prefix").requiredText("a path prefix that starts with a slash", PATH_PREFIX),
 				Field.readRequired(node.child("idempotent"), ParameterType.TRUTH, Optional.empty(), scope),
--- a/model/src/main/java/io/lavenderroad/model/rendering/Template.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/Template.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.regex.Pattern;
 
 import io.lavenderroad.core.Location;
 import io.lavenderroad.core.settings.YamlNode;
@@ -25,19 +24,17 @@
 	 */
 	static final Set<String> RESERVED_KEYS = Set.of("structure", "current", "move", "at-once");
 
-	private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
-
 	static Template read(YamlNode root) {
 		root.child(MeshRenderer.KIND_KEY);
 		String allowed = ParameterType.NAME.allowed(Optional.empty());
 		YamlNode nameNode = root.child("name");
-		String name = nameNode.requiredText(allowed, NAME);
+		String name = nameNode.requiredText(allowed, ParameterType.NAME_PATTERN);
 		Map<String, ParameterDeclaration> parameters = readParameters(root.child("parameters"));
 		Map<String, ServiceStructure> structures = new TreeMap<>();
 		YamlNode services = root.child("services");
 		for (String key : services.keys()) {
 			YamlNode service = services.child(key);
-			if (!NAME.matcher(key).matches()) {
+			if (!ParameterType.NAME_PATTERN.matcher(key).matches()) {
 				service.problem("service '" + key + "'", allowed);
 			}
 			structures.put(key, ServiceStructure.read(key, service, parameters));
@@ -53,7 +50,7 @@
 		Map<String, ParameterDeclaration> parameters = new TreeMap<>();
 		for (String key : node.keys()) {
 			YamlNode parameter = node.child(key);
-			if (RESERVED_KEYS.contains(key) || !NAME.matcher(key).matches()) {
+			if (RESERVED_KEYS.contains(key) || !ParameterType.NAME_PATTERN.matcher(key).matches()) {
 				parameter.problem("parameter '" + key + "'", ParameterType.NAME.allowed(Optional.empty())
 						+ ", other than structure, current, move and at-once");
 			}
--- a/tool/src/main/java/io/lavenderroad/tool/Convergence.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Convergence.java
@@ -45,7 +45,7 @@
 				shown = line;
 				this.context.out().println(this.options.json() ? reply.text() : "after " + elapsed + " ms: " + line);
 			}
-			if (reached == nodes.number("nodes") && nodes.number("version") >= version) {
+			if (reached > 0 && reached == nodes.number("nodes") && nodes.number("version") >= version) {
 				return ExitCode.SUCCESS;
 			}
 			if (this.context.clock().millis() + POLL_MILLIS > endMillis) {
--- a/tool/src/main/java/io/lavenderroad/tool/Main.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Main.java
@@ -88,13 +88,12 @@
 					.orElse("development"));
 			return ExitCode.SUCCESS;
 		}
-		StringBuilder usage = new StringBuilder();
 		if (this.help || command == null) {
-			parser.getUsageFormatter().usage(usage);
-			(this.help ? context.out() : context.error()).println(usage);
+			printCommands(parser, this.help ? context.out() : context.error());
 			return this.help ? ExitCode.SUCCESS : ExitCode.USAGE;
 		}
 		if (command.help) {
+			StringBuilder usage = new StringBuilder();
 			parser.getUsageFormatter().usage(parser.getParsedCommand(), usage);
 			context.out().println(usage);
 			return ExitCode.SUCCESS;
@@ -102,6 +101,19 @@
 		return command.run(context);
 	}
 
+	private void printCommands(JCommander parser, PrintStream target) {
+		target.println("Usage: lavenderroad COMMAND [options]");
+		target.println();
+		Table table = new Table("COMMAND", "EFFECT");
+		this.commands.keySet()
+			.forEach((name) -> table.row(name, parser.getUsageFormatter().getCommandDescription(name)));
+		table.print(target);
+		target.println();
+		target.println("Options of each command: lavenderroad COMMAND --help");
+		target.println("Control members: --control HOST:PORT,... or " + CommonOptions.CONTROL_VARIABLE);
+		target.println("Exit codes: 0 success, 1 failure, 2 usage, 3 invalid input, 4 refused (not run), 5 unknown");
+	}
+
 	private static void sleep(long millis) {
 		try {
 			Thread.sleep(millis);
--- a/tool/src/test/java/io/lavenderroad/tool/MainTests.java
+++ b/tool/src/test/java/io/lavenderroad/tool/MainTests.java
@@ -181,11 +181,15 @@
 				"watch", "7");
 		Assert.assertEquals(code, 0, output());
 		Assert.assertTrue(output().endsWith("version 7 is active on 3 of 3 nodes\n"), output());
-		Assert
-			.assertEquals(
-					run((address, method, path, body) -> answer(200,
-							"{\"version\":7,\"nodes\":3,\"nodesByVersion\":{\"6\":3}}"), "watch", "--time-limit", "2"),
-					1);
+	}
+
+	@Test
+	public void watchThatDoesNotConvergeFails() {
+		for (String nodes : List.of("{\"version\":7,\"nodes\":3,\"nodesByVersion\":{\"6\":3}}",
+				"{\"version\":7,\"nodes\":0,\"nodesByVersion\":{}}")) {
+			int code = run((address, method, path, body) -> answer(200, nodes), "watch", "--time-limit", "2");
+			Assert.assertEquals(code, 1, nodes);
+		}
 	}
 
 	@Test
