--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -193,7 +193,11 @@
 				.clock(this.clock)
 				.seeds(seeds)
 				.endpoint(new Endpoint(id, incarnation, 0, EndpointState.READY, service, "v1", "region", failureDomain,
-						this.address, 12, 100, ""));
+						this.address, 12, 100, ""))
+				.outgoing((target) -> {
+					this.gate.target = target;
+					return this.gate;
+				});
 		}
 
 		Node with(Consumer<NodeDistribution.Builder> settings) {
@@ -211,7 +215,6 @@
 
 		Node start() {
 			this.distribution = this.builder.build();
-			this.gate.target = this.distribution.handler();
 			this.distribution.start();
 			return this;
 		}
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
@@ -95,6 +96,8 @@
 
 	private final Handler handler = new Handler();
 
+	private final ConnectionHandler outgoing;
+
 	private Endpoint own;
 
 	private Scope scope;
@@ -119,6 +122,7 @@
 		this.self = new Hop(this.own.nodeId(), this.own.frameAddress());
 		this.scope = Scope.of(this.own.service());
 		this.drainMillis = builder.drainMillis;
+		this.outgoing = builder.outgoing.apply(this.handler);
 		Optional<VersionFile> file = Optional.ofNullable(builder.dataFolder)
 			.map((folder) -> new VersionFile(folder, this.self.id()));
 		this.active = new ActiveConfiguration(builder.validator,
@@ -553,6 +557,8 @@
 
 		private long drainMillis = 5_000;
 
+		private UnaryOperator<ConnectionHandler> outgoing = UnaryOperator.identity();
+
 		private Builder() {
 		}
 
@@ -649,6 +655,17 @@
 			return this;
 		}
 
+		/**
+		 * Wraps the handler of outgoing connections, so that a test can hold messages
+		 * back.
+		 * @param outgoing wraps it
+		 * @return this builder
+		 */
+		Builder outgoing(UnaryOperator<ConnectionHandler> outgoing) {
+			this.outgoing = outgoing;
+			return this;
+		}
+
 		/**
 		 * Creates the distribution, which does nothing before it is started.
 		 * @return the distribution
@@ -792,7 +809,7 @@
 
 		@Override
 		public ConnectionHandler handler() {
-			return NodeDistribution.this.handler;
+			return NodeDistribution.this.outgoing;
 		}
 
 		@Override
--- a/distribution/src/main/java/io/lavenderroad/distribution/Placement.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Placement.java
@@ -58,18 +58,34 @@
 	private static List<Hop> targets(List<Place> places, Set<String> avoided) {
 		return places.stream()
 			.filter((child) -> !avoided.contains(child.hop().id()))
-			.sorted(Comparator.comparingInt(Place::subtreeNodes).thenComparing((child) -> child.hop().id()))
+			.sorted(Comparator.comparingInt(Placement::rank)
+				.thenComparingInt(Placement::order)
+				.thenComparing((child) -> child.hop().id()))
 			.limit(MOST_TARGETS)
 			.map(Place::hop)
 			.toList();
 	}
 
+	// Relays with room come first, since each new relay holds the whole mesh. New relays
+	// come before full ones, which keeps the tree flat.
+	private static int rank(Place child) {
+		if (child.subtreeNodes() > RELAY.mostChildren()) {
+			return 2;
+		}
+		return (child.subtreeNodes() > 1) ? 0 : 1;
+	}
+
+	private static int order(Place child) {
+		return (rank(child) == 0) ? -child.subtreeNodes() : child.subtreeNodes();
+	}
+
 	/**
 	 * A child as the decision sees it.
 	 *
 	 * @param hop id and address
 	 * @param failureDomain its failure domain
-	 * @param subtreeNodes nodes below it and callers redirected to it since it reported
+	 * @param subtreeNodes itself, nodes below it and callers redirected to it since it
+	 * reported
 	 */
 	record Place(Hop hop, String failureDomain, int subtreeNodes) {
 	}
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -165,6 +165,15 @@
 		this.children.close(reason);
 	}
 
+	/**
+	 * Returns the control bytes of this process alone.
+	 * @return bytes sent and received
+	 */
+	long ownBytes() {
+		return this.children.bytes().sent() + this.children.bytes().received() + this.peers.bytes().sent()
+				+ this.peers.bytes().received();
+	}
+
 	private SubtreeStatus subtreeStatus() {
 		SubtreeStatus below = this.children.status().laggingBehind(this.active.current().version());
 		return new SubtreeStatus(below.versions(), below.laggards(), below.rejected(), below.depth(),
--- /dev/null
+++ b/distribution/src/test/java/io/lavenderroad/distribution/EndpointRegistryTests.java
@@ -0,0 +1,117 @@
+package io.lavenderroad.distribution;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against registries that differ after the same announcements, expired entries
+ * that come back, endpoints that nobody expires, and growth without bound.
+ */
+public class EndpointRegistryTests {
+
+	private static final long TEN_MINUTES = 10 * 60 * 1_000;
+
+	@Test
+	public void orderOfAnnouncementsDoesNotMatter() {
+		Random random = new Random(20261204);
+		List<Endpoint> announcements = new ArrayList<>();
+		for (int index = 0; index < 300; index++) {
+			EndpointState state = EndpointState.values()[random.nextInt(4)];
+			announcements.add(endpoint("node-" + random.nextInt(20), random.nextInt(3), index, state, "service"));
+		}
+		EndpointRegistry first = new EndpointRegistry();
+		first.merge(announcements, false, 0);
+		for (int run = 0; run < 20; run++) {
+			Collections.shuffle(announcements, random);
+			EndpointRegistry other = new EndpointRegistry();
+			announcements.forEach((endpoint) -> other.merge(List.of(endpoint), false, 0));
+			Assert.assertEquals(other.live("service"), first.live("service"));
+			Assert.assertEquals(other.digest((service) -> true), first.digest((service) -> true));
+		}
+	}
+
+	@Test
+	public void expiredEntryComesBackOnlyWithANewerAnnouncement() {
+		EndpointRegistry registry = new EndpointRegistry();
+		Endpoint ready = endpoint("node-1", 5, 1, EndpointState.READY, "a");
+		registry.merge(List.of(ready), true, 0);
+		registry.merge(List.of(ready.withState(EndpointState.EXPIRED)), true, 0);
+		Assert.assertTrue(registry.merge(List.of(ready), true, 0).isEmpty());
+		registry.forgetExpired(TEN_MINUTES);
+		Assert.assertTrue(registry.merge(List.of(ready), true, TEN_MINUTES).isEmpty());
+		Assert.assertTrue(registry.live("a").isEmpty());
+		Assert.assertEquals(registry.merge(List.of(ready.next(EndpointState.READY, "relay")), true, 0).size(), 1);
+	}
+
+	@Test
+	public void expiredEntriesAreForgottenAfterTenMinutes() {
+		EndpointRegistry registry = new EndpointRegistry();
+		registry.merge(List.of(endpoint("node-1", 5, 1, EndpointState.EXPIRED, "a"),
+				endpoint("node-2", 5, 1, EndpointState.READY, "a")), true, 0);
+		registry.forgetExpired(TEN_MINUTES + 1);
+		Assert.assertEquals(registry.entries().size(), 1);
+		Assert.assertEquals(registry.live().size(), 1);
+	}
+
+	@Test
+	public void nodeThatServesAnotherServiceLeavesTheOldOne() {
+		EndpointRegistry registry = new EndpointRegistry();
+		registry.merge(List.of(endpoint("node-1", 5, 1, EndpointState.READY, "a")), true, 0);
+		List<Endpoint> news = registry.merge(List.of(endpoint("node-1", 6, 1, EndpointState.READY, "b")), true, 0);
+		Assert.assertTrue(registry.live("a").isEmpty());
+		Assert.assertEquals(registry.live("b").size(), 1);
+		Assert.assertEquals(news.stream().map(Endpoint::service).toList(), List.of("a", "b"));
+		Assert.assertEquals(news.getFirst().state(), EndpointState.EXPIRED);
+	}
+
+	@Test
+	public void entryUnknownToTheParentExpiresUnlessConfirmed() {
+		EndpointRegistry registry = new EndpointRegistry();
+		Endpoint gone = endpoint("node-1", 5, 1, EndpointState.READY, "a");
+		Endpoint kept = endpoint("node-2", 5, 1, EndpointState.READY, "a");
+		Endpoint own = endpoint("node-3", 5, 1, EndpointState.READY, "a");
+		registry.merge(List.of(gone, kept), false, 0);
+		registry.merge(List.of(own), true, 0);
+		registry.doubt((service) -> true, 1);
+		registry.merge(List.of(kept), false, 2);
+		Assert.assertTrue(registry.unconfirmed(TreeTimes.UNCONFIRMED_MILLIS).isEmpty());
+		Assert.assertEquals(registry.unconfirmed(TreeTimes.UNCONFIRMED_MILLIS + 2),
+				List.of(gone.withState(EndpointState.EXPIRED)));
+	}
+
+	@Test
+	public void leaseRunsOutAfterThreeSecondsUnlessTheNodeComesBack() {
+		LeaseTable leases = new LeaseTable();
+		leases.lost("a", 0);
+		leases.lost("b", 0);
+		leases.attached("b");
+		Assert.assertEquals(leases.takeDue(2_999), List.of());
+		Assert.assertEquals(leases.takeDue(3_000), List.of("a"));
+		Assert.assertEquals(leases.takeDue(9_000), List.of());
+	}
+
+	@Test
+	public void endpointsOfADeadParentExpireAfterFiveSeconds() {
+		OrphanSweep sweep = new OrphanSweep();
+		Endpoint orphan = endpoint("node-1", 5, 1, EndpointState.READY, "a");
+		List<Endpoint> known = List.of(orphan);
+		Assert.assertTrue(sweep.expired(known, (id) -> false, 0).isEmpty());
+		Assert.assertTrue(sweep.expired(known, (id) -> true, 4_000).isEmpty());
+		Assert.assertTrue(sweep.expired(known, (id) -> false, 6_000).isEmpty(), "the parent was back in between");
+		Assert.assertEquals(sweep.expired(known, (id) -> false, 11_000),
+				List.of(orphan.withState(EndpointState.EXPIRED)));
+	}
+
+	static Endpoint endpoint(String nodeId, long incarnation, long sequence, EndpointState state, String service) {
+		return new Endpoint(nodeId, incarnation, sequence, state, service, "v1", "region", "east", "127.0.0.1:1", 12,
+				100, "relay");
+	}
+
+}
--- /dev/null
+++ b/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
@@ -0,0 +1,153 @@
+package io.lavenderroad.distribution;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards the decisions about the shape of the tree against overload by a reconnect storm,
+ * loops, silent parents that are kept, and searches that never end.
+ */
+public class TreeDecisionTests {
+
+	@Test
+	public void stormIsAdmittedAtTheStatedRateAndTheRestComesBackInTurn() {
+		AttachAdmission admission = new AttachAdmission(50, 0);
+		Map<Integer, Long> returns = new HashMap<>();
+		for (int caller = 0; caller < 400; caller++) {
+			returns.put(caller, 0L);
+		}
+		int[] admitted = new int[20];
+		for (long now = 0; now < 20_000; now += 10) {
+			for (int caller : List.copyOf(returns.keySet())) {
+				if (returns.get(caller) > now) {
+					continue;
+				}
+				long waitMillis = admission.admit(now);
+				if (waitMillis == 0) {
+					returns.remove(caller);
+					admitted[(int) (now / 1_000)]++;
+				}
+				else {
+					Assert.assertTrue(waitMillis >= 100 && waitMillis <= 5_000, "wait of " + waitMillis);
+					returns.put(caller, now + waitMillis);
+				}
+			}
+		}
+		Assert.assertTrue(returns.isEmpty(), returns.size() + " callers were never admitted");
+		for (int second = 0; second < admitted.length; second++) {
+			Assert.assertTrue(admitted[second] <= 100, admitted[second] + " in second " + second);
+		}
+	}
+
+	@Test
+	public void rootTakesTwoOfEachFailureDomainAndRedirectsTheRest() {
+		List<Placement.Place> children = new ArrayList<>();
+		Assert.assertTrue(Placement.ROOT.decide("a", "east", Set.of(), children).accepted());
+		children.add(place("a", "east", 9));
+		children.add(place("b", "east", 3));
+		Placement.Decision third = Placement.ROOT.decide("c", "east", Set.of(), children);
+		Assert.assertFalse(third.accepted());
+		Assert.assertEquals(third.targets().stream().map(Hop::id).toList(), List.of("a", "b"));
+		Assert.assertTrue(Placement.ROOT.decide("d", "west", Set.of(), children).accepted());
+		Assert.assertTrue(Placement.ROOT.decide("a", "east", Set.of(), children).accepted(),
+				"a child that comes back has its place");
+	}
+
+	@Test
+	public void callerThatCannotReachTheChildrenIsNotLeftOutside() {
+		List<Placement.Place> children = List.of(place("a", "east", 1), place("b", "east", 1));
+		Assert.assertEquals(
+				Placement.ROOT.decide("c", "east", Set.of("a"), children).targets().stream().map(Hop::id).toList(),
+				List.of("b"));
+		Assert.assertTrue(Placement.ROOT.decide("c", "east", Set.of("a", "b"), children).accepted());
+	}
+
+	@Test
+	public void relayNeverTakesMoreThanSixteen() {
+		List<Placement.Place> children = new ArrayList<>();
+		for (int index = 0; index < 16; index++) {
+			Assert.assertTrue(Placement.RELAY.decide("caller", "east", Set.of(), children).accepted());
+			children.add(place("child-" + index, "east", 2 * index + 1));
+		}
+		Assert.assertEquals(
+				Placement.RELAY.decide("caller", "west", Set.of(), children).targets().stream().map(Hop::id).toList(),
+				List.of("child-7", "child-6", "child-5"), "relays with room are filled before others");
+	}
+
+	@Test
+	public void pathThatHoldsTheProcessIsALoop() {
+		List<Hop> path = List.of(hop("root"), hop("a"), hop("b"));
+		Assert.assertTrue(TreePath.usable(path, "c"));
+		Assert.assertFalse(TreePath.usable(path, "a"));
+		Assert.assertEquals(TreePath.ancestors(path), List.of(hop("a"), hop("root")));
+		List<Hop> longest = new ArrayList<>();
+		for (int index = 0; index < TreePath.MOST_HOPS; index++) {
+			longest.add(hop("hop-" + index));
+		}
+		Assert.assertFalse(TreePath.usable(longest, "c"));
+	}
+
+	@Test
+	public void silentParentIsLostAndOneWithoutRootIsLeft() {
+		Assert.assertEquals(ParentHealth.of(true, true, false, 2_500, 3_000), ParentHealth.GOOD);
+		Assert.assertEquals(ParentHealth.of(true, true, false, 2_501, 0), ParentHealth.LOST);
+		Assert.assertEquals(ParentHealth.of(true, true, false, 0, 3_001), ParentHealth.MOVE);
+		Assert.assertEquals(ParentHealth.of(true, true, true, 0, 0), ParentHealth.MOVE);
+		Assert.assertEquals(ParentHealth.of(true, false, false, 0, 0), ParentHealth.LOST);
+		Assert.assertEquals(ParentHealth.of(false, true, false, 0, 0), ParentHealth.LOST);
+	}
+
+	@Test
+	public void searchTriesAncestorsThenSeedsAndSkipsTheLostParent() {
+		ParentCandidates candidates = new ParentCandidates("self", List.of(hop("a"), hop("root")), List.of("seed"),
+				Optional.of("lost"));
+		candidates.redirected(List.of(hop("lost"), hop("x"), hop("self")));
+		List<String> order = new ArrayList<>();
+		for (Optional<Hop> next = candidates.next(); next.isPresent(); next = candidates.next()) {
+			order.add(next.get().address());
+		}
+		Assert.assertEquals(order, List.of("at-x", "at-a", "at-root", "seed"));
+		Assert.assertEquals(candidates.avoided(), Set.of("lost"));
+	}
+
+	@Test
+	public void redirectsInACircleEnd() {
+		ParentCandidates candidates = new ParentCandidates("self", List.of(), List.of("at-0"), Optional.empty());
+		int attempts = 0;
+		for (Optional<Hop> next = candidates.next(); next.isPresent(); next = candidates.next()) {
+			attempts++;
+			Hop target = hop(String.valueOf(attempts % 3));
+			candidates.redirected(List.of(target));
+			candidates.failed(next.get(), target);
+		}
+		Assert.assertTrue(attempts <= 24, attempts + " attempts");
+	}
+
+	@Test
+	public void backoffStaysBetweenZeroAndFiveSeconds() {
+		Backoff backoff = new Backoff(new Random(7));
+		for (int attempt = 0; attempt < 1_000; attempt++) {
+			long bound = Math.min(5_000, 100L << Math.min(attempt, 20));
+			long waitMillis = backoff.nextMillis();
+			Assert.assertTrue(waitMillis >= 1 && waitMillis <= bound, "wait of " + waitMillis);
+		}
+	}
+
+	static Hop hop(String id) {
+		return new Hop(id, "at-" + id);
+	}
+
+	private static Placement.Place place(String id, String failureDomain, int nodes) {
+		return new Placement.Place(hop(id), failureDomain, nodes);
+	}
+
+}
