Keep idempotency keys, add metrics and the administrator's pages

A key is claimed at the nodes of the service that rank first for it before the call runs, and settled with the outcome. Holders copy records after each change of the membership; joining and leaving nodes store claims but do not count as holders.

The node polls health and load as hints, announces the end of the cold start, serves metrics, health, endpoints and drain on the admin port, and stops gracefully: calls, answers and key records leave before it does.

core: Connection.answersInProgress() tells when answers are written.

--- a/bench/src/main/java/io/lavenderroad/bench/backend/LocalMesh.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/LocalMesh.java
@@ -127,7 +127,7 @@
 		forwarder.target = proxy.handler();
 		Member member = new Member(self, proxy, frames, backend);
 		this.members.put(id, member);
-		this.opened.addAll(List.of(proxy, frames, backend));
+		this.opened.addAll(List.of(proxy::stop, frames, backend));
 		this.view.announce(self);
 		return member;
 	}
@@ -184,7 +184,7 @@
 		 */
 		public void crash() {
 			this.frames.close();
-			this.proxy.close();
+			this.proxy.stop();
 		}
 
 	}
--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -180,6 +180,15 @@
 		return this.bytesReceived.sum();
 	}
 
+	/**
+	 * Returns the requests of the peer whose answers are not written yet, so that a
+	 * process that stops can wait for them.
+	 * @return count
+	 */
+	public int answersInProgress() {
+		return this.answering.size();
+	}
+
 	/**
 	 * Tells whether the connection is still open.
 	 * @return true until it is closed by either side
--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -220,7 +220,7 @@
 		};
 	}
 
-	private static CallAnswer drainRefusal() {
+	static CallAnswer drainRefusal() {
 		return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server is draining").avoid(AVOID_DRAINING_MILLIS);
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/CallAnswer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallAnswer.java
@@ -42,6 +42,24 @@
 				this.avoidMillis);
 	}
 
+	/**
+	 * Returns the answer of an earlier run to a request with the same idempotency key.
+	 * @return the answer, marked as repeated
+	 */
+	CallAnswer repeated() {
+		return new CallAnswer(this.verdict, this.status, "answered from the first run with this idempotency key",
+				this.headers, this.body, this.load, this.avoidMillis);
+	}
+
+	/**
+	 * Tells whether the answer says something about the backend server version. Answers
+	 * that the ledger of idempotency keys gave do not.
+	 * @return true if the call is to be observed
+	 */
+	boolean isObservation() {
+		return this.reason.isEmpty() || (this.verdict != ExecutionVerdict.RAN && this.status != HttpStatus.CONFLICT);
+	}
+
 	/**
 	 * Tells whether the call counts against the backend server version.
 	 * @return true for status 500 and above and for answers that were lost
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -109,8 +109,10 @@
 		CallAnswer answer = send(call, endpoint, attemptBudget);
 		double tookMillis = (System.nanoTime() - startNanos) / 1e6;
 		observe(target, answer, tookMillis);
-		this.evidence.record(new ObservationKey(call.service().name(), call.route().name(), endpoint.version()), answer,
-				tookMillis);
+		if (answer.isObservation()) {
+			this.evidence.record(new ObservationKey(call.service().name(), call.route().name(), endpoint.version()),
+					answer, tookMillis);
+		}
 		return answer;
 	}
 
@@ -145,7 +147,7 @@
 		if (answer.load() > 0) {
 			target.hint(now, answer.load());
 		}
-		if (answer.verdict() != ExecutionVerdict.NOT_RUN) {
+		if (answer.verdict() != ExecutionVerdict.NOT_RUN && answer.isObservation()) {
 			target.finished(now, tookMillis, answer.isError());
 		}
 		else if (answer.avoidMillis() > 0) {
@@ -192,7 +194,8 @@
 	}
 
 	private static boolean isRetryable(RoutedCall call, CallAnswer answer) {
-		if (answer.status() == HttpStatus.OVER_SHARE || answer.status() == HttpStatus.BAD_REQUEST) {
+		if (answer.status() == HttpStatus.OVER_SHARE || answer.status() == HttpStatus.BAD_REQUEST
+				|| answer.status() == HttpStatus.CONFLICT) {
 			return false;
 		}
 		return answer.verdict() == ExecutionVerdict.NOT_RUN || call.route().idempotent();
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -1,9 +1,14 @@
 package io.lavenderroad.node;
 
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.MeshView;
@@ -34,9 +39,20 @@
 
 	private final BackendClient backend;
 
+	private final BackendMonitor monitor;
+
+	private final KeyLedger keys;
+
 	private final Map<RunningCall, CallCancellation> running = new ConcurrentHashMap<>();
 
-	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend) {
+	private final AtomicInteger keyed = new AtomicInteger();
+
+	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
+			BackendMonitor monitor, KeyLedger keys) {
+		this.monitor = monitor;
+		this.keys = keys;
 		this.clock = clock;
 		this.view = view;
 		this.self = self;
@@ -54,6 +70,7 @@
 		RunningCall id = new RunningCall(connection, request.callId());
 		CallCancellation cancellation = new CallCancellation();
 		this.running.put(id, cancellation);
+		this.connections.add(connection);
 		try {
 			int margin = Math.min(LARGEST_MARGIN_MILLIS, request.remainingMillis() / MARGIN_DIVISOR);
 			return serve(request, this.clock.millis() + request.remainingMillis() - margin, cancellation);
@@ -75,12 +92,9 @@
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE,
 					"this node serves " + this.self.service() + " " + this.self.version());
 		}
-		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(), deadlineMillis, limits(),
-				cancellation);
-		if (slot.isLeft()) {
-			return slot.getLeft().withLoad(this.admission.load());
-		}
-		return run(request, deadlineMillis, cancellation, slot.get()).withLoad(this.admission.load());
+		CallAnswer answer = request.key().isEmpty() ? admit(request, deadlineMillis, cancellation, cancellation)
+				: serveOnce(request, deadlineMillis, cancellation);
+		return answer.withLoad(load());
 	}
 
 	/**
@@ -95,11 +109,24 @@
 		}
 	}
 
+	/**
+	 * Returns the calls whose answers are not written yet.
+	 * @return count
+	 */
+	int inFlight() {
+		int count = Math.max(this.running.size(), this.keyed.get());
+		for (Connection connection : this.connections) {
+			count = Math.max(count, connection.isOpen() ? connection.answersInProgress() : 0);
+		}
+		return count;
+	}
+
 	/**
 	 * Cancels every call of a closed connection.
 	 * @param connection the connection
 	 */
 	void closed(Connection connection) {
+		this.connections.remove(connection);
 		this.running.forEach((call, cancellation) -> {
 			if (call.connection() == connection) {
 				cancellation.cancel();
@@ -107,6 +134,73 @@
 		});
 	}
 
+	/**
+	 * Serves a call with an idempotency key on a thread of its own: the thread that
+	 * answers is interrupted when its connection closes, which would close the
+	 * connections to the holders of the key as well.
+	 * @param request the call
+	 * @param deadlineMillis when the answer is due
+	 * @param cancellation ends the wait for a slot early
+	 * @return the outcome
+	 */
+	private CallAnswer serveOnce(CallRequest request, long deadlineMillis, CallCancellation cancellation) {
+		CompletableFuture<CallAnswer> result = new CompletableFuture<>();
+		this.keyed.incrementAndGet();
+		Thread.ofVirtual().start(() -> {
+			try {
+				result.complete(claimAndRun(request, deadlineMillis, cancellation));
+			}
+			catch (RuntimeException ex) {
+				result.completeExceptionally(ex);
+			}
+			finally {
+				this.keyed.decrementAndGet();
+			}
+		});
+		try {
+			return result.get();
+		}
+		catch (InterruptedException ex) {
+			return CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY, "connection of the caller has closed");
+		}
+		catch (ExecutionException ex) {
+			throw new LavenderroadException("call with idempotency key failed: " + ex.getCause(), ex.getCause());
+		}
+	}
+
+	private CallAnswer claimAndRun(CallRequest request, long deadlineMillis, CallCancellation cancellation) {
+		if (this.admission.isDraining()) {
+			return Admission.drainRefusal();
+		}
+		Either<CallAnswer, KeyLedger.Claim> claim = this.keys.claim(request, deadlineMillis);
+		if (claim.isLeft()) {
+			return claim.getLeft();
+		}
+		CallAnswer answer = CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY, "call failed unexpectedly");
+		try {
+			// Once it runs, the call is not cancelled with its caller: the customer will
+			// ask for its answer with the same key.
+			answer = admit(request, deadlineMillis, cancellation, new CallCancellation());
+		}
+		finally {
+			claim.get().settle(answer);
+		}
+		return answer;
+	}
+
+	private CallAnswer admit(CallRequest request, long deadlineMillis, CallCancellation waiting,
+			CallCancellation running) {
+		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(), deadlineMillis, limits(),
+				waiting);
+		return slot.isLeft() ? slot.getLeft() : run(request, deadlineMillis, running, slot.get());
+	}
+
+	// Health and load of the backend server only change the order of preference.
+	private int load() {
+		int load = Math.max(this.admission.load(), this.monitor.reportedRunning());
+		return this.monitor.isHealthy() ? load : load + this.self.slots();
+	}
+
 	private CallAnswer run(CallRequest request, long deadlineMillis, CallCancellation cancellation,
 			Admission.Slot slot) {
 		long startNanos = System.nanoTime();
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
@@ -47,7 +48,14 @@
 
 	private final CallRouter router;
 
-	CallerApi(Clock clock, MeshView view, String ownService, CallRouter router) {
+	private final NodeMetrics metrics;
+
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	private volatile boolean stopping;
+
+	CallerApi(Clock clock, MeshView view, String ownService, CallRouter router, NodeMetrics metrics) {
+		this.metrics = metrics;
 		this.clock = clock;
 		this.view = view;
 		this.ownService = ownService;
@@ -56,6 +64,31 @@
 
 	@Override
 	public void handle(HttpExchange exchange) throws IOException {
+		this.inFlight.incrementAndGet();
+		try {
+			answer(exchange);
+		}
+		finally {
+			this.inFlight.decrementAndGet();
+		}
+	}
+
+	/**
+	 * Refuses new calls from now on.
+	 */
+	void stop() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Returns the calls whose answers are not written yet.
+	 * @return count
+	 */
+	int inFlight() {
+		return this.inFlight.get();
+	}
+
+	private void answer(HttpExchange exchange) throws IOException {
 		long configurationVersion = 0;
 		RoutedAnswer answer;
 		try {
@@ -74,12 +107,22 @@
 	}
 
 	private RoutedAnswer answer(HttpExchange exchange, MeshConfiguration configuration) throws IOException {
+		long startNanos = System.nanoTime();
 		Either<RoutedAnswer, RoutedCall> call = read(exchange, configuration);
-		return call.isLeft() ? call.getLeft() : this.router.route(call.get());
+		if (call.isLeft()) {
+			return call.getLeft();
+		}
+		RoutedAnswer answer = this.router.route(call.get());
+		this.metrics.record(call.get().service().name(), call.get().customer(), answer.answer().verdict(),
+				System.nanoTime() - startNanos);
+		return answer;
 	}
 
 	private Either<RoutedAnswer, RoutedCall> read(HttpExchange exchange, MeshConfiguration configuration)
 			throws IOException {
+		if (this.stopping) {
+			return Either.left(refusal(HttpStatus.UNAVAILABLE, "node is stopping"));
+		}
 		long arrivalMillis = this.clock.millis();
 		Headers headers = exchange.getRequestHeaders();
 		String name = serviceName(headers);
@@ -109,8 +152,8 @@
 		}
 		long deadline = arrivalMillis + Math.min(timeout.get(), route.get().timeoutMillis());
 		return body(exchange, route.get()).map((body) -> new RoutedCall(service.get(), route.get(), method,
-				target(exchange), MeshHeaders.endToEnd(headers), body, first(headers, MeshHeaders.CUSTOMER), key,
-				deadline, Math.min(budget.get(), DEFAULT_ATTEMPT_BUDGET)));
+				target(exchange), MeshHeaders.endToEnd(headers), body, first(headers, MeshHeaders.CUSTOMER),
+				route.get().idempotent() ? "" : key, deadline, Math.min(budget.get(), DEFAULT_ATTEMPT_BUDGET)));
 	}
 
 	// Services that are not open may be called by the backend server beside this node
@@ -160,8 +203,10 @@
 			headers.set(MeshHeaders.VERSION, routed.version());
 		}
 		byte[] body = answer.body();
-		if (answer.verdict() != ExecutionVerdict.RAN) {
+		if (!answer.reason().isEmpty()) {
 			headers.set(MeshHeaders.REASON, MeshHeaders.printable(answer.reason()));
+		}
+		if (answer.verdict() != ExecutionVerdict.RAN) {
 			headers.set("Content-Type", "text/plain; charset=utf-8");
 			body = (answer.verdict().label() + ": " + answer.reason() + "\n").getBytes(StandardCharsets.UTF_8);
 		}
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.stream.Stream;
 
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.wire.Fields;
@@ -23,12 +24,15 @@
 
 	private static final List<ExecutionVerdict> VERDICTS = List.of(ExecutionVerdict.values());
 
-	private static final List<MessageType<?>> TYPES = List.of(
+	private static final List<MessageType<?>> CALL_TYPES = List.of(
 			new MessageType<>(CALL_REQUEST, CallRequest.class, NodeMessages::packRequest, NodeMessages::unpackRequest),
 			new MessageType<>(CALL_ANSWER, CallAnswer.class, NodeMessages::packAnswer, NodeMessages::unpackAnswer),
 			new MessageType<>(CANCEL_CALL, CancelCall.class, (message, packer) -> packer.packLong(message.callId()),
 					(unpacker) -> new CancelCall(unpacker.unpackLong())));
 
+	private static final List<MessageType<?>> TYPES = Stream.concat(CALL_TYPES.stream(), KeyMessages.TYPES.stream())
+		.toList();
+
 	private NodeMessages() {
 	}
 
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
@@ -0,0 +1,125 @@
+package io.lavenderroad.node;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingWindowReservoir;
+import com.codahale.metrics.Snapshot;
+import io.lavenderroad.core.ExecutionVerdict;
+
+/**
+ * Figures of the calls that entered through this node, for each service and customer. The
+ * number of customers with figures of their own is bounded; the rest is counted together.
+ * Names in the registry are those of the Prometheus text format.
+ */
+final class NodeMetrics {
+
+	/**
+	 * Customers with figures of their own, over all services.
+	 */
+	static final int MOST_CUSTOMERS = 64;
+
+	/**
+	 * Latencies that a histogram keeps: 2 KB for each histogram.
+	 */
+	private static final int WINDOW = 256;
+
+	private static final double[] QUANTILES = { 0.5, 0.9, 0.99 };
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final Map<ServiceCustomer, CallFigures> figures = new ConcurrentHashMap<>();
+
+	/**
+	 * Records a finished call.
+	 * @param service name of the service
+	 * @param customer customer of the call
+	 * @param verdict final verdict
+	 * @param tookNanos latency in nanoseconds
+	 */
+	void record(String service, String customer, ExecutionVerdict verdict, long tookNanos) {
+		CallFigures found = this.figures.get(new ServiceCustomer(service, customer));
+		if (found == null) {
+			String name = customer.isEmpty() ? "none" : customer;
+			boolean room = this.figures.size() < MOST_CUSTOMERS;
+			ServiceCustomer key = new ServiceCustomer(service, room ? customer : "other");
+			found = this.figures.computeIfAbsent(key, (missing) -> figures(service, room ? name : "other"));
+		}
+		found.latencies().update(TimeUnit.NANOSECONDS.toMicros(tookNanos));
+		found.verdicts()[verdict.ordinal()].inc();
+	}
+
+	/**
+	 * Adds a value that is read when the figures are read.
+	 * @param name name of the value
+	 * @param gauge reads it
+	 */
+	void gauge(String name, Gauge<? extends Number> gauge) {
+		this.registry.registerGauge("lavenderroad_node_" + name, gauge);
+	}
+
+	/**
+	 * Returns all figures.
+	 * @return the Prometheus text format
+	 */
+	String text() {
+		StringBuilder text = new StringBuilder();
+		this.registry.getGauges()
+			.forEach((name, gauge) -> text.append(name).append(' ').append(gauge.getValue()).append('\n'));
+		this.registry.getCounters()
+			.forEach((name, counter) -> text.append(name).append(' ').append(counter.getCount()).append('\n'));
+		this.registry.getHistograms().forEach((name, histogram) -> appendHistogram(text, name, histogram));
+		return text.toString();
+	}
+
+	private CallFigures figures(String service, String customer) {
+		String labels = "service=\"" + escaped(service) + "\",customer=\"" + escaped(customer) + "\"";
+		ExecutionVerdict[] verdicts = ExecutionVerdict.values();
+		Counter[] counters = new Counter[verdicts.length];
+		for (int index = 0; index < verdicts.length; index++) {
+			counters[index] = this.registry
+				.counter("lavenderroad_calls_total{" + labels + ",verdict=\"" + verdicts[index].label() + "\"}");
+		}
+		Histogram histogram = this.registry.histogram("lavenderroad_call_millis{" + labels + "}",
+				() -> new Histogram(new SlidingWindowReservoir(WINDOW)));
+		return new CallFigures(histogram, counters);
+	}
+
+	private static void appendHistogram(StringBuilder text, String name, Histogram histogram) {
+		Snapshot snapshot = histogram.getSnapshot();
+		String open = name.substring(0, name.length() - 1);
+		for (double quantile : QUANTILES) {
+			text.append(open)
+				.append(",quantile=\"")
+				.append(quantile)
+				.append("\"} ")
+				.append(String.format(Locale.ROOT, "%.3f%n", snapshot.getValue(quantile) / 1_000));
+		}
+		int brace = name.indexOf('{');
+		text.append(name, 0, brace)
+			.append("_count")
+			.append(name, brace, name.length())
+			.append(' ')
+			.append(histogram.getCount())
+			.append('\n');
+	}
+
+	private static String escaped(String label) {
+		return MeshHeaders.printable(label).replace("\\", "\\\\").replace("\"", "\\\"");
+	}
+
+	private record ServiceCustomer(String service, String customer) {
+
+	}
+
+	private record CallFigures(Histogram latencies, Counter[] verdicts) {
+
+	}
+
+}
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 import com.sun.net.httpserver.HttpServer;
@@ -35,11 +37,28 @@
 
 	private static final long TICK_MILLIS = 1_000;
 
+	private static final long POLL_MILLIS = 5;
+
+	/**
+	 * Larger answers are not kept for a request with an idempotency key.
+	 */
+	private static final int LARGEST_KEPT_ANSWER_BYTES = 16 * 1024;
+
 	private final Clock clock;
 
 	private final MeshView view;
 
-	private final Consumer<EndpointState> announcer;
+	private final CallerApi callerApi;
+
+	private final HttpServer adminServer;
+
+	private final BackendMonitor monitor;
+
+	private final KeyLedger keys;
+
+	private final NodeMetrics metrics = new NodeMetrics();
+
+	private final long drainTimeoutMillis;
 
 	private final HttpServer callerServer;
 
@@ -77,15 +96,21 @@
 	private NodeProxy(Builder builder) throws IOException {
 		this.clock = builder.clock;
 		this.view = Objects.requireNonNull(builder.view, "view");
-		this.announcer = builder.announcer;
+		this.drainTimeoutMillis = builder.drainTimeoutMillis;
 		Endpoint self = Objects.requireNonNull(builder.self, "self");
 		this.admission = new Admission(this.clock, builder.random, self.slots(), builder.limited);
 		this.backend = new BackendClient(Objects.requireNonNull(builder.backendAddress, "backendAddress"),
 				builder.largestAnswerBytes, this.executor);
-		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend);
+		this.monitor = new BackendMonitor(this.clock, this.backend, builder.healthPath, builder.loadPath, self.state(),
+				builder.announcer);
 		this.directory = new EndpointDirectory(this.view, this.clock);
 		this.connections = new PeerConnections(Objects.requireNonNull(builder.wireOptions, "wireOptions"),
 				this.handler);
+		KeyStore store = new KeyStore(builder.keyMemoryBytes, LARGEST_KEPT_ANSWER_BYTES);
+		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
+				KeyLedger.COPIES);
+		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.monitor,
+				this.keys);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeParts parts = new NodeParts(this.clock, builder.random, self, this.directory, this.connections,
 				this.evidence, this.withdrawn);
@@ -93,7 +118,13 @@
 		this.callerServer = HttpServer.create(Objects.requireNonNull(builder.callerAddress, "callerAddress"),
 				HTTP_BACKLOG);
 		this.callerServer.setExecutor(this.executor);
-		this.callerServer.createContext("/", new CallerApi(this.clock, this.view, self.service(), this.router));
+		this.callerApi = new CallerApi(this.clock, this.view, self.service(), this.router, this.metrics);
+		this.callerServer.createContext("/", this.callerApi);
+		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress) : null;
+		this.metrics.gauge("load", this.admission::load);
+		this.metrics.gauge("key_records", store::size);
+		this.metrics.gauge("key_bytes", store::bytes);
+		this.metrics.gauge("heap_bytes", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
 	}
 
 	/**
@@ -121,6 +152,22 @@
 		return this.callerServer.getAddress();
 	}
 
+	/**
+	 * Returns where the administrator's pages are served.
+	 * @return the bound address, or empty if there are none
+	 */
+	public Optional<InetSocketAddress> adminAddress() {
+		return Optional.ofNullable(this.adminServer).map(HttpServer::getAddress);
+	}
+
+	/**
+	 * Returns the state of the backend server that was announced last.
+	 * @return the state
+	 */
+	public EndpointState state() {
+		return this.monitor.state();
+	}
+
 	/**
 	 * Takes the observations since the last call. Each observation is returned exactly
 	 * once.
@@ -146,30 +193,49 @@
 	public void drain() {
 		if (this.admission.drain()) {
 			Logger.info("node: Draining, {} calls in flight.", this.admission.load());
-			this.announcer.accept(EndpointState.DRAINING);
+			this.keys.leave();
+			this.monitor.drain();
 		}
 	}
 
 	/**
-	 * Waits for the calls in flight at the backend server.
-	 * @param timeoutMillis longest wait
-	 * @return true if none is left
+	 * Stops gracefully: drains, waits for the calls in flight at the backend server,
+	 * hands the idempotency keys over, then stops accepting callers and waits for their
+	 * calls. All waits together take at most the drain time-out. The frame server is
+	 * closed after this, because answers leave through it.
 	 */
-	public boolean awaitIdle(long timeoutMillis) {
-		return this.admission.awaitIdle(timeoutMillis);
+	@Override
+	public void close() {
+		if (this.closed.get()) {
+			return;
+		}
+		drain();
+		long end = this.clock.millis() + this.drainTimeoutMillis;
+		this.admission.awaitIdle(this.drainTimeoutMillis);
+		boolean served = awaitNone(this.callServer::inFlight, end);
+		if (!this.keys.handOver()) {
+			Logger.warn("node: Not every idempotency key was handed over.");
+		}
+		// Calls of the backend server's own running work enter here, so this comes last.
+		this.callerApi.stop();
+		if (!awaitNone(this.callerApi::inFlight, end) || !served) {
+			Logger.warn("node: Stopping with calls in flight after {} ms.", this.drainTimeoutMillis);
+		}
+		stop();
 	}
 
 	/**
-	 * Stops the node without waiting. For a graceful stop {@link #drain()} and
-	 * {@link #awaitIdle(long)} come first.
+	 * Stops at once. Calls in flight break off, as with the loss of the process.
 	 */
-	@Override
-	public void close() {
+	public void stop() {
 		if (!this.closed.compareAndSet(false, true)) {
 			return;
 		}
 		this.admission.drain();
 		this.callerServer.stop(0);
+		if (this.adminServer != null) {
+			this.adminServer.stop(0);
+		}
 		this.connections.close();
 		this.backend.close();
 		this.executor.shutdownNow();
@@ -177,14 +243,40 @@
 
 	private void start() {
 		this.callerServer.start();
-		Thread.ofVirtual().name("node tick").start(this::tickUntilClosed);
+		if (this.adminServer != null) {
+			this.adminServer.start();
+		}
+		Thread.ofVirtual().name("backend monitor").start(() -> repeat(this.monitor::poll));
+		Thread.ofVirtual().name("key ledger").start(() -> repeat(this.keys::maintain));
+		Thread.ofVirtual().name("node tick").start(() -> repeat(this::tick));
+	}
+
+	private HttpServer adminServer(InetSocketAddress address) throws IOException {
+		HttpServer server = HttpServer.create(address, 0);
+		server.setExecutor(this.executor);
+		server.createContext("/", new AdminApi(this.clock, this.view, this.metrics, this.monitor, this.directory,
+				() -> Thread.ofVirtual().start(this::drain)));
+		return server;
+	}
+
+	private boolean awaitNone(IntSupplier count, long endMillis) {
+		while (count.getAsInt() > 0 && this.clock.millis() < endMillis) {
+			try {
+				Thread.sleep(POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return false;
+			}
+		}
+		return count.getAsInt() == 0;
 	}
 
-	private void tickUntilClosed() {
+	private void repeat(Runnable work) {
 		while (!this.closed.get()) {
 			try {
 				Thread.sleep(TICK_MILLIS);
-				tick();
+				work.run();
 			}
 			catch (InterruptedException ex) {
 				return;
@@ -252,6 +344,16 @@
 
 		private boolean limited = true;
 
+		private InetSocketAddress adminAddress;
+
+		private String healthPath = "";
+
+		private String loadPath = "";
+
+		private long keyMemoryBytes = 4L * 1024 * 1024;
+
+		private long drainTimeoutMillis = 30_000;
+
 		private Builder() {
 		}
 
@@ -377,6 +479,57 @@
 			return this;
 		}
 
+		/**
+		 * Sets where the administrator's pages are served. Without it there are none.
+		 * @param address the address; port 0 picks a free one
+		 * @return this builder
+		 */
+		public Builder adminAddress(InetSocketAddress address) {
+			this.adminAddress = address;
+			return this;
+		}
+
+		/**
+		 * Sets the page on which the backend server reports its health.
+		 * @param path path, or an empty text if there is none
+		 * @return this builder
+		 */
+		public Builder healthPath(String path) {
+			this.healthPath = path;
+			return this;
+		}
+
+		/**
+		 * Sets the page on which the backend server reports its load, a JSON object with
+		 * the number {@code running}.
+		 * @param path path, or an empty text if there is none
+		 * @return this builder
+		 */
+		public Builder loadPath(String path) {
+			this.loadPath = path;
+			return this;
+		}
+
+		/**
+		 * Sets the memory for records of idempotency keys.
+		 * @param bytes the bound
+		 * @return this builder
+		 */
+		public Builder keyMemoryBytes(long bytes) {
+			this.keyMemoryBytes = bytes;
+			return this;
+		}
+
+		/**
+		 * Sets how long a graceful stop waits for calls in flight.
+		 * @param millis the time-out
+		 * @return this builder
+		 */
+		public Builder drainTimeoutMillis(long millis) {
+			this.drainTimeoutMillis = millis;
+			return this;
+		}
+
 		/**
 		 * Creates and starts the node.
 		 * @return the running node
@@ -405,7 +558,9 @@
 			if (request instanceof CallRequest call) {
 				return NodeProxy.this.callServer.serve(connection, call);
 			}
-			throw new WireException("request " + request.getClass().getSimpleName() + " is not for a node");
+			return NodeProxy.this.keys.answer(request)
+				.orElseThrow(() -> new WireException(
+						"request " + request.getClass().getSimpleName() + " is not for a node"));
 		}
 
 		@Override
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -14,6 +14,7 @@
 import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.model.Endpoint;
 import io.vavr.control.Either;
 
 /**
@@ -84,6 +85,20 @@
 		}
 	}
 
+	/**
+	 * Returns the way between holders of idempotency keys.
+	 * @return a transport over these connections
+	 */
+	KeyTransport keyTransport() {
+		return new KeyTransport() {
+			@Override
+			public <T> Either<CallFailure, T> call(Endpoint holder, Object request, long timeoutMillis,
+					Class<T> answerType) {
+				return PeerConnections.this.call(holder.frameAddress(), request, timeoutMillis, answerType, null);
+			}
+		};
+	}
+
 	/**
 	 * Closes connections without recent calls.
 	 */
