--- a/bench/src/main/java/io/lavenderroad/bench/backend/StandInBackend.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/StandInBackend.java
@@ -70,6 +70,8 @@
 
 	private volatile boolean healthy = true;
 
+	private volatile Map<String, String> lastHeaders = Map.of();
+
 	private StandInBackend(String name, ServerSocket server, Behaviour behaviour) {
 		this.name = name;
 		this.server = server;
@@ -136,6 +138,14 @@
 		return this.record;
 	}
 
+	/**
+	 * Returns the headers of the last request.
+	 * @return values by name in lower case
+	 */
+	public Map<String, String> lastHeaders() {
+		return this.lastHeaders;
+	}
+
 	/**
 	 * Returns the requests that hold a slot now.
 	 * @return count
@@ -277,6 +287,7 @@
 
 	private boolean workInSlot(Request request, Socket socket) throws IOException {
 		String script = request.header("stand-in");
+		this.lastHeaders = request.headers();
 		if (script.equals("shed")) {
 			return write(socket, STATUS_UNAVAILABLE, List.of("Mesh-Backend-Verdict: not-run"), new byte[0]);
 		}
--- a/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
+++ b/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
@@ -1,17 +1,30 @@
 package io.lavenderroad.bench.backend;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
+import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.ObservationKey;
+import io.lavenderroad.model.Route;
+import io.lavenderroad.model.ThinEvidence;
 import io.lavenderroad.node.HttpProperties;
+import io.lavenderroad.node.LocalWithdrawal;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -23,6 +36,8 @@
  */
 public class NodeProxyTests {
 
+	private static final int WAIT_SECONDS = 30;
+
 	private final HttpClient client = newClient();
 
 	private LocalMesh mesh;
@@ -74,14 +89,212 @@
 		Assert.assertEquals(chunked.statusCode(), 200);
 	}
 
+	@Test
+	public void requestThatMayHaveRunIsNotSentAgain() throws Exception {
+		this.mesh.start("second", "v1", "soweto", Behaviour.USUAL, 12, UnaryOperator.identity());
+		for (int index = 0; index < 20; index++) {
+			String id = "drop " + index;
+			HttpResponse<String> response = send("POST", "/orders", "text",
+					Map.of("Stand-In", "drop", "Request-Id", id));
+			Assert.assertEquals(response.statusCode(), 502);
+			Assert.assertEquals(header(response, "Mesh-Verdict"), "may-have-run");
+			Assert.assertEquals(starts(id), 1, "runs of " + id);
+		}
+	}
+
+	@Test
+	public void keptConnectionsSendNothingTwice() throws Exception {
+		// A GET over a kept connection that breaks is where the JDK client sends again by
+		// itself.
+		this.mesh.configure(
+				(service) -> service.routes(List.of(new Route("orders", "GET", "/orders", false, 2_000, 64 * 1024))));
+		Assert.assertEquals(send("GET", "/orders", "", Map.of("Request-Id", "warm")).statusCode(), 200);
+		HttpResponse<String> response = send("GET", "/orders", "", Map.of("Stand-In", "drop", "Request-Id", "get"));
+		Assert.assertEquals(response.statusCode(), 502);
+		Assert.assertEquals(starts("get"), 1);
+	}
+
+	@Test
+	public void idempotentRequestIsSentAgainWithinItsBudget() throws Exception {
+		this.mesh.start("second", "v1", "soweto", Behaviour.USUAL, 12, UnaryOperator.identity());
+		this.mesh.start("third", "v1", "soweto", Behaviour.USUAL, 12, UnaryOperator.identity());
+		send("GET", "/items", "", Map.of("Stand-In", "drop", "Request-Id", "usual"));
+		Assert.assertEquals(starts("usual"), 3);
+		send("GET", "/items", "", Map.of("Stand-In", "drop", "Request-Id", "spent", "Mesh-Attempt-Budget", "0"));
+		Assert.assertEquals(starts("spent"), 1, "a retry was already spent by an earlier hop");
+	}
+
+	@Test
+	public void shedRequestIsSentToAnotherServerThatIsToldOfTheSpentRetry() throws Exception {
+		HttpResponse<String> alone = send("POST", "/orders", "", Map.of("Stand-In", "shed", "Request-Id", "shed"));
+		Assert.assertEquals(alone.statusCode(), 503);
+		Assert.assertEquals(header(alone, "Mesh-Verdict"), "not-run");
+		Assert.assertEquals(header(alone, "Retry-After"), "1");
+		Assert.assertEquals(starts("shed"), 0);
+		this.mesh.member("server").crash();
+		this.mesh.start("second", "v1", "midrand", Behaviour.USUAL, 12, UnaryOperator.identity());
+		boolean retried = false;
+		for (int index = 0; index < 10; index++) {
+			HttpResponse<String> response = send("POST", "/orders", "", Map.of("Request-Id", "r" + index));
+			Assert.assertEquals(response.statusCode(), 200, response.body());
+			retried |= header(response, "Seen-Attempt-Budget").equals("0");
+		}
+		Assert.assertTrue(retried, "no attempt met the lost node");
+	}
+
+	@Test
+	public void drainingNodeRefusesNewWorkAndFinishesRunningWork() throws Exception {
+		CompletableFuture<HttpResponse<String>> running = sendLater("POST", "/orders",
+				Map.of("Stand-In", "sleep=500", "Request-Id", "running"));
+		await(() -> starts("running") == 1);
+		Thread closing = Thread.ofVirtual().start(this.mesh.member("server").proxy()::close);
+		await(() -> this.mesh.member("server").proxy().state() == EndpointState.DRAINING);
+		HttpResponse<String> refused = send("POST", "/orders", "", Map.of("Request-Id", "refused"));
+		Assert.assertEquals(refused.statusCode(), 503);
+		Assert.assertEquals(header(refused, "Mesh-Verdict"), "not-run");
+		Assert.assertEquals(running.get(WAIT_SECONDS, TimeUnit.SECONDS).statusCode(), 200);
+		closing.join();
+		Assert.assertEquals(starts("refused"), 0);
+	}
+
+	@Test
+	public void deadlineEndsQueuedCallsAsNotRunAndRunningOnesAsCancelled() throws Exception {
+		this.mesh.configure((service) -> service.versions(List.of("small")).split(Map.of("small", 10_000)));
+		this.mesh.start("small", "small", "soweto", Behaviour.USUAL, 1, UnaryOperator.identity());
+		CompletableFuture<HttpResponse<String>> running = sendLater("POST", "/orders",
+				Map.of("Stand-In", "sleep=60000", "Request-Id", "running", "Mesh-Deadline-Millis", "1500"));
+		await(() -> starts("running") == 1);
+		HttpResponse<String> queued = send("POST", "/orders", "",
+				Map.of("Request-Id", "queued", "Mesh-Deadline-Millis", "100"));
+		Assert.assertEquals(queued.statusCode(), 504);
+		Assert.assertEquals(header(queued, "Mesh-Verdict"), "not-run");
+		HttpResponse<String> late = running.get(WAIT_SECONDS, TimeUnit.SECONDS);
+		Assert.assertEquals(late.statusCode(), 504);
+		Assert.assertEquals(header(late, "Mesh-Verdict"), "may-have-run");
+		Assert.assertEquals(starts("queued"), 0);
+		await(() -> this.mesh.member("small").backend().record().cancelled() == 1);
+	}
+
+	@Test
+	public void workOfACallerNodeThatHasGoneIsCancelled() throws Exception {
+		CompletableFuture<HttpResponse<String>> running = sendLater("GET", "/items",
+				Map.of("Stand-In", "sleep=60000", "Request-Id", "orphan"));
+		await(() -> starts("orphan") == 1);
+		this.mesh.member("entry").crash();
+		await(() -> this.mesh.member("server").backend().record().cancelled() == 1);
+		Assert.assertTrue(running.handle((response, failure) -> failure != null).get(WAIT_SECONDS, TimeUnit.SECONDS));
+	}
+
+	@Test
+	public void keyEnteringByAnotherNodeIsAnsweredFromTheFirstRun() throws Exception {
+		this.mesh.start("second", "v1", "midrand", Behaviour.USUAL, 12, UnaryOperator.identity());
+		Map<String, String> headers = Map.of("Idempotency-Key", "k1", "Mesh-Customer", "shop", "Request-Id", "once");
+		HttpResponse<String> first = send("POST", "/orders", "order", headers);
+		Assert.assertEquals(first.statusCode(), 200);
+		for (LocalMesh.Member member : this.mesh.members()) {
+			for (int index = 0; index < 5; index++) {
+				HttpResponse<String> again = this.client
+					.send(request(member.url(), "POST", "/orders", "order", headers), BodyHandlers.ofString());
+				Assert.assertEquals(again.body(), first.body());
+				Assert.assertEquals(header(again, "Mesh-Verdict"), "ran");
+			}
+		}
+		Assert.assertEquals(starts("once"), 1);
+		send("POST", "/orders", "order", Map.of("Idempotency-Key", "k2", "Request-Id", "lost", "Stand-In", "drop"));
+		HttpResponse<String> unknown = send("POST", "/orders", "order",
+				Map.of("Idempotency-Key", "k2", "Request-Id", "lost", "Stand-In", "drop"));
+		Assert.assertEquals(unknown.statusCode(), 409);
+		Assert.assertEquals(starts("lost"), 1);
+	}
+
+	@Test
+	public void badInputGivesAClearErrorAndTheNodeKeepsServing() throws Exception {
+		Assert.assertEquals(send("GET", "/items", "", Map.of("Mesh-Deadline-Millis", "soon")).statusCode(), 400);
+		Assert.assertEquals(send("GET", "/items", "", Map.of("Mesh-Attempt-Budget", "-1")).statusCode(), 400);
+		HttpResponse<String> large = send("POST", "/orders", "x".repeat(64 * 1024 + 1), Map.of("Request-Id", "large"));
+		Assert.assertEquals(large.statusCode(), 413);
+		Assert.assertEquals(header(large, "Mesh-Verdict"), "not-run");
+		Random random = new Random(20261204);
+		for (int attempt = 0; attempt < 50; attempt++) {
+			try (Socket socket = new Socket()) {
+				socket.connect(this.mesh.member("entry").proxy().callerAddress());
+				byte[] bytes = new byte[random.nextInt(300) + 1];
+				random.nextBytes(bytes);
+				socket.getOutputStream().write(bytes);
+			}
+		}
+		try (Socket socket = new Socket()) {
+			socket.connect(this.mesh.member("entry").proxy().callerAddress());
+			String truncated = "POST /orders HTTP/1.1\r\nMesh-Service: catalogue\r\nRequest-Id: truncated\r\n"
+					+ "Content-Length: 100\r\n\r\nhalf";
+			socket.getOutputStream().write(truncated.getBytes(StandardCharsets.US_ASCII));
+			socket.shutdownOutput();
+			socket.getInputStream().readAllBytes();
+		}
+		Assert.assertEquals(send("GET", "/items", "", Map.of()).statusCode(), 200);
+		Assert.assertEquals(starts("truncated"), 0);
+		Assert.assertEquals(starts("large"), 0);
+	}
+
+	@Test
+	public void headersOfOneHopStayThere() throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(URI.create(this.mesh.member("entry").url() + "/items"))
+			.setHeader("Mesh-Service", LocalMesh.SERVICE)
+			.setHeader("Keep-Alive", "timeout=5")
+			.build();
+		HttpResponse<String> response = this.client.send(request, BodyHandlers.ofString());
+		Assert.assertEquals(response.statusCode(), 200);
+		Assert.assertFalse(this.mesh.member("server").backend().lastHeaders().containsKey("keep-alive"));
+		Assert.assertFalse(this.mesh.member("server").backend().lastHeaders().containsKey("mesh-service"));
+		Assert.assertTrue(this.mesh.member("server").backend().lastHeaders().containsKey("mesh-deadline-millis"));
+	}
+
+	@Test
+	public void locallyWithdrawnVersionGetsNoMoreCalls() throws Exception {
+		MoveParameters move = new MoveParameters("m1", "v1", "v2", 0, ThinEvidence.HOLD, "sequential");
+		LocalWithdrawal onAnyError = (service, recent, total,
+				now) -> total.of(new ObservationKey(service.name(), "orders", "v2")).errors() > 0;
+		this.mesh.start("bad", "v2", "soweto", Behaviour.USUAL.with(Map.of("error-share", "1")), 12,
+				UnaryOperator.identity());
+		this.mesh.start("watcher", "other", "soweto", Behaviour.USUAL, 12, (node) -> node.withdrawal(onAnyError));
+		this.mesh.configure(
+				(service) -> service.versions(List.of("v1", "v2")).split(Map.of("v1", 0, "v2", 10_000)).move(move));
+		String url = this.mesh.member("watcher").url();
+		await(() -> this.client.send(request(url, "POST", "/orders", "", Map.of()), BodyHandlers.ofString())
+			.statusCode() == 200);
+	}
+
+	private int starts(String id) {
+		return this.mesh.members().stream().mapToInt((member) -> member.backend().record().starts(id)).sum();
+	}
+
+	private static void await(Callable<Boolean> condition) throws Exception {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+		while (!condition.call()) {
+			Assert.assertTrue(System.nanoTime() < end, "condition not reached");
+			Thread.sleep(5);
+		}
+	}
+
+	private CompletableFuture<HttpResponse<String>> sendLater(String method, String path, Map<String, String> headers) {
+		return this.client.sendAsync(request(this.mesh.member("entry").url(), method, path, "", headers),
+				BodyHandlers.ofString());
+	}
+
 	private HttpResponse<String> send(String method, String path, String body, Map<String, String> headers)
 			throws IOException, InterruptedException {
-		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(this.mesh.member("entry").url() + path))
-			.timeout(Duration.ofSeconds(30))
+		return this.client.send(request(this.mesh.member("entry").url(), method, path, body, headers),
+				BodyHandlers.ofString());
+	}
+
+	private static HttpRequest request(String url, String method, String path, String body,
+			Map<String, String> headers) {
+		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url + path))
+			.timeout(Duration.ofSeconds(WAIT_SECONDS))
 			.setHeader("Mesh-Service", LocalMesh.SERVICE)
 			.method(method, HttpRequest.BodyPublishers.ofString(body));
 		headers.forEach(request::setHeader);
-		return this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+		return request.build();
 	}
 
 	private static String header(HttpResponse<?> response, String name) {
