--- a/daemon/src/main/java/io/lavenderroad/daemon/AdminServer.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/AdminServer.java
@@ -10,10 +10,11 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 
 /**
- * HTTP on the admin port of a daemon: {@code GET /status} and {@code POST /drain}.
+ * HTTP on the admin port of a control member: {@code GET /status}.
  */
 final class AdminServer implements AutoCloseable {
 
@@ -29,21 +30,21 @@
 		this.server = server;
 	}
 
-	static AdminServer start(InetSocketAddress address, Supplier<Map<String, Object>> status, Runnable drain)
-			throws IOException {
+	static AdminServer start(InetSocketAddress address, Supplier<Map<String, Object>> status) throws IOException {
 		HttpServer server = HttpServer.create(address, 0);
 		server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-		server.createContext("/status", (exchange) -> answer(exchange, "GET", status));
-		server.createContext("/drain", (exchange) -> answer(exchange, "POST", () -> {
-			drain.run();
-			return Map.of("state", "draining");
-		}));
+		server.createContext("/status", page(status));
 		server.start();
 		return new AdminServer(server);
 	}
 
-	HttpServer server() {
-		return this.server;
+	/**
+	 * Creates a page that reports a state.
+	 * @param status gives the state
+	 * @return a handler for {@code GET}
+	 */
+	static HttpHandler page(Supplier<Map<String, Object>> status) {
+		return (exchange) -> answer(exchange, "GET", status);
 	}
 
 	@Override
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -90,8 +90,7 @@
 		this.root.publish(mesh.configuration());
 		this.root.start();
 		this.api = api(settings, kernel, clock, mesh, commands, moveService);
-		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, () -> {
-		});
+		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status);
 		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, this.leaderMoves::tick);
 	}
 
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -47,8 +47,6 @@
 
 	private final FrameServer server;
 
-	private final AdminServer admin;
-
 	private final PeriodicTask evidenceTask;
 
 	private NodeRole(DaemonSettings settings, Kernel kernel) throws IOException {
@@ -70,6 +68,11 @@
 			.callerAddress(settings.socketAddress(settings.ports().http()))
 			.wireOptions(options)
 			.backendAddress(backendAddress(settings))
+			.adminAddress(settings.socketAddress(settings.ports().admin()))
+			.adminPage("/status", AdminServer.page(this::status))
+			.healthPath(settings.backend().orElseThrow().healthPath())
+			.loadPath(settings.backend().orElseThrow().loadPath())
+			.drainTimeoutMillis(DRAIN_MILLIS)
 			.clock(clock)
 			.random(random)
 			.announcer(this.distribution::announce)
@@ -82,7 +85,6 @@
 			.build();
 		this.server = FrameServer.start(settings.socketAddress(settings.ports().framesBind()), options, handler);
 		this.distribution.start();
-		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, this::drain);
 		this.evidenceTask = PeriodicTask.start("evidence", EVIDENCE_MILLIS, this::reportEvidence);
 	}
 
@@ -92,18 +94,13 @@
 
 	@Override
 	public void shutDown() {
-		drain();
-		this.proxy.awaitIdle(DRAIN_MILLIS);
+		this.proxy.drain();
 		this.evidenceTask.close();
 		reportEvidence();
-		this.distribution.close();
+		// The proxy still answers other nodes through the frame server while it drains.
 		this.proxy.close();
+		this.distribution.close();
 		this.server.close();
-		this.admin.close();
-	}
-
-	private void drain() {
-		this.proxy.drain();
 	}
 
 	private void reportEvidence() {
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -12,6 +14,7 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.wire.Connection;
@@ -120,7 +123,8 @@
 		this.callerServer.setExecutor(this.executor);
 		this.callerApi = new CallerApi(this.clock, this.view, self.service(), this.router, this.metrics);
 		this.callerServer.createContext("/", this.callerApi);
-		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress) : null;
+		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress, builder.adminPages)
+				: null;
 		this.metrics.gauge("load", this.admission::load);
 		this.metrics.gauge("key_records", store::size);
 		this.metrics.gauge("key_bytes", store::bytes);
@@ -251,9 +255,10 @@
 		Thread.ofVirtual().name("node tick").start(() -> repeat(this::tick));
 	}
 
-	private HttpServer adminServer(InetSocketAddress address) throws IOException {
+	private HttpServer adminServer(InetSocketAddress address, Map<String, HttpHandler> pages) throws IOException {
 		HttpServer server = HttpServer.create(address, 0);
 		server.setExecutor(this.executor);
+		pages.forEach(server::createContext);
 		server.createContext("/", new AdminApi(this.clock, this.view, this.metrics, this.monitor, this.directory,
 				() -> Thread.ofVirtual().start(this::drain)));
 		return server;
@@ -344,6 +349,8 @@
 
 		private boolean limited = true;
 
+		private final Map<String, HttpHandler> adminPages = new TreeMap<>();
+
 		private InetSocketAddress adminAddress;
 
 		private String healthPath = "";
@@ -489,6 +496,17 @@
 			return this;
 		}
 
+		/**
+		 * Adds a page to those of the administrator.
+		 * @param path path of the page
+		 * @param page answers the requests
+		 * @return this builder
+		 */
+		public Builder adminPage(String path, HttpHandler page) {
+			this.adminPages.put(path, page);
+			return this;
+		}
+
 		/**
 		 * Sets the page on which the backend server reports its health.
 		 * @param path path, or an empty text if there is none
