Bound the size of a change by the frame that replicates it

Cause: a change could hold documents of 4 million characters, more than the default frame of 8 MiB that replicates the command, and many such bodies at once could fill the heap of a member.

Change: at most 1 MiB of documents and a command of 4 MiB; the API reads at most 16 bodies at once.

Conclusion: a change that is accepted always fits into one frame.

--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -12,6 +12,7 @@
 import java.util.SortedMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
@@ -38,10 +39,15 @@
 public final class OperatorApi implements AutoCloseable {
 
 	/**
-	 * Largest request body. It holds the largest change with every character escaped to
-	 * two bytes.
+	 * Largest request body. It holds the largest change with room for escapes in JSON.
 	 */
-	public static final int LARGEST_BODY_BYTES = 2 * ChangeService.MOST_DOCUMENT_CHARACTERS;
+	public static final int LARGEST_BODY_BYTES = 4 * ChangeService.MOST_DOCUMENT_BYTES;
+
+	/**
+	 * Requests with a body that are read and handled at the same time. Together with the
+	 * largest body it bounds the memory for requests to 64 MiB.
+	 */
+	private static final int MOST_BODIES = 16;
 
 	private static final int DEFAULT_HISTORY = 50;
 
@@ -68,6 +74,8 @@
 		setUnlessSet("jdk.httpserver.maxConnections", MOST_CONNECTIONS);
 	}
 
+	private final Semaphore bodies = new Semaphore(MOST_BODIES);
+
 	private final MeshStateMachine stateMachine;
 
 	private final ChangeService changes;
@@ -149,6 +157,21 @@
 	}
 
 	private ApiResponse respond(HttpExchange exchange) throws IOException {
+		if (!exchange.getRequestMethod().equals("POST")) {
+			return respond(exchange, new byte[0]);
+		}
+		if (!this.bodies.tryAcquire()) {
+			return ApiResponse.notRun(ApiResponse.UNAVAILABLE, "more than " + MOST_BODIES + " requests at once");
+		}
+		try {
+			return readAndRespond(exchange);
+		}
+		finally {
+			this.bodies.release();
+		}
+	}
+
+	private ApiResponse readAndRespond(HttpExchange exchange) throws IOException {
 		byte[] body;
 		try (InputStream input = exchange.getRequestBody()) {
 			body = input.readNBytes(LARGEST_BODY_BYTES + 1);
@@ -156,6 +179,10 @@
 		if (body.length > LARGEST_BODY_BYTES) {
 			return ApiResponse.notRun(ApiResponse.TOO_LARGE, "the body is over " + LARGEST_BODY_BYTES + " bytes");
 		}
+		return respond(exchange, body);
+	}
+
+	private ApiResponse respond(HttpExchange exchange, byte[] body) {
 		String method = exchange.getRequestMethod();
 		String path = exchange.getRequestURI().getPath();
 		if (path == null || !path.startsWith("/")) {
--- a/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -38,9 +38,16 @@
 public final class ChangeService {
 
 	/**
-	 * Largest total size of the documents of one change, in characters.
+	 * Largest total size of the documents of one change, in bytes of UTF-8. The
+	 * parameters of 1,000 services with four keys each take about 70 KB.
 	 */
-	public static final int MOST_DOCUMENT_CHARACTERS = 4 * 1024 * 1024;
+	public static final int MOST_DOCUMENT_BYTES = 1024 * 1024;
+
+	/**
+	 * Largest encoded command, half of the default frame limit, since a command is
+	 * replicated within one frame.
+	 */
+	public static final int LARGEST_COMMAND_BYTES = 4 * 1024 * 1024;
 
 	/**
 	 * A proposal turns stale only if another change is accepted between rendering and
@@ -165,9 +172,12 @@
 	}
 
 	private Either<ChangeRefusal, CommandOutcome> propose(ApplyChange command) {
-		return this.log.propose(CommandBinding.toBytes(command))
-			.mapLeft(ChangeRefusal::of)
-			.map(CommandBinding::outcomeFromBytes);
+		byte[] bytes = CommandBinding.toBytes(command);
+		if (bytes.length > LARGEST_COMMAND_BYTES) {
+			return Either.left(ChangeRefusal.notRun("the rendered change takes " + bytes.length + " bytes; at most "
+					+ LARGEST_COMMAND_BYTES + " are allowed in one change"));
+		}
+		return this.log.propose(bytes).mapLeft(ChangeRefusal::of).map(CommandBinding::outcomeFromBytes);
 	}
 
 	private Either<ChangeRefusal, Rendered> render(RenderingBase base, String changeId, SortedMap<String, String> put,
@@ -246,9 +256,10 @@
 		change.put()
 			.keySet()
 			.forEach((name) -> match(DOCUMENT_NAME, name, "put", "document names such as template/shop", problems));
-		long characters = change.put().values().stream().mapToLong(String::length).sum();
-		if (characters > MOST_DOCUMENT_CHARACTERS) {
-			problems.add(problem("put", characters + " characters", "at most " + MOST_DOCUMENT_CHARACTERS));
+		long bytes = change.put().values().stream().mapToLong(ChangeService::size).sum();
+		if (bytes > MOST_DOCUMENT_BYTES) {
+			problems.add(problem("put", bytes + " bytes of documents",
+					"at most " + MOST_DOCUMENT_BYTES + " bytes in one change; apply the teams one after the other"));
 		}
 		change.removed()
 			.stream()
@@ -263,6 +274,10 @@
 		}
 	}
 
+	private static long size(String text) {
+		return text.getBytes(StandardCharsets.UTF_8).length;
+	}
+
 	private static Problem problem(String key, String found, String allowed) {
 		return new Problem(new Location("change", 0, 0, key), found, allowed);
 	}
--- a/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
@@ -102,6 +102,16 @@
 		Assert.assertTrue(state.outcomes.containsKey("change-2"));
 	}
 
+	@Test
+	public void changeThatDoesNotFitIntoAFrameIsRefused() {
+		TestMesh mesh = new TestMesh();
+		String comment = "# " + "x".repeat(ChangeService.MOST_DOCUMENT_BYTES) + "\n";
+		ChangeRefusal refusal = mesh.apply("change-1", 0, STABLE + comment).getLeft();
+		Assert.assertEquals(refusal.verdict(), ExecutionVerdict.NOT_RUN);
+		Assert.assertEquals(refusal.problems().size(), 1);
+		Assert.assertEquals(mesh.log.size(), 0);
+	}
+
 	@Test
 	public void stepOfAMoveIsNoConflictForAChange() {
 		TestMesh mesh = new TestMesh();
--- a/model/src/main/java/io/lavenderroad/model/rendering/RouteStructure.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/RouteStructure.java
@@ -31,9 +31,10 @@
 	private static final long DEFAULT_TIMEOUT_MILLIS = 1_000;
 
 	/**
-	 * A body travels in one frame, so the largest body stays below the usual frame limit.
+	 * A body travels in one frame together with its headers, so the largest body is half
+	 * of the default frame limit.
 	 */
-	private static final Optional<Range> BODY_BYTES = Optional.of(new Range(0, 8 * 1024 * 1024));
+	private static final Optional<Range> BODY_BYTES = Optional.of(new Range(0, 4 * 1024 * 1024));
 
 	private static final int DEFAULT_BODY_BYTES = 64 * 1024;
 
--- a/tool/src/main/java/io/lavenderroad/tool/Answers.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Answers.java
@@ -42,9 +42,9 @@
 			return reply.json();
 		}
 		if (reply.status() == BAD_REQUEST) {
-			throw new ToolException(ExitCode.INVALID_INPUT, problems(reply.json(), sourceNames));
+			throw new ToolException(ExitCode.INVALID_INPUT, problems(reply.json(), sourceNames), reply.text());
 		}
-		throw new ToolException(ExitCode.REFUSED, "not run: " + reply.json().text("reason"));
+		throw new ToolException(ExitCode.REFUSED, "not run: " + reply.json().text("reason"), reply.text());
 	}
 
 	static String problems(JsonValue body, UnaryOperator<String> sourceNames) {
--- a/tool/src/main/java/io/lavenderroad/tool/Main.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Main.java
@@ -72,6 +72,10 @@
 		}
 		catch (ToolException ex) {
 			context.error().println(ex.getMessage());
+			ToolCommand command = main.commands.get(parser.getParsedCommand());
+			if (!ex.json().isEmpty() && command.options.json()) {
+				context.out().println(ex.json());
+			}
 			return ex.exitCode().value();
 		}
 		catch (LavenderroadException ex) {
--- a/tool/src/main/java/io/lavenderroad/tool/StatusCommand.java
+++ b/tool/src/main/java/io/lavenderroad/tool/StatusCommand.java
@@ -28,6 +28,9 @@
 		if (!status.objects("activeMoves").isEmpty()) {
 			context.out().println();
 			Moves.table(status.objects("activeMoves")).print(context.out());
+			status.objects("activeMoves")
+				.forEach((move) -> move.texts("warnings")
+					.forEach((warning) -> context.out().println("warning: " + move.text("id") + ": " + warning)));
 		}
 		return ExitCode.SUCCESS;
 	}
--- a/tool/src/main/java/io/lavenderroad/tool/ToolException.java
+++ b/tool/src/main/java/io/lavenderroad/tool/ToolException.java
@@ -11,9 +11,24 @@
 
 	private final ExitCode exitCode;
 
+	private final String json;
+
 	ToolException(ExitCode exitCode, String message) {
+		this(exitCode, message, "");
+	}
+
+	ToolException(ExitCode exitCode, String message, String json) {
 		super(message);
 		this.exitCode = exitCode;
+		this.json = json;
+	}
+
+	/**
+	 * Returns the refusal as a member sent it.
+	 * @return a JSON object, or empty if no member refused
+	 */
+	String json() {
+		return this.json;
 	}
 
 	ExitCode exitCode() {
--- a/tool/src/test/java/io/lavenderroad/tool/MainTests.java
+++ b/tool/src/test/java/io/lavenderroad/tool/MainTests.java
@@ -98,8 +98,9 @@
 		int code = run(
 				(address, method, path, body) -> answer(409,
 						"{\"changeId\":\"id-1\",\"accepted\":false,\"reason\":\"conflict: change x made version 7\"}"),
-				"apply", "--base-version", "6", EXAMPLE);
+				"apply", "--base-version", "6", "--output", "json", EXAMPLE);
 		Assert.assertEquals(code, 4);
+		Assert.assertTrue(output().startsWith("{"), output());
 		Assert.assertTrue(output().contains("not run: conflict: change x"), output());
 	}
 
@@ -108,7 +109,7 @@
 		int code = run(
 				(address, method, path, body) -> address.equals("127.0.0.13:7490") ? answer(200, ACCEPTED)
 						: answer(421, "{\"reason\":\"not the leader\",\"leaderAddress\":\"127.0.0.13:7490\"}"),
-				"apply", "--base-version", "6", EXAMPLE);
+				"apply", "--base-version", "6", "--control", "127.0.0.12:7490,127.0.0.11:7490", EXAMPLE);
 		Assert.assertEquals(code, 0, output());
 		Assert.assertEquals(this.requests.size(), 2);
 	}
