Answer a resend from the kept outcome without another log entry

Cause: a resend wrote an entry only to read the first outcome, so that a full disk refused to tell it; the list of moves held up to 10,000 final ones; a shutdown cut requests after 1 s.

Change: after a read confirmation the leader answers from its state. The list holds the last 200 final moves, or all moves of one service. A shutdown waits up to 10 s for requests in flight. Accepted changes and decisions about moves are logged.

Conclusion: 5,000 mutated bodies from a fixed seed are read without an exception.

--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -53,7 +52,15 @@
 
 	private static final int MOST_HISTORY = 10_000;
 
-	private static final int STOP_SECONDS = 1;
+	private static final int LONGEST_QUOTE_CHARACTERS = 60;
+
+	/**
+	 * Time for requests in flight at a shutdown. A proposal ends earlier, since a leader
+	 * without a quorum steps down within seconds.
+	 */
+	private static final int STOP_SECONDS = 10;
+
+	private static final int LISTED_FINAL_MOVES = 200;
 
 	private static final Pattern REASON = Pattern.compile("[^\\p{Cntrl}]{0,500}");
 
@@ -199,7 +206,7 @@
 			case "v1/diff" -> post(method, segments, 2, body, this::diff);
 			case "v1/history" -> get(method, segments, 2, () -> history(exchange.getRequestURI().getRawQuery()));
 			case "v1/configuration" -> get(method, segments, 2, this::configuration);
-			case "v1/moves" -> moves(method, segments, body);
+			case "v1/moves" -> moves(method, segments, body, exchange.getRequestURI().getRawQuery());
 			case "v1/members" -> members(method, segments, body);
 			case "v1/nodes" -> get(method, segments, 2, () -> ApiResponse.json(ApiResponse.OK,
 					ApiJson.nodes(this.stateMachine.configuration().version(), this.convergence.convergence())));
@@ -245,26 +252,28 @@
 	private ApiResponse history(String query) {
 		int limit = DEFAULT_HISTORY;
 		if (query != null) {
-			String text = URLDecoder.decode(query, StandardCharsets.UTF_8);
-			if (!text.matches("limit=[0-9]{1,5}") || Integer.parseInt(text.substring(6)) > MOST_HISTORY) {
-				return ApiResponse.invalid(List.of(new Problem(new Location("query", 0, 0, "limit"), "'" + text + "'",
-						"limit=N with N from 0 to " + MOST_HISTORY)));
+			if (!query.matches("limit=[0-9]{1,5}")) {
+				return invalidQuery(query, "limit", "limit=N with N from 0 to " + MOST_HISTORY);
 			}
-			limit = Integer.parseInt(text.substring(6));
+			limit = Math.min(MOST_HISTORY, Integer.parseInt(query.substring("limit=".length())));
 		}
 		int most = limit;
 		return confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson.history(this.stateMachine.history(most))));
 	}
 
+	private static ApiResponse invalidQuery(String query, String key, String allowed) {
+		String shown = query.substring(0, Math.min(query.length(), LONGEST_QUOTE_CHARACTERS));
+		return ApiResponse.invalid(List.of(new Problem(new Location("query", 0, 0, key), "'" + shown + "'", allowed)));
+	}
+
 	private ApiResponse configuration() {
 		return confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson.configuration(this.stateMachine.configuration(),
 				this.stateMachine.lastChangeVersion(), this.stateMachine.documents())));
 	}
 
-	private ApiResponse moves(String method, List<String> segments, byte[] body) {
+	private ApiResponse moves(String method, List<String> segments, byte[] body, String query) {
 		if (segments.size() == 2) {
-			return get(method, segments, 2,
-					() -> confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson.moves(this.stateMachine.moves()))));
+			return get(method, segments, 2, () -> listMoves(query));
 		}
 		String id = segments.get(2);
 		if (segments.size() == 3) {
@@ -276,6 +285,19 @@
 		return post(method, segments, 4, body, (input) -> withdraw(id, input));
 	}
 
+	private ApiResponse listMoves(String query) {
+		if (query == null) {
+			return confirmed(
+					() -> ApiResponse.json(ApiResponse.OK, ApiJson.moves(this.stateMachine.moves(LISTED_FINAL_MOVES))));
+		}
+		if (!query.matches("service=[a-z0-9-]{1,63}")) {
+			return invalidQuery(query, "service", "service=NAME");
+		}
+		String service = query.substring("service=".length());
+		return confirmed(() -> ApiResponse.json(ApiResponse.OK, ApiJson
+			.moves(this.stateMachine.moves().stream().filter((move) -> move.service().equals(service)).toList())));
+	}
+
 	private ApiResponse move(String id) {
 		return this.stateMachine.move(id)
 			.map((move) -> ApiResponse.json(ApiResponse.OK, ApiJson.move(move)))
--- a/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -30,6 +30,7 @@
 import io.lavenderroad.model.rendering.RenderedService;
 import io.vavr.collection.Seq;
 import io.vavr.control.Either;
+import org.tinylog.Logger;
 
 /**
  * Accepts changes at the leader: it renders the documents, checks the result and proposes
@@ -108,6 +109,7 @@
 				return Either.left(outcome.getLeft());
 			}
 			if (outcome.get().kind() != CommandOutcome.Kind.STALE) {
+				log(change, outcome.get());
 				return Either.right(MeshStateMachine.toChangeOutcome(change.changeId(), outcome.get()));
 			}
 		}
@@ -146,16 +148,29 @@
 		return confirmed().map((index) -> this.stateMachine.outcome(changeId));
 	}
 
+	private static void log(Change change, CommandOutcome outcome) {
+		if (outcome.applied()) {
+			Logger.info("control: change {} of {} is version {}", change.changeId(), change.operator(),
+					outcome.version());
+		}
+		else {
+			Logger.info("control: change {} of {} has not run: {}", change.changeId(), change.operator(),
+					outcome.reason());
+		}
+	}
+
 	private Either<ChangeRefusal, Long> confirmed() {
 		return this.confirmation.confirm().mapLeft(ChangeRefusal::of);
 	}
 
 	private Either<ChangeRefusal, CommandOutcome> propose(Change change) {
 		RenderingBase base = this.stateMachine.renderingBase();
-		boolean decided = this.stateMachine.outcome(change.changeId()).isPresent()
-				|| change.baseVersion() < base.lastChangeVersion();
 		String digest = digest(change);
-		if (decided) {
+		Optional<CommandOutcome> first = this.stateMachine.firstOutcome(change.changeId(), digest);
+		if (first.isPresent()) {
+			return Either.right(first.get());
+		}
+		if (change.baseVersion() < base.lastChangeVersion()) {
 			// The documents do not matter any more. The state machine still decides, so
 			// that the outcome is recorded.
 			Change empty = Change.putting(change.changeId(), change.baseVersion(), change.operator(), Map.of());
--- a/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
@@ -169,6 +169,17 @@
 			.map((stored) -> toChangeOutcome(changeId, stored.outcome())));
 	}
 
+	/**
+	 * Returns the first outcome of a change that is sent again.
+	 * @param changeId id of the change
+	 * @param digest digest of the content of the change
+	 * @return the outcome, a refusal if the content is another one, or empty if the
+	 * change never ran here
+	 */
+	Optional<CommandOutcome> firstOutcome(String changeId, String digest) {
+		return read(() -> firstLocked(changeId, digest));
+	}
+
 	/**
 	 * Returns the number of outcomes kept for resends.
 	 * @return the number
@@ -209,6 +220,23 @@
 		return read(() -> this.state.moves.values().stream().filter((move) -> !move.status().isFinal()).toList());
 	}
 
+	/**
+	 * Returns all active moves and the final ones that ended last.
+	 * @param mostFinal largest number of final moves
+	 * @return the moves in the order of their start or end
+	 */
+	public List<MoveState> moves(int mostFinal) {
+		List<MoveState> selected = new ArrayList<>();
+		int finalMoves = 0;
+		for (MoveState move : moves().reversed()) {
+			finalMoves += move.status().isFinal() ? 1 : 0;
+			if (!move.status().isFinal() || finalMoves <= mostFinal) {
+				selected.add(move);
+			}
+		}
+		return selected.reversed();
+	}
+
 	/**
 	 * Finds a move.
 	 * @param id id of the move
@@ -264,10 +292,9 @@
 
 	private CommandOutcome applyChange(ApplyChange apply) {
 		Change change = apply.change();
-		StoredOutcome first = this.state.outcomes.get(change.changeId());
-		if (first != null) {
-			return first.digest().equals(apply.digest()) ? first.outcome() : refused("change id " + change.changeId()
-					+ " was used for a change with other content; its outcome was: " + describe(first.outcome()));
+		Optional<CommandOutcome> first = firstLocked(change.changeId(), apply.digest());
+		if (first.isPresent()) {
+			return first.get();
 		}
 		if (change.baseVersion() >= this.state.lastChangeVersion
 				&& apply.renderedAfter() != this.state.lastChangeVersion) {
@@ -278,6 +305,12 @@
 		return outcome;
 	}
 
+	private Optional<CommandOutcome> firstLocked(String changeId, String digest) {
+		return Optional.ofNullable(this.state.outcomes.get(changeId))
+			.map((first) -> first.digest().equals(digest) ? first.outcome() : refused("change id " + changeId
+					+ " was used for a change with other content; its outcome was: " + describe(first.outcome())));
+	}
+
 	private CommandOutcome runChange(ApplyChange apply) {
 		Change change = apply.change();
 		if (change.baseVersion() > version()) {
--- a/control/src/main/java/io/lavenderroad/control/state/MoveService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MoveService.java
@@ -6,7 +6,9 @@
 import io.lavenderroad.control.state.Command.WithdrawMove;
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.model.MoveState;
+import io.lavenderroad.model.rendering.ParameterType;
 import io.vavr.control.Either;
+import org.tinylog.Logger;
 
 /**
  * Proposes decisions about moves to the replicated log. Each decision carries the step of
@@ -36,7 +38,8 @@
 	 * @return the outcome, or why the command is not known to be committed
 	 */
 	public Either<CommandFailure, CommandOutcome> step(MoveState move, int shareBasisPoints, String reason) {
-		return propose(new StepMove(this.clock.millis(), move.id(), move.step(), shareBasisPoints, reason));
+		return propose(new StepMove(this.clock.millis(), move.id(), move.step(), shareBasisPoints, reason), move.id(),
+				move.parameters().to() + " gets " + ParameterType.percent(shareBasisPoints) + ": " + reason);
 	}
 
 	/**
@@ -49,7 +52,8 @@
 	 */
 	public Either<CommandFailure, CommandOutcome> withdraw(MoveState move, String reason, String route,
 			String figures) {
-		return propose(new WithdrawMove(this.clock.millis(), move.id(), move.step(), "", reason, route, figures));
+		return propose(new WithdrawMove(this.clock.millis(), move.id(), move.step(), "", reason, route, figures),
+				move.id(), "taken back: " + reason);
 	}
 
 	/**
@@ -61,8 +65,9 @@
 	 * @return the outcome, or why the command is not known to be committed
 	 */
 	public Either<CommandFailure, CommandOutcome> withdrawByOperator(String moveId, String operator, String reason) {
-		return propose(new WithdrawMove(this.clock.millis(), moveId, Command.ANY_STEP, operator,
-				"withdrawn by " + operator + (reason.isEmpty() ? "" : ": " + reason), "", ""));
+		String text = "withdrawn by " + operator + (reason.isEmpty() ? "" : ": " + reason);
+		return propose(new WithdrawMove(this.clock.millis(), moveId, Command.ANY_STEP, operator, text, "", ""), moveId,
+				text);
 	}
 
 	/**
@@ -73,7 +78,8 @@
 	 * @return the outcome, or why the command is not known to be committed
 	 */
 	public Either<CommandFailure, CommandOutcome> finish(MoveState move, String reason, String figures) {
-		return propose(new FinishMove(this.clock.millis(), move.id(), move.step(), reason, figures));
+		return propose(new FinishMove(this.clock.millis(), move.id(), move.step(), reason, figures), move.id(),
+				"done: " + reason);
 	}
 
 	/**
@@ -83,11 +89,18 @@
 	 * @return the outcome, or why the command is not known to be committed
 	 */
 	public Either<CommandFailure, CommandOutcome> warn(MoveState move, String warning) {
-		return propose(new WarnOfMove(this.clock.millis(), move.id(), move.step(), warning));
+		return propose(new WarnOfMove(this.clock.millis(), move.id(), move.step(), warning), move.id(),
+				"warning: " + warning);
 	}
 
-	private Either<CommandFailure, CommandOutcome> propose(Command command) {
-		return this.log.propose(CommandBinding.toBytes(command)).map(CommandBinding::outcomeFromBytes);
+	private Either<CommandFailure, CommandOutcome> propose(Command command, String moveId, String event) {
+		return this.log.propose(CommandBinding.toBytes(command))
+			.map(CommandBinding::outcomeFromBytes)
+			.peek((outcome) -> {
+				if (outcome.applied()) {
+					Logger.info("move: {}: {}", moveId, event);
+				}
+			});
 	}
 
 }
--- a/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
+++ b/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -113,6 +114,8 @@
 		HttpResponse<String> first = send("POST", path, "{\"operator\":\"thandi\",\"reason\":\"odd prices\"}");
 		Assert.assertEquals(json(first).get("status"), "taken-back", first.body());
 		Assert.assertEquals(send("POST", path, "{\"operator\":\"thandi\"}").statusCode(), 409);
+		Assert.assertTrue(send("GET", "/v1/moves?service=desk", "").body().contains("desk-v2-1"));
+		Assert.assertFalse(send("GET", "/v1/moves?service=des", "").body().contains("desk-v2-1"));
 		Assert.assertEquals(send("POST", "/v1/moves/none/withdraw", "{\"operator\":\"thandi\"}").statusCode(), 409);
 	}
 
@@ -130,6 +133,26 @@
 		Assert.assertEquals(send("GET", "/v1/status", "").statusCode(), 200);
 	}
 
+	@Test
+	public void mutatedBodiesNeverThrow() throws Exception {
+		Random random = new Random(20261204);
+		String valid = change("change-1", 0, "v1");
+		for (int round = 0; round < 5_000; round++) {
+			byte[] body = valid.getBytes(StandardCharsets.UTF_8);
+			for (int edit = 0; edit < 1 + random.nextInt(3); edit++) {
+				body[random.nextInt(body.length)] = (byte) random.nextInt(256);
+			}
+			JsonInput.parse(Arrays.copyOf(body, body.length - random.nextInt(2) * random.nextInt(body.length)))
+				.peek((input) -> {
+					input.number("baseVersion");
+					input.texts("put");
+					input.textList("removed");
+					Assert.assertNotNull(input.finish());
+				})
+				.peekLeft((problem) -> Assert.assertNotNull(problem.toString()));
+		}
+	}
+
 	@Test
 	public void bodyOverTheLimitIsRefused() throws Exception {
 		String body = "\"" + "x".repeat(OperatorApi.LARGEST_BODY_BYTES) + "\"";
--- a/tool/src/main/java/io/lavenderroad/tool/VerdictCommand.java
+++ b/tool/src/main/java/io/lavenderroad/tool/VerdictCommand.java
@@ -16,6 +16,8 @@
 
 	private static final Pattern ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,199}");
 
+	private static final Pattern SERVICE = Pattern.compile("[a-z0-9-]{1,63}");
+
 	private static final long POLL_MILLIS = 500;
 
 	@Parameter(description = "MOVE|SERVICE|CHANGE")
@@ -86,11 +88,10 @@
 			Answers.require(move);
 			return move;
 		}
-		List<JsonValue> ofService = Answers.require(client.get("/v1/moves"))
-			.objects("moves")
-			.stream()
-			.filter((candidate) -> candidate.text("service").equals(id))
-			.toList();
+		if (!SERVICE.matcher(id).matches()) {
+			return move;
+		}
+		List<JsonValue> ofService = Answers.require(client.get("/v1/moves?service=" + id)).objects("moves");
 		return ofService.isEmpty() ? move : client.get("/v1/moves/" + latest(ofService).text("id"));
 	}
 
