--- a/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -30,6 +30,7 @@
 import io.lavenderroad.model.rendering.RenderedService;
 import io.vavr.collection.Seq;
 import io.vavr.control.Either;
+import org.tinylog.Logger;
 
 /**
  * Accepts changes at the leader: it renders the documents, checks the result and proposes
@@ -38,9 +39,16 @@
 public final class ChangeService {
 
 	/**
-	 * Largest total size of the documents of one change, in characters.
+	 * Largest total size of the documents of one change, in bytes of UTF-8. The
+	 * parameters of 1,000 services with four keys each take about 70 KB.
 	 */
-	public static final int MOST_DOCUMENT_CHARACTERS = 4 * 1024 * 1024;
+	public static final int MOST_DOCUMENT_BYTES = 1024 * 1024;
+
+	/**
+	 * Largest encoded command, half of the default frame limit, since a command is
+	 * replicated within one frame.
+	 */
+	public static final int LARGEST_COMMAND_BYTES = 4 * 1024 * 1024;
 
 	/**
 	 * A proposal turns stale only if another change is accepted between rendering and
@@ -101,6 +109,7 @@
 				return Either.left(outcome.getLeft());
 			}
 			if (outcome.get().kind() != CommandOutcome.Kind.STALE) {
+				log(change, outcome.get());
 				return Either.right(MeshStateMachine.toChangeOutcome(change.changeId(), outcome.get()));
 			}
 		}
@@ -139,16 +148,29 @@
 		return confirmed().map((index) -> this.stateMachine.outcome(changeId));
 	}
 
+	private static void log(Change change, CommandOutcome outcome) {
+		if (outcome.applied()) {
+			Logger.info("control: change {} of {} is version {}", change.changeId(), change.operator(),
+					outcome.version());
+		}
+		else {
+			Logger.info("control: change {} of {} has not run: {}", change.changeId(), change.operator(),
+					outcome.reason());
+		}
+	}
+
 	private Either<ChangeRefusal, Long> confirmed() {
 		return this.confirmation.confirm().mapLeft(ChangeRefusal::of);
 	}
 
 	private Either<ChangeRefusal, CommandOutcome> propose(Change change) {
 		RenderingBase base = this.stateMachine.renderingBase();
-		boolean decided = this.stateMachine.outcome(change.changeId()).isPresent()
-				|| change.baseVersion() < base.lastChangeVersion();
 		String digest = digest(change);
-		if (decided) {
+		Optional<CommandOutcome> first = this.stateMachine.firstOutcome(change.changeId(), digest);
+		if (first.isPresent()) {
+			return Either.right(first.get());
+		}
+		if (change.baseVersion() < base.lastChangeVersion()) {
 			// The documents do not matter any more. The state machine still decides, so
 			// that the outcome is recorded.
 			Change empty = Change.putting(change.changeId(), change.baseVersion(), change.operator(), Map.of());
@@ -165,9 +187,12 @@
 	}
 
 	private Either<ChangeRefusal, CommandOutcome> propose(ApplyChange command) {
-		return this.log.propose(CommandBinding.toBytes(command))
-			.mapLeft(ChangeRefusal::of)
-			.map(CommandBinding::outcomeFromBytes);
+		byte[] bytes = CommandBinding.toBytes(command);
+		if (bytes.length > LARGEST_COMMAND_BYTES) {
+			return Either.left(ChangeRefusal.notRun("the rendered change takes " + bytes.length + " bytes; at most "
+					+ LARGEST_COMMAND_BYTES + " are allowed in one change"));
+		}
+		return this.log.propose(bytes).mapLeft(ChangeRefusal::of).map(CommandBinding::outcomeFromBytes);
 	}
 
 	private Either<ChangeRefusal, Rendered> render(RenderingBase base, String changeId, SortedMap<String, String> put,
@@ -246,9 +271,10 @@
 		change.put()
 			.keySet()
 			.forEach((name) -> match(DOCUMENT_NAME, name, "put", "document names such as template/shop", problems));
-		long characters = change.put().values().stream().mapToLong(String::length).sum();
-		if (characters > MOST_DOCUMENT_CHARACTERS) {
-			problems.add(problem("put", characters + " characters", "at most " + MOST_DOCUMENT_CHARACTERS));
+		long bytes = change.put().values().stream().mapToLong(ChangeService::size).sum();
+		if (bytes > MOST_DOCUMENT_BYTES) {
+			problems.add(problem("put", bytes + " bytes of documents",
+					"at most " + MOST_DOCUMENT_BYTES + " bytes in one change; apply the teams one after the other"));
 		}
 		change.removed()
 			.stream()
@@ -263,6 +289,10 @@
 		}
 	}
 
+	private static long size(String text) {
+		return text.getBytes(StandardCharsets.UTF_8).length;
+	}
+
 	private static Problem problem(String key, String found, String allowed) {
 		return new Problem(new Location("change", 0, 0, key), found, allowed);
 	}
