Test the tree over sockets; mark a node that leaves as gone, not lost

Cause: the status counted a node that closed gracefully as unreachable (found by shutdownOfARelayCutsNobodyOff). A redirected caller was forgotten at the next report, so that a mass start filled one relay beyond its place.

Change: an announcement of the own end names no parent. A redirected caller counts for 2 s.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.distribution;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -62,7 +63,7 @@
 
 	private volatile boolean subscribed;
 
-	private int redirectedSinceReport;
+	private final ArrayDeque<Long> redirectedMillis = new ArrayDeque<>();
 
 	private volatile boolean heartbeatDue;
 
@@ -114,7 +115,12 @@
 		this.lock.lock();
 		try {
 			int nodes = (this.status != null) ? this.status.nodes() : 1;
-			return new Placement.Place(this.hop, this.failureDomain, nodes + this.redirectedSinceReport);
+			long now = this.owner.clock().millis();
+			while (!this.redirectedMillis.isEmpty()
+					&& now - this.redirectedMillis.peekFirst() > TreeTimes.REDIRECT_MEMORY_MILLIS) {
+				this.redirectedMillis.removeFirst();
+			}
+			return new Placement.Place(this.hop, this.failureDomain, nodes + this.redirectedMillis.size());
 		}
 		finally {
 			this.lock.unlock();
@@ -124,7 +130,7 @@
 	void redirected() {
 		this.lock.lock();
 		try {
-			this.redirectedSinceReport++;
+			this.redirectedMillis.addLast(this.owner.clock().millis());
 		}
 		finally {
 			this.lock.unlock();
@@ -135,7 +141,6 @@
 		this.lock.lock();
 		try {
 			this.status = report.status();
-			this.redirectedSinceReport = 0;
 		}
 		finally {
 			this.lock.unlock();
--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.IntFunction;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.lavenderroad.core.Clock;
@@ -48,13 +50,24 @@
 	 * @return the roots
 	 */
 	List<Root> startRoots(int count, Supplier<Optional<Long>> floor) {
+		return startRoots(count, floor, (index) -> () -> 0);
+	}
+
+	/**
+	 * Starts roots that know each other.
+	 * @param count number of roots
+	 * @param floor confirms the version at the first root
+	 * @param quorumAge returns how the root with an index reads the age of its quorum
+	 * @return the roots
+	 */
+	List<Root> startRoots(int count, Supplier<Optional<Long>> floor, IntFunction<LongSupplier> quorumAge) {
 		List<Root> started = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
 			started.add(new Root("control-" + index, nextIncarnation()));
 		}
 		List<String> addresses = started.stream().map((root) -> root.address).toList();
 		for (int index = 0; index < count; index++) {
-			started.get(index).start(addresses, (index == 0) ? floor : Optional::empty);
+			started.get(index).start(addresses, (index == 0) ? floor : Optional::empty, quorumAge.apply(index));
 		}
 		this.roots.addAll(started);
 		return started;
@@ -143,11 +156,12 @@
 			this.address = text(this.server.address());
 		}
 
-		void start(List<String> peers, Supplier<Optional<Long>> floor) {
+		void start(List<String> peers, Supplier<Optional<Long>> floor, LongSupplier quorumAge) {
 			this.distribution = RootDistribution.builder()
 				.options(options(this.id, "control", this.incarnation, this.address, Clock.system()))
 				.peers(peers)
 				.confirmCommittedVersion(floor)
+				.quorumAgeMillis(quorumAge)
 				.evidenceListener(this.evidence::add)
 				.build();
 			this.gate.target = this.distribution.handler();
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -205,7 +205,8 @@
 		Endpoint next;
 		this.lock.lock();
 		try {
-			this.own = this.own.next(state, parentId());
+			// An expired entry with a parent is one whose lease ran out; this one left.
+			this.own = this.own.next(state, (state != EndpointState.EXPIRED) ? parentId() : "");
 			next = this.own;
 		}
 		finally {
@@ -491,9 +492,18 @@
 	}
 
 	private void apply(ParentSession session, Object message) {
-		if (this.uplink.session().orElse(null) != session) {
-			return;
+		if (this.uplink.session().orElse(null) == session) {
+			try {
+				applyNow(session, message);
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "distribution: Node {} failed to apply an update.", this.self.id());
+				session.connection().close("update failed: " + ex.getMessage());
+			}
 		}
+	}
+
+	private void applyNow(ParentSession session, Object message) {
 		switch (message) {
 			case WholeSlice slice -> {
 				Outcome outcome = this.active.offer(slice.configuration(), slice.digest(), slice.everything(),
--- a/distribution/src/main/java/io/lavenderroad/distribution/Placement.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Placement.java
@@ -84,8 +84,7 @@
 	 *
 	 * @param hop id and address
 	 * @param failureDomain its failure domain
-	 * @param subtreeNodes itself, nodes below it and callers redirected to it since it
-	 * reported
+	 * @param subtreeNodes itself, nodes below it and callers redirected to it lately
 	 */
 	record Place(Hop hop, String failureDomain, int subtreeNodes) {
 	}
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -55,6 +55,13 @@
 	 */
 	static final long WIDEN_MILLIS = 1_000;
 
+	/**
+	 * How long a redirected caller counts as a node below the target. Its attachment
+	 * shows in the reports after two intervals; without this memory, a mass restart sends
+	 * everybody to the same relay.
+	 */
+	static final long REDIRECT_MEMORY_MILLIS = 2_000;
+
 	/**
 	 * How long an endpoint is kept that the parent does not know. The parent may itself
 	 * be waiting for announcements after a restart.
