Close gaps in leases, addresses and heartbeats found in review

Cause: a relay that restarts with its children dead left endpoints that nobody expires; a malformed address from a peer ended the search for a parent; a stream of announcements kept a detached relay from stating its root age; a relay that stops still got new callers; a leaf kept endpoints of services that left its slice.

Change: roots expire children of a restarted parent that do not announce themselves again in 5 s. Addresses are literals and checked. Heartbeats have their own timer, and any message of the parent is a sign of life. A stopping relay tells its parent first. Leaves drop entries out of scope.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -27,6 +27,7 @@
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.Scope;
+import org.tinylog.Logger;
 
 /**
  * One attached child as its parent sees it. One virtual thread sends, so that a child
@@ -67,7 +68,9 @@
 
 	private volatile boolean heartbeatDue;
 
-	private volatile long lastSentMillis;
+	private long lastHeartbeatMillis;
+
+	private volatile boolean leaving;
 
 	private volatile long lastReceivedMillis;
 
@@ -79,8 +82,8 @@
 		this.hop = new Hop(attach.nodeId(), attach.frameAddress());
 		this.incarnation = attach.incarnation();
 		this.failureDomain = attach.failureDomain();
-		this.lastSentMillis = owner.clock().millis();
-		this.lastReceivedMillis = this.lastSentMillis;
+		this.lastHeartbeatMillis = owner.clock().millis();
+		this.lastReceivedMillis = this.lastHeartbeatMillis;
 	}
 
 	Hop hop() {
@@ -250,6 +253,17 @@
 		this.outbox.wake();
 	}
 
+	/**
+	 * Notes that the child is about to leave, so that nobody is redirected to it.
+	 */
+	void leaves() {
+		this.leaving = true;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
 	void wake() {
 		this.outbox.wake();
 	}
@@ -284,21 +298,19 @@
 		try {
 			while (this.connection.isOpen()) {
 				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
-					send(message, this.owner.clock().millis());
+					this.connection.send(message);
 				}
-				Optional<DistributionMessage> update = nextUpdate();
-				update.ifPresent((message) -> send(message, this.owner.clock().millis()));
+				nextUpdate().ifPresent(this.connection::send);
 				beat();
 			}
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
-	}
-
-	private void send(DistributionMessage message, long now) {
-		this.connection.send(message);
-		this.lastSentMillis = now;
+		catch (RuntimeException ex) {
+			Logger.error(ex, "distribution: Sending to child {} failed.", this.hop.id());
+			this.connection.close("sending failed: " + ex.getMessage());
+		}
 	}
 
 	private void beat() {
@@ -308,9 +320,10 @@
 				.close("child " + this.hop.id() + " was silent for " + (now - this.lastReceivedMillis) + " ms");
 			return;
 		}
-		if (this.heartbeatDue || now - this.lastSentMillis >= TreeTimes.OWN_HEARTBEAT_MILLIS) {
+		if (this.heartbeatDue || now - this.lastHeartbeatMillis >= TreeTimes.OWN_HEARTBEAT_MILLIS) {
 			this.heartbeatDue = false;
-			send(new ParentHeartbeat(this.owner.current().version(), this.owner.rootAgeMillis()), now);
+			this.lastHeartbeatMillis = now;
+			this.connection.send(new ParentHeartbeat(this.owner.current().version(), this.owner.rootAgeMillis()));
 		}
 	}
 
--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -217,6 +217,24 @@
 		return sum;
 	}
 
+	/**
+	 * Starts the lease of nodes that name this process as their parent but are not
+	 * attached: this process has restarted, and they may have died meanwhile.
+	 * @param endpoints announcements from elsewhere
+	 */
+	void adopt(Collection<Endpoint> endpoints) {
+		this.lock.lock();
+		try {
+			endpoints.stream()
+				.filter((endpoint) -> endpoint.attachedTo().equals(this.parent.self().id()))
+				.filter((endpoint) -> !this.byId.containsKey(endpoint.nodeId()))
+				.forEach((endpoint) -> this.leases.lost(endpoint.nodeId(), clock().millis()));
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Expires the endpoints of children that are gone and did not attach elsewhere.
 	 */
@@ -287,9 +305,8 @@
 	private Placement.Decision decide(Attach attach) {
 		this.lock.lock();
 		try {
-			List<Placement.Place> places = this.byId.values().stream().map(Child::place).toList();
 			Placement.Decision decision = this.placement.decide(attach.nodeId(), attach.failureDomain(),
-					new HashSet<>(attach.avoided()), places);
+					new HashSet<>(attach.avoided()), places());
 			if (!decision.targets().isEmpty()) {
 				this.byId.get(decision.targets().getFirst().id()).redirected();
 			}
@@ -300,6 +317,10 @@
 		}
 	}
 
+	private List<Placement.Place> places() {
+		return this.byId.values().stream().filter((child) -> !child.leaving()).map(Child::place).toList();
+	}
+
 	private DistributionMessage accept(Connection connection, Attach attach) {
 		Child replaced;
 		Child child = new Child(this, connection, attach);
@@ -307,13 +328,16 @@
 		try {
 			// Other callers may have taken the last place while the services were
 			// fetched.
-			List<Placement.Place> places = this.byId.values().stream().map(Child::place).toList();
 			Placement.Decision again = this.placement.decide(attach.nodeId(), attach.failureDomain(),
-					new HashSet<>(attach.avoided()), places);
+					new HashSet<>(attach.avoided()), places());
 			if (!again.accepted()) {
 				return again.targets().isEmpty() ? new Deferred(TreeTimes.CHECK_MILLIS, "the last place is taken")
 						: new Redirected(again.targets());
 			}
+			Child present = this.byId.get(attach.nodeId());
+			if (present != null && present.incarnation() > attach.incarnation()) {
+				return new Deferred(TreeTimes.CALL_TIMEOUT_MILLIS, "a newer process with this id is attached");
+			}
 			replaced = this.byId.put(attach.nodeId(), child);
 			if (replaced != null) {
 				this.byConnection.remove(replaced.connection());
--- a/distribution/src/main/java/io/lavenderroad/distribution/EndpointRegistry.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/EndpointRegistry.java
@@ -96,7 +96,7 @@
 		if (known != null && !endpoint.replaces(known.endpoint())) {
 			boolean same = !known.endpoint().replaces(endpoint);
 			if (same && !fromBelow && known.unconfirmedMillis() != 0) {
-				put(new Entry(known.endpoint(), known.fromBelow(), known.changedMillis(), 0));
+				put(known.confirmed());
 			}
 			return;
 		}
@@ -104,7 +104,9 @@
 			remove(known.endpoint());
 			news.add(known.endpoint().withState(EndpointState.EXPIRED));
 		}
-		put(new Entry(endpoint, fromBelow, now, 0));
+		boolean restarted = known != null && endpoint.incarnation() > known.endpoint().incarnation();
+		long restartedMillis = (known != null) ? known.restartedMillis() : 0;
+		put(new Entry(endpoint, fromBelow, now, 0, restarted ? now : restartedMillis));
 		refresh(endpoint.service());
 		news.add(endpoint);
 	}
@@ -128,7 +130,46 @@
 				.stream()
 				.filter((entry) -> !entry.fromBelow() && services.test(entry.endpoint().service()))
 				.toList();
-			doubtful.forEach((entry) -> put(new Entry(entry.endpoint(), false, entry.changedMillis(), now)));
+			doubtful.forEach((entry) -> put(
+					new Entry(entry.endpoint(), false, entry.changedMillis(), now, entry.restartedMillis())));
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Ends all doubts, since another parent will state what it knows.
+	 */
+	void trust() {
+		this.lock.lock();
+		try {
+			this.entries.values()
+				.stream()
+				.filter((entry) -> entry.unconfirmedMillis() != 0)
+				.toList()
+				.forEach((entry) -> put(entry.confirmed()));
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Removes entries that left the scope of a leaf and get no updates any more.
+	 * @param services selects the services in scope
+	 */
+	void retain(Predicate<String> services) {
+		this.lock.lock();
+		try {
+			List<Entry> outside = this.entries.values()
+				.stream()
+				.filter((entry) -> !entry.fromBelow() && !services.test(entry.endpoint().service()))
+				.toList();
+			for (Entry entry : outside) {
+				this.entries.remove(entry.endpoint().nodeId());
+				remove(entry.endpoint());
+			}
 		}
 		finally {
 			this.lock.unlock();
@@ -296,8 +337,16 @@
 	 * @param fromBelow whether it came from this process or its subtree
 	 * @param changedMillis when it was merged
 	 * @param unconfirmedMillis since when the parent does not know it, 0 if it does
+	 * @param restartedMillis when the node was seen with a newer incarnation than before,
+	 * 0 if never
 	 */
-	record Entry(Endpoint endpoint, boolean fromBelow, long changedMillis, long unconfirmedMillis) {
+	record Entry(Endpoint endpoint, boolean fromBelow, long changedMillis, long unconfirmedMillis,
+			long restartedMillis) {
+
+		Entry confirmed() {
+			return new Entry(this.endpoint, this.fromBelow, this.changedMillis, 0, this.restartedMillis);
+		}
+
 	}
 
 }
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -245,6 +245,8 @@
 		if (this.closed) {
 			return;
 		}
+		this.uplink.session()
+			.ifPresent((session) -> session.outbox().offer(new Leaving("node " + this.self.id() + " is stopping")));
 		this.children.leave("node " + this.self.id() + " is stopping");
 		long startMillis = this.clock.millis();
 		while (this.children.size() > 0 && this.clock.millis() - startMillis < this.drainMillis) {
@@ -327,11 +329,17 @@
 	private void tick() {
 		long lastCleanupMillis = this.clock.millis();
 		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
-			this.children.expireLeases();
 			long now = this.clock.millis();
-			if (now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS) {
-				lastCleanupMillis = now;
-				cleanUp(now);
+			boolean cleanupDue = now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS;
+			lastCleanupMillis = cleanupDue ? now : lastCleanupMillis;
+			try {
+				this.children.expireLeases();
+				if (cleanupDue) {
+					cleanUp(now);
+				}
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "distribution: A periodic check of node {} failed.", this.self.id());
 			}
 		}
 	}
@@ -522,6 +530,7 @@
 		switch (outcome.result()) {
 			case IN_FORCE -> {
 				this.rejected = null;
+				retainScope();
 				this.children.wake();
 				changed();
 			}
@@ -539,6 +548,24 @@
 		}
 	}
 
+	private void retainScope() {
+		Scope present = scope();
+		if (!present.all()) {
+			Set<String> names = this.active.current().services().keySet();
+			this.registry.retain((service) -> names.contains(service) || present.ownServices().contains(service));
+		}
+	}
+
+	private Scope scope() {
+		this.lock.lock();
+		try {
+			return this.scope;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	private void reject(long version, String reason) {
 		Logger.warn("distribution: Node {} rejected version {}: {}.", this.self.id(), version, reason);
 		this.rejected = new RejectedVersion(this.self.id(), version, reason);
@@ -698,6 +725,7 @@
 				NodeDistribution.this.children.received(connection, message);
 				return;
 			}
+			session.received();
 			switch (message) {
 				case WholeSlice slice -> later(session, slice);
 				case Delta delta -> later(session, delta);
@@ -830,6 +858,7 @@
 		@Override
 		public void attached(ParentSession session) {
 			NodeDistribution.this.lastSession = session;
+			NodeDistribution.this.registry.trust();
 			NodeDistribution.this.attaches.incrementAndGet();
 			NodeDistribution.this.evidence.receiverChanged();
 			subscribe(session, false, false);
--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentHealth.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentHealth.java
@@ -25,7 +25,7 @@
 	 * @param open whether the connection is open
 	 * @param pathUsable whether the path from the root has no loop
 	 * @param leaving whether the parent said that it is leaving
-	 * @param silentMillis time since the last heartbeat of the parent
+	 * @param silentMillis time since the last message of the parent
 	 * @param rootAgeMillis age of the last contact of the parent with a root
 	 * @return the verdict
 	 */
--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -29,7 +29,7 @@
 
 	private volatile long parentVersion;
 
-	private volatile long lastHeartbeatMillis;
+	private volatile long lastReceivedMillis;
 
 	private volatile long rootContactMillis;
 
@@ -38,8 +38,8 @@
 		this.connection = connection;
 		this.path = accepted.path();
 		this.parentVersion = accepted.version();
-		this.lastHeartbeatMillis = clock.millis();
-		this.rootContactMillis = this.lastHeartbeatMillis - accepted.rootAgeMillis();
+		this.lastReceivedMillis = clock.millis();
+		this.rootContactMillis = this.lastReceivedMillis - accepted.rootAgeMillis();
 	}
 
 	Connection connection() {
@@ -70,11 +70,16 @@
 		return this.outbox;
 	}
 
+	/**
+	 * Notes a message of the parent, whatever it says.
+	 */
+	void received() {
+		this.lastReceivedMillis = this.clock.millis();
+	}
+
 	void heartbeat(ParentHeartbeat heartbeat) {
-		long now = this.clock.millis();
 		this.parentVersion = heartbeat.version();
-		this.lastHeartbeatMillis = now;
-		this.rootContactMillis = now - heartbeat.rootAgeMillis();
+		this.rootContactMillis = this.clock.millis() - heartbeat.rootAgeMillis();
 	}
 
 	long rootAgeMillis() {
@@ -92,7 +97,7 @@
 	 */
 	ParentHealth health(String selfId) {
 		return ParentHealth.of(this.connection.isOpen(), TreePath.usable(this.path, selfId), this.leaving.get(),
-				this.clock.millis() - this.lastHeartbeatMillis, rootAgeMillis());
+				this.clock.millis() - this.lastReceivedMillis, rootAgeMillis());
 	}
 
 	/**
--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -62,6 +62,7 @@
 		addresses.stream()
 			.filter((address) -> !address.equals(options.hello().frameAddress()))
 			.forEach((address) -> this.links.add(new Link(address)));
+		addresses.forEach(Uplink::address);
 	}
 
 	void start() {
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -186,22 +186,33 @@
 		long lastCleanupMillis = this.clock.millis();
 		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
 			long now = this.clock.millis();
-			this.children.expireLeases();
-			if (now - lastHeartbeatMillis >= TreeTimes.HEARTBEAT_MILLIS) {
-				lastHeartbeatMillis = now;
-				this.children.heartbeat();
-				this.peers.report(subtreeStatus());
-				expireOrphans(now);
+			boolean heartbeatDue = now - lastHeartbeatMillis >= TreeTimes.HEARTBEAT_MILLIS;
+			boolean cleanupDue = now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS;
+			lastHeartbeatMillis = heartbeatDue ? now : lastHeartbeatMillis;
+			lastCleanupMillis = cleanupDue ? now : lastCleanupMillis;
+			try {
+				check(now, heartbeatDue, cleanupDue);
 			}
-			if (now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS) {
-				lastCleanupMillis = now;
-				this.registry.forgetExpired(now);
+			catch (RuntimeException ex) {
+				Logger.error(ex, "distribution: A periodic check of {} failed.", this.self.id());
 			}
 		}
 	}
 
+	private void check(long now, boolean heartbeatDue, boolean cleanupDue) {
+		this.children.expireLeases();
+		if (heartbeatDue) {
+			this.children.heartbeat();
+			this.peers.report(subtreeStatus());
+			expireOrphans(now);
+		}
+		if (cleanupDue) {
+			this.registry.forgetExpired(now);
+		}
+	}
+
 	private void expireOrphans(long now) {
-		List<Endpoint> expired = this.orphans.expired(this.registry.live(), this::alive, now);
+		List<Endpoint> expired = this.orphans.expired(this.registry.entries(), this::alive, now);
 		if (!expired.isEmpty()) {
 			Logger.info("distribution: Expired {} endpoints whose parent is gone: {}.", expired.size(),
 					expired.stream().map(Endpoint::nodeId).toList());
@@ -220,6 +231,7 @@
 		long now = this.clock.millis();
 		List<Endpoint> merged = this.registry.merge(endpoints, peerId == null, now);
 		if (!merged.isEmpty()) {
+			this.children.adopt(merged);
 			this.children.announce(merged, childId);
 			this.peers.announce(merged, peerId);
 		}
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.distribution;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -14,6 +15,8 @@
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.CallFailure;
 import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.ConnectionHandler;
@@ -64,6 +67,7 @@
 		this.clock = clock;
 		this.random = random;
 		this.seeds = List.copyOf(seeds);
+		this.seeds.forEach(Uplink::address);
 		this.self = self;
 		this.backoff = new Backoff(random);
 	}
@@ -164,8 +168,7 @@
 	}
 
 	private boolean tryOne(Hop candidate, ParentCandidates candidates, Map<String, Hop> redirectors) {
-		Either<CallFailure, Connection> opened = Connection.open(address(candidate.address()), this.options,
-				this.owner.handler());
+		Either<CallFailure, Connection> opened = open(candidate.address());
 		if (opened.isLeft()) {
 			Logger.debug("distribution: {}.", opened.getLeft().reason());
 			candidates.failed(redirectors.get(candidate.address()), candidate);
@@ -192,6 +195,16 @@
 		return false;
 	}
 
+	private Either<CallFailure, Connection> open(String address) {
+		try {
+			return Connection.open(address(address), this.options, this.owner.handler());
+		}
+		catch (LavenderroadException ex) {
+			// A peer named the address, so it may be anything.
+			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, ex.getMessage()));
+		}
+	}
+
 	private boolean use(Connection connection, Accepted accepted) {
 		if (accepted.path().isEmpty() || !TreePath.usable(accepted.path(), this.self.get().nodeId())
 				|| accepted.rootAgeMillis() > TreeTimes.ROOT_AGE_LIMIT_MILLIS) {
@@ -237,10 +250,17 @@
 	 * Reads {@code ip:port}.
 	 * @param text the address
 	 * @return the socket address
+	 * @throws LavenderroadException if the text is no address
 	 */
 	static InetSocketAddress address(String text) {
 		int colon = text.lastIndexOf(':');
-		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+		try {
+			return new InetSocketAddress(InetAddress.ofLiteral(text.substring(0, Math.max(0, colon))),
+					Integer.parseInt(text.substring(colon + 1)));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new LavenderroadException("address '" + text + "' is not of the form ip:port", ex);
+		}
 	}
 
 	/**
--- a/distribution/src/test/java/io/lavenderroad/distribution/EndpointRegistryTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/EndpointRegistryTests.java
@@ -80,6 +80,9 @@
 		registry.merge(List.of(gone, kept), false, 0);
 		registry.merge(List.of(own), true, 0);
 		registry.doubt((service) -> true, 1);
+		registry.trust();
+		Assert.assertTrue(registry.unconfirmed(TEN_MINUTES).isEmpty(), "another parent may know it");
+		registry.doubt((service) -> true, 1);
 		registry.merge(List.of(kept), false, 2);
 		Assert.assertTrue(registry.unconfirmed(TreeTimes.UNCONFIRMED_MILLIS).isEmpty());
 		Assert.assertEquals(registry.unconfirmed(TreeTimes.UNCONFIRMED_MILLIS + 2),
@@ -100,15 +103,32 @@
 	@Test
 	public void endpointsOfADeadParentExpireAfterFiveSeconds() {
 		OrphanSweep sweep = new OrphanSweep();
+		EndpointRegistry registry = new EndpointRegistry();
 		Endpoint orphan = endpoint("node-1", 5, 1, EndpointState.READY, "a");
-		List<Endpoint> known = List.of(orphan);
-		Assert.assertTrue(sweep.expired(known, (id) -> false, 0).isEmpty());
-		Assert.assertTrue(sweep.expired(known, (id) -> true, 4_000).isEmpty());
-		Assert.assertTrue(sweep.expired(known, (id) -> false, 6_000).isEmpty(), "the parent was back in between");
-		Assert.assertEquals(sweep.expired(known, (id) -> false, 11_000),
+		registry.merge(List.of(orphan), true, 0);
+		Assert.assertTrue(sweep.expired(registry.entries(), (id) -> false, 0).isEmpty());
+		Assert.assertTrue(sweep.expired(registry.entries(), (id) -> true, 4_000).isEmpty());
+		Assert.assertTrue(sweep.expired(registry.entries(), (id) -> false, 6_000).isEmpty(),
+				"the parent was back in between");
+		Assert.assertEquals(sweep.expired(registry.entries(), (id) -> false, 11_000),
 				List.of(orphan.withState(EndpointState.EXPIRED)));
 	}
 
+	@Test
+	public void endpointsWhoseParentRestartedExpireUnlessAnnouncedAgain() {
+		OrphanSweep sweep = new OrphanSweep();
+		EndpointRegistry registry = new EndpointRegistry();
+		Endpoint dead = endpoint("node-1", 5, 1, EndpointState.READY, "a");
+		Endpoint alive = endpoint("node-2", 5, 1, EndpointState.READY, "a");
+		Endpoint relay = endpoint("relay", 5, 1, EndpointState.READY, "a");
+		registry.merge(List.of(dead, alive, relay), true, 0);
+		registry.merge(List.of(endpoint("relay", 6, 1, EndpointState.READY, "a")), true, 1_000);
+		registry.merge(List.of(alive.next(EndpointState.READY, "relay")), true, 2_000);
+		Assert.assertTrue(sweep.expired(registry.entries(), (id) -> true, 5_999).isEmpty());
+		Assert.assertEquals(sweep.expired(registry.entries(), (id) -> true, 6_000),
+				List.of(dead.withState(EndpointState.EXPIRED)));
+	}
+
 	static Endpoint endpoint(String nodeId, long incarnation, long sequence, EndpointState state, String service) {
 		return new Endpoint(nodeId, incarnation, sequence, state, service, "v1", "region", "east", "127.0.0.1:1", 12,
 				100, "relay");
