Add a benchmark of relay load and a soak under random faults

Cause: the budget of a relay at full size and the behaviour under combined faults were not measured.

Change: ConvergenceBenchmark takes relay and soak. The soak kills, hangs and stops nodes, restarts roots, and checks that versions never fall, no node serves below the floor, and all registries agree in the end.

--- a/distribution/src/main/java/io/lavenderroad/distribution/ConvergenceBenchmark.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ConvergenceBenchmark.java
@@ -22,7 +22,8 @@
 /**
  * Measures how fast and at what cost changes reach all nodes, over loopback sockets in
  * one process. Arguments: numbers of nodes, by default 10, 50 and 200; or {@code model}
- * for the computed comparison at the full size.
+ * for the computed comparison at the full size, or {@code relay} for the load of a relay
+ * at the full size, or {@code soak SECONDS SEED} for random faults.
  */
 public final class ConvergenceBenchmark {
 
@@ -62,7 +63,7 @@
 
 	/**
 	 * Runs the benchmark.
-	 * @param arguments numbers of nodes, or {@code model}
+	 * @param arguments numbers of nodes, {@code model}, {@code relay} or {@code soak}
 	 */
 	public static void main(String[] arguments) {
 		Locale.setDefault(Locale.ROOT);
@@ -70,6 +71,15 @@
 			FullSizeModel.print(System.out);
 			return;
 		}
+		if (List.of(arguments).equals(List.of("relay"))) {
+			RelayLoadBenchmark.run();
+			return;
+		}
+		if (arguments.length == 3 && arguments[0].equals("soak")) {
+			List<String> violations = FaultSoak.run(Integer.parseInt(arguments[1]), Long.parseLong(arguments[2]));
+			violations.forEach(System.out::println);
+			return;
+		}
 		int[] sizes = (arguments.length > 0) ? Stream.of(arguments).mapToInt(Integer::parseInt).toArray()
 				: new int[] { 10, 50, 200 };
 		List<double[]> points = new ArrayList<>();
--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -1,7 +1,6 @@
 package io.lavenderroad.distribution;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -11,6 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntFunction;
@@ -37,6 +37,8 @@
 
 	private static final MessageCatalog CATALOG = MessageCatalog.builder().addAll(DistributionMessages.types()).build();
 
+	private static final long PORT_MILLIS = 20_000;
+
 	private final List<Root> roots = new ArrayList<>();
 
 	private final List<Node> nodes = new ArrayList<>();
@@ -63,7 +65,7 @@
 	List<Root> startRoots(int count, Supplier<Optional<Long>> floor, IntFunction<LongSupplier> quorumAge) {
 		List<Root> started = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
-			started.add(new Root("control-" + index, nextIncarnation()));
+			started.add(new Root("control-" + index, nextIncarnation(), 0));
 		}
 		List<String> addresses = started.stream().map((root) -> root.address).toList();
 		for (int index = 0; index < count; index++) {
@@ -73,6 +75,21 @@
 		return started;
 	}
 
+	/**
+	 * Kills a root and starts it again at its address.
+	 * @param index index of the root
+	 * @param floor confirms the version
+	 * @return the new root, which has no configuration yet
+	 */
+	Root restartRoot(int index, Supplier<Optional<Long>> floor) {
+		Root old = this.roots.get(index);
+		old.kill();
+		Root next = new Root(old.id, nextIncarnation(), Uplink.address(old.address).getPort());
+		next.start(seeds(), floor, () -> 0);
+		this.roots.set(index, next);
+		return next;
+	}
+
 	/**
 	 * Creates a node that is not started yet.
 	 * @param id id of the node
@@ -116,14 +133,24 @@
 			.build();
 	}
 
-	private static FrameServer serve(String id, String role, long incarnation, Clock clock, Gate gate) {
-		try {
-			return FrameServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-					options(id, role, incarnation, "", clock), gate);
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException("cannot listen on loopback", ex);
+	private static FrameServer serve(String id, String role, long incarnation, int port, Clock clock, Gate gate) {
+		AtomicReference<FrameServer> server = new AtomicReference<>();
+		// A closed port is taken for a moment by connections that end, or by another
+		// process.
+		boolean started = Await.until(PORT_MILLIS, () -> {
+			try {
+				server.set(FrameServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+						options(id, role, incarnation, "", clock), gate));
+				return true;
+			}
+			catch (IOException ex) {
+				return false;
+			}
+		});
+		if (!started) {
+			throw new IllegalStateException("cannot listen on port " + port + " of loopback");
 		}
+		return server.get();
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -149,10 +176,10 @@
 
 		private RootDistribution distribution;
 
-		Root(String id, long incarnation) {
+		Root(String id, long incarnation, int port) {
 			this.id = id;
 			this.incarnation = incarnation;
-			this.server = serve(id, "control", incarnation, Clock.system(), this.gate);
+			this.server = serve(id, "control", incarnation, port, Clock.system(), this.gate);
 			this.address = text(this.server.address());
 		}
 
@@ -200,7 +227,7 @@
 
 		Node(String id, String failureDomain, String service, long incarnation, List<String> seeds) {
 			this.id = id;
-			this.server = serve(id, "node", incarnation, this.clock, this.gate);
+			this.server = serve(id, "node", incarnation, 0, this.clock, this.gate);
 			this.address = text(this.server.address());
 			this.builder = NodeDistribution.builder()
 				.options(options(id, "node", incarnation, this.address, this.clock))
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -227,7 +227,13 @@
 					.orElse(false);
 	}
 
-	private void merge(List<Endpoint> endpoints, String childId, String peerId) {
+	/**
+	 * Merges announcements and passes on what is new.
+	 * @param endpoints the announcements
+	 * @param childId child that sent them, or null
+	 * @param peerId control member that sent them, or null
+	 */
+	void merge(List<Endpoint> endpoints, String childId, String peerId) {
 		long now = this.clock.millis();
 		List<Endpoint> merged = this.registry.merge(endpoints, peerId == null, now);
 		if (!merged.isEmpty()) {
