--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -205,7 +205,8 @@
 		Endpoint next;
 		this.lock.lock();
 		try {
-			this.own = this.own.next(state, parentId());
+			// An expired entry with a parent is one whose lease ran out; this one left.
+			this.own = this.own.next(state, (state != EndpointState.EXPIRED) ? parentId() : "");
 			next = this.own;
 		}
 		finally {
@@ -244,6 +245,8 @@
 		if (this.closed) {
 			return;
 		}
+		this.uplink.session()
+			.ifPresent((session) -> session.outbox().offer(new Leaving("node " + this.self.id() + " is stopping")));
 		this.children.leave("node " + this.self.id() + " is stopping");
 		long startMillis = this.clock.millis();
 		while (this.children.size() > 0 && this.clock.millis() - startMillis < this.drainMillis) {
@@ -326,11 +329,17 @@
 	private void tick() {
 		long lastCleanupMillis = this.clock.millis();
 		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
-			this.children.expireLeases();
 			long now = this.clock.millis();
-			if (now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS) {
-				lastCleanupMillis = now;
-				cleanUp(now);
+			boolean cleanupDue = now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS;
+			lastCleanupMillis = cleanupDue ? now : lastCleanupMillis;
+			try {
+				this.children.expireLeases();
+				if (cleanupDue) {
+					cleanUp(now);
+				}
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "distribution: A periodic check of node {} failed.", this.self.id());
 			}
 		}
 	}
@@ -491,9 +500,18 @@
 	}
 
 	private void apply(ParentSession session, Object message) {
-		if (this.uplink.session().orElse(null) != session) {
-			return;
+		if (this.uplink.session().orElse(null) == session) {
+			try {
+				applyNow(session, message);
+			}
+			catch (RuntimeException ex) {
+				Logger.error(ex, "distribution: Node {} failed to apply an update.", this.self.id());
+				session.connection().close("update failed: " + ex.getMessage());
+			}
 		}
+	}
+
+	private void applyNow(ParentSession session, Object message) {
 		switch (message) {
 			case WholeSlice slice -> {
 				Outcome outcome = this.active.offer(slice.configuration(), slice.digest(), slice.everything(),
@@ -512,6 +530,7 @@
 		switch (outcome.result()) {
 			case IN_FORCE -> {
 				this.rejected = null;
+				retainScope();
 				this.children.wake();
 				changed();
 			}
@@ -529,6 +548,24 @@
 		}
 	}
 
+	private void retainScope() {
+		Scope present = scope();
+		if (!present.all()) {
+			Set<String> names = this.active.current().services().keySet();
+			this.registry.retain((service) -> names.contains(service) || present.ownServices().contains(service));
+		}
+	}
+
+	private Scope scope() {
+		this.lock.lock();
+		try {
+			return this.scope;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	private void reject(long version, String reason) {
 		Logger.warn("distribution: Node {} rejected version {}: {}.", this.self.id(), version, reason);
 		this.rejected = new RejectedVersion(this.self.id(), version, reason);
@@ -688,6 +725,7 @@
 				NodeDistribution.this.children.received(connection, message);
 				return;
 			}
+			session.received();
 			switch (message) {
 				case WholeSlice slice -> later(session, slice);
 				case Delta delta -> later(session, delta);
@@ -820,6 +858,7 @@
 		@Override
 		public void attached(ParentSession session) {
 			NodeDistribution.this.lastSession = session;
+			NodeDistribution.this.registry.trust();
 			NodeDistribution.this.attaches.incrementAndGet();
 			NodeDistribution.this.evidence.receiverChanged();
 			subscribe(session, false, false);
