Test the move decisions and bound what one second may decide

The test of a burst shorter than a lease found that four windows at 2.5 could withdraw a version; the bound is now 2 a second. The watch lasts up to an hour. An unknown policy is now a warning of the move.

--- a/bench/src/main/java/io/lavenderroad/bench/moves/MoveRun.java
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/MoveRun.java
@@ -55,6 +55,13 @@
 
 	private static final long SURGE_MILLIS = 120_000;
 
+	private static final double FAILED_VM_PART = 0.33;
+
+	/**
+	 * Three seconds of the lease and one until the expiry has arrived.
+	 */
+	private static final long LEASE_MILLIS = 4_000;
+
 	private static final List<RouteLoad> ROUTES = List.of(new RouteLoad("read", 0.6, 20),
 			new RouteLoad("write", 0.2995, 40), new RouteLoad("report", 0.1, 60), new RouteLoad("rare", 0.0005, 40));
 
@@ -96,6 +103,8 @@
 
 	private final double coldSeconds;
 
+	private final List<Double> vmFailures = new ArrayList<>();
+
 	private MoveState move;
 
 	private double noise;
@@ -137,6 +146,9 @@
 		this.dependencyLength = this.draws.uniform(0.05, 0.2) * this.deadlineMillis;
 		this.dependencyErrors = this.draws.uniform(0.1, 0.6);
 		this.coldSeconds = this.draws.uniform(20, 50);
+		for (int failure = 0; failure < 3; failure++) {
+			this.vmFailures.add(this.draws.uniform(0, 1) * this.deadlineMillis);
+		}
 	}
 
 	/**
@@ -201,8 +213,9 @@
 			long newCalls = this.draws.binomial(calls, share / (double) ServiceConfiguration.WHOLE_SHARE);
 			put(observations, route, OLD, outcome(calls - newCalls, oldErrors(now, oldLoad),
 					route.medianMillis() * commonSlowdown(now) * slowdown(oldLoad), oldLoad));
-			put(observations, route, NEW, outcome(newCalls, newErrors(now, newLoad, bad, route),
-					route.medianMillis() * commonSlowdown(now) * slowdown(newLoad) * newSlowdown(now, bad), newLoad));
+			Observations outcome = outcome(newCalls, newErrors(now, newLoad, bad, route),
+					route.medianMillis() * commonSlowdown(now) * slowdown(newLoad) * newSlowdown(now, bad), newLoad);
+			put(observations, route, NEW, vmFails(now) ? withFailedVm(outcome) : outcome);
 			count(calls, newCalls, bad);
 		}
 		return Evidence.of(observations);
@@ -230,6 +243,19 @@
 		return new Observations(run, this.draws.binomial(run, errorShare), refusals, latencies);
 	}
 
+	// Calls to a failed VM are refused until its lease ends.
+	private Observations withFailedVm(Observations outcome) {
+		long refused = this.draws.binomial(outcome.calls(), FAILED_VM_PART);
+		LatencyHistogram latencies = LatencyHistogram.EMPTY;
+		return new Observations(outcome.calls() - refused, Math.min(outcome.errors(), outcome.calls() - refused),
+				outcome.refusals() + refused, latencies);
+	}
+
+	private boolean vmFails(long now) {
+		return this.kind == VersionKind.GOOD_VMS_FAIL
+				&& this.vmFailures.stream().anyMatch((from) -> now >= from && now < from + LEASE_MILLIS);
+	}
+
 	private boolean isBadNow(long now, int share) {
 		return switch (this.kind) {
 			case FAILING_AT_ONCE, SLOW_AT_ONCE, BAD_ROUTE, BAD_COLD, BAD_DEPENDENCY -> true;
--- a/bench/src/main/java/io/lavenderroad/bench/moves/VersionKind.java
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/VersionKind.java
@@ -13,6 +13,8 @@
 
 	GOOD_SURGE("good while demand is three times capacity", false, false),
 
+	GOOD_VMS_FAIL("good while VMs of it fail", false, false),
+
 	FAILING_AT_ONCE("failing at once", true, true),
 
 	FAILING_LATE("failing late", true, false),
--- a/control/src/main/java/io/lavenderroad/control/moves/MoveController.java
+++ b/control/src/main/java/io/lavenderroad/control/moves/MoveController.java
@@ -4,10 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Function;
 
-import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.kernel.Kernel;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.Evidence;
@@ -54,8 +54,7 @@
 	public MoveController(MoveStore store, Kernel kernel) {
 		this.store = store;
 		this.policies = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name)
-			.orElseThrow(() -> new LavenderroadException("move policy '" + name + "' is not registered; known are "
-					+ kernel.names(MovePolicy.EXTENSION_POINT)));
+			.orElseGet(() -> unknownPolicy(name, kernel.names(MovePolicy.EXTENSION_POINT)));
 	}
 
 	/**
@@ -103,6 +102,14 @@
 		}
 	}
 
+	// A move that cannot be decided must not stop the other moves, so it is only warned
+	// of.
+	private static MovePolicy unknownPolicy(String name, Set<String> known) {
+		String warning = "move policy '" + name + "' is not registered; known are " + known;
+		return (situation) -> situation.move().warnings().contains(warning) ? new MoveDecision.Hold(warning)
+				: new MoveDecision.Warn(warning);
+	}
+
 	private Evidence takeReceived() {
 		this.lock.lock();
 		try {
--- a/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
@@ -189,8 +189,7 @@
 	}
 
 	private boolean isCold(long nowMillis, VersionServers newServers) {
-		boolean firstCalls = this.move.step() <= 1
-				&& nowMillis - this.move.stepMillis() < RampPlan.coldStartMillis(this.move);
+		boolean firstCalls = this.move.step() <= 1 && nowMillis - this.move.stepMillis() < RampPlan.COLD_START_MILLIS;
 		return firstCalls || newServers.youngColdServers() > 0;
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/moves/RampPlan.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/RampPlan.java
@@ -48,9 +48,20 @@
 	 */
 	private static final double ROUTE_DIFFERENCE = 0.5;
 
-	static final long LONGEST_WATCH_MILLIS = 1_800_000;
+	private static final long LONGEST_PLANNED_WATCH_MILLIS = 1_800_000;
 
-	private static final long LONGEST_COLD_START_MILLIS = 60_000;
+	/**
+	 * End of the watch when the deadline is far: the planned watch and the reserve.
+	 */
+	static final long LONGEST_WATCH_MILLIS = 3_600_000;
+
+	private static final long LONGEST_RESERVE_MILLIS = 1_800_000;
+
+	/**
+	 * Time after the first calls of the new version during which slow calls are excused:
+	 * a server that is ready may still fill its caches with its first calls.
+	 */
+	static final long COLD_START_MILLIS = 60_000;
 
 	/**
 	 * Part of the time to the deadline that is kept free for failures during the ramp,
@@ -88,13 +99,13 @@
 	}
 
 	/**
-	 * Returns how long a cold start may excuse slow calls after the first share.
+	 * Returns how long the first share waits for the cold start to end.
 	 * @param move the move
 	 * @return milliseconds
 	 */
 	static long coldStartMillis(MoveState move) {
 		long total = move.parameters().deadlineMillis() - move.startedMillis();
-		return Math.clamp(total / 10, 0, LONGEST_COLD_START_MILLIS);
+		return Math.clamp(total / 4, 0, COLD_START_MILLIS);
 	}
 
 	/**
@@ -111,7 +122,7 @@
 	 * @return milliseconds
 	 */
 	long watchMillis() {
-		return Math.clamp(this.totalMillis / 5, 1, LONGEST_WATCH_MILLIS);
+		return Math.clamp(this.totalMillis / 5, 1, LONGEST_PLANNED_WATCH_MILLIS);
 	}
 
 	/**
@@ -226,8 +237,8 @@
 		}
 		double own = needMillis(stage, this.situation.move().shareBasisPoints());
 		double remaining = own + needAfterMillis(stage);
-		double available = latestFullShiftMillis() - this.totalMillis * RESERVE_PART
-				- this.situation.move().stepMillis();
+		double reserve = Math.min(LONGEST_RESERVE_MILLIS, this.totalMillis * RESERVE_PART);
+		double available = latestFullShiftMillis() - reserve - this.situation.move().stepMillis();
 		return (available > remaining) ? own * available / remaining : own;
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/moves/SequentialComparison.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/SequentialComparison.java
@@ -51,11 +51,13 @@
 	static final double[] EFFECTS = { 2, 6, 30, 300 };
 
 	/**
-	 * Largest logarithm that one window may add. It takes at least five windows of one
-	 * second to withdraw a version, longer than the three-second lease after which the
-	 * endpoints of a failed VM or failure domain get no calls.
+	 * Largest logarithm that a window of one second or more may add; shorter windows add
+	 * less. Four seconds make at most {@code exp(8) * START_WEIGHT = 745}, which is below
+	 * the bound of 1,000, so that a version is withdrawn after the three-second lease of
+	 * a failed VM at the earliest, when its endpoints get no calls any more. 2.5 was too
+	 * much.
 	 */
-	private static final double WINDOW_LIMIT = 2.5;
+	private static final double WINDOW_LIMIT = 2;
 
 	/**
 	 * Error share tolerated on top of the usual while demand exceeds capacity, when
@@ -122,10 +124,11 @@
 		double start = this.unspent * Math.min(1, conditions.seconds() / this.horizonSeconds);
 		double[][] next = new double[this.wealth.length][];
 		double[][] gains = gains(window, conditions);
+		double limit = WINDOW_LIMIT * Math.min(1, conditions.seconds());
 		for (int scope = 0; scope < next.length; scope++) {
 			next[scope] = new double[this.wealth[scope].length];
 			for (int cell = 0; cell < next[scope].length; cell++) {
-				double gain = Math.exp(Math.min(WINDOW_LIMIT, gains[scope][cell]));
+				double gain = Math.exp(Math.min(limit, gains[scope][cell]));
 				next[scope][cell] = Math.min(LARGEST_WEALTH, (this.wealth[scope][cell] + start) * gain);
 			}
 		}
--- a/policy/src/main/java/io/lavenderroad/policy/moves/SequentialMovePolicy.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/SequentialMovePolicy.java
@@ -99,7 +99,7 @@
 		if (watched < plan.leastWatchMillis() && !hurry) {
 			return new MoveDecision.Hold("watching the new version");
 		}
-		if (isSuspicious(situation) && !deadline) {
+		if (isSuspicious(situation) && !hurry) {
 			return new MoveDecision.Hold("comparing the versions more closely");
 		}
 		if (deadline || watched >= RampPlan.LONGEST_WATCH_MILLIS) {
