--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioFailure.java
@@ -0,0 +1,16 @@
+package io.lavenderroad.bench.scenario;
+
+import io.lavenderroad.core.LavenderroadException;
+
+/**
+ * An expectation of a scenario that was not met.
+ */
+public class ScenarioFailure extends LavenderroadException {
+
+	private static final long serialVersionUID = 1L;
+
+	public ScenarioFailure(String message) {
+		super(message);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/scenario/Step.java
@@ -0,0 +1,29 @@
+package io.lavenderroad.bench.scenario;
+
+import io.lavenderroad.core.Location;
+
+/**
+ * One step of a scenario.
+ *
+ * @param title what the step does, as written in the scenario
+ * @param location where it stands
+ * @param action runs the step; throws {@link ScenarioFailure} if an expectation is not
+ * met
+ */
+public record Step(String title, Location location, Action action) {
+
+	/**
+	 * What a step does.
+	 */
+	@FunctionalInterface
+	public interface Action {
+
+		/**
+		 * Runs the step.
+		 * @param run the running deployment
+		 */
+		void run(ScenarioRun run);
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/scenario/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Scripted scenarios against real processes.
+ */
+package io.lavenderroad.bench.scenario;
