--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -28,6 +28,7 @@
 import io.lavenderroad.core.Problem;
 import io.lavenderroad.model.Change;
 import io.lavenderroad.model.ChangeOutcome;
+import io.lavenderroad.model.rendering.MeshRenderer;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
 
@@ -40,7 +41,7 @@
 	/**
 	 * Largest request body. It holds the largest change with room for escapes in JSON.
 	 */
-	public static final int LARGEST_BODY_BYTES = 4 * ChangeService.MOST_DOCUMENT_BYTES;
+	public static final int LARGEST_BODY_BYTES = 4 * MeshRenderer.MOST_DOCUMENT_BYTES;
 
 	/**
 	 * Requests with a body that are read and handled at the same time. Together with the
--- a/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -38,12 +38,6 @@
  */
 public final class ChangeService {
 
-	/**
-	 * Largest total size of the documents of one change, in bytes of UTF-8. The
-	 * parameters of 1,000 services with four keys each take about 70 KB.
-	 */
-	public static final int MOST_DOCUMENT_BYTES = 1024 * 1024;
-
 	/**
 	 * Largest encoded command, half of the default frame limit, since a command is
 	 * replicated within one frame.
@@ -271,10 +265,10 @@
 		change.put()
 			.keySet()
 			.forEach((name) -> match(DOCUMENT_NAME, name, "put", "document names such as template/shop", problems));
-		long bytes = change.put().values().stream().mapToLong(ChangeService::size).sum();
-		if (bytes > MOST_DOCUMENT_BYTES) {
-			problems.add(problem("put", bytes + " bytes of documents",
-					"at most " + MOST_DOCUMENT_BYTES + " bytes in one change; apply the teams one after the other"));
+		long bytes = MeshRenderer.totalBytes(change.put());
+		if (bytes > MeshRenderer.MOST_DOCUMENT_BYTES) {
+			problems.add(problem("put", bytes + " bytes of documents", "at most " + MeshRenderer.MOST_DOCUMENT_BYTES
+					+ " bytes in one change; apply the teams one after the other"));
 		}
 		change.removed()
 			.stream()
@@ -289,10 +283,6 @@
 		}
 	}
 
-	private static long size(String text) {
-		return text.getBytes(StandardCharsets.UTF_8).length;
-	}
-
 	private static Problem problem(String key, String found, String allowed) {
 		return new Problem(new Location("change", 0, 0, key), found, allowed);
 	}
--- a/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/MeshStateMachineTests.java
@@ -10,6 +10,7 @@
 import io.lavenderroad.model.ChangeOutcome;
 import io.lavenderroad.model.MoveState;
 import io.lavenderroad.model.MoveStatus;
+import io.lavenderroad.model.rendering.MeshRenderer;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -29,8 +30,10 @@
 		mesh.answersLost = true;
 		ChangeRefusal lost = mesh.apply("change-1", 0, STABLE).getLeft();
 		Assert.assertEquals(lost.verdict(), ExecutionVerdict.MAY_HAVE_RUN);
-		mesh.answersLost = false;
 		Assert.assertEquals(mesh.apply("change-1", 0, STABLE).get(), new ChangeOutcome("change-1", true, 1, ""));
+		byte[] repeated = mesh.stateMachine.apply(100, mesh.log.getFirst());
+		Assert.assertTrue(CommandBinding.outcomeFromBytes(repeated).applied());
+		Assert.assertTrue(mesh.stateMachine.outcome("change-1").orElseThrow().accepted());
 		Assert.assertEquals(mesh.stateMachine.configuration().version(), 1);
 		Assert.assertEquals(mesh.stateMachine.history(10).size(), 1);
 	}
@@ -105,7 +108,7 @@
 	@Test
 	public void changeThatDoesNotFitIntoAFrameIsRefused() {
 		TestMesh mesh = new TestMesh();
-		String comment = "# " + "x".repeat(ChangeService.MOST_DOCUMENT_BYTES) + "\n";
+		String comment = "# " + "x".repeat(MeshRenderer.MOST_DOCUMENT_BYTES) + "\n";
 		ChangeRefusal refusal = mesh.apply("change-1", 0, STABLE + comment).getLeft();
 		Assert.assertEquals(refusal.verdict(), ExecutionVerdict.NOT_RUN);
 		Assert.assertEquals(refusal.problems().size(), 1);
--- a/model/src/main/java/io/lavenderroad/model/rendering/MeshRenderer.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/MeshRenderer.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.model.rendering;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -22,6 +23,12 @@
  */
 public final class MeshRenderer {
 
+	/**
+	 * Largest total size of the documents of one change, in bytes of UTF-8. The
+	 * parameters of 1,000 services with four keys each take about 70 KB.
+	 */
+	public static final int MOST_DOCUMENT_BYTES = 1024 * 1024;
+
 	static final String KIND_KEY = "kind";
 
 	private static final String TEMPLATE = "template";
@@ -70,6 +77,15 @@
 		});
 	}
 
+	/**
+	 * Returns the total size of documents.
+	 * @param documents texts of documents by name
+	 * @return bytes of UTF-8
+	 */
+	public static long totalBytes(Map<String, String> documents) {
+		return documents.values().stream().mapToLong((text) -> text.getBytes(StandardCharsets.UTF_8).length).sum();
+	}
+
 	private Either<Seq<Problem>, RenderedMesh> renderAll(SortedMap<String, String> documents) {
 		SortedMap<String, String> parameters = new TreeMap<>();
 		documents.forEach((source, text) -> {
--- a/model/src/main/java/io/lavenderroad/model/rendering/ParameterType.java
+++ b/model/src/main/java/io/lavenderroad/model/rendering/ParameterType.java
@@ -4,6 +4,7 @@
 import java.time.OffsetDateTime;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
@@ -215,7 +216,7 @@
 	 * @return percent, such as {@code 12.5%}
 	 */
 	public static String percent(int basisPoints) {
-		String hundredths = String.format("%02d", basisPoints % 100).replaceAll("0+$", "");
+		String hundredths = String.format(Locale.ROOT, "%02d", basisPoints % 100).replaceAll("0+$", "");
 		return (basisPoints / 100) + (hundredths.isEmpty() ? "" : "." + hundredths) + "%";
 	}
 
--- a/model/src/test/java/io/lavenderroad/model/rendering/DifferenceTests.java
+++ b/model/src/test/java/io/lavenderroad/model/rendering/DifferenceTests.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.model.rendering;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import io.lavenderroad.model.MeshConfiguration;
@@ -57,6 +58,21 @@
 		Assert.assertTrue(Difference.between(before, after).isEmpty());
 	}
 
+	/**
+	 * Members keep these texts in their snapshots, which must be equal.
+	 */
+	@Test
+	public void localeOfAMemberDoesNotChangeTheTexts() {
+		Locale usual = Locale.getDefault();
+		try {
+			Locale.setDefault(Locale.forLanguageTag("ar-EG-u-nu-arab"));
+			Assert.assertEquals(ParameterType.percent(1_205), "12.05%");
+		}
+		finally {
+			Locale.setDefault(usual);
+		}
+	}
+
 	private static ServiceConfiguration.Builder service(String name) {
 		return ServiceConfiguration.builder(name).versions(List.of("v1", "v2", "v3")).split(Map.of("v1", 10_000));
 	}
