Pass the addresses of the roots down the tree

Cause: nodes knew control members only from their settings, so a mesh whose members were all replaced over time would not take nodes back. Evidence of a long partition arrived in one lump afterwards. Two tests read the first hop of a path that is empty while a node is detached, and failed with an exception in place of waiting.

Change: RootDistribution.peers sets the members after a change of the membership, and nodes try the announced roots beside their seeds. Evidence is dropped after 5 s without a receiver, and the drop is counted. The tests wait until the path starts at one of the expected roots.

Conclusion: membership changes need no change of the settings of nodes.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -20,6 +20,7 @@
 import io.lavenderroad.distribution.DistributionMessages.PathUpdate;
 import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
 import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.Roots;
 import io.lavenderroad.distribution.DistributionMessages.Subscribe;
 import io.lavenderroad.distribution.DistributionMessages.SubscribeAgain;
 import io.lavenderroad.distribution.DistributionMessages.WholeSlice;
@@ -62,6 +63,8 @@
 
 	private volatile List<Hop> sentPath = List.of();
 
+	private volatile List<String> sentRoots = List.of();
+
 	private volatile boolean subscribed;
 
 	private final ArrayDeque<Long> redirectedMillis = new ArrayDeque<>();
@@ -178,6 +181,7 @@
 		// The path may have changed after the answer to the attach request was written.
 		this.subscribed = true;
 		path(this.owner.path());
+		roots(this.owner.roots());
 		this.lock.lock();
 		try {
 			this.version = subscribe.version();
@@ -235,6 +239,17 @@
 		}
 	}
 
+	/**
+	 * Tells the child where the roots are unless it was told before.
+	 * @param addresses addresses of all roots
+	 */
+	void roots(List<String> addresses) {
+		if (!addresses.isEmpty() && !addresses.equals(this.sentRoots)) {
+			this.sentRoots = addresses;
+			this.outbox.offer(new Roots(addresses));
+		}
+	}
+
 	/**
 	 * Notes the path of the answer to the attach request.
 	 * @param path from the root to the parent
--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -81,6 +81,10 @@
 		return this.parent.path();
 	}
 
+	List<String> roots() {
+		return this.parent.roots();
+	}
+
 	/**
 	 * Tells whether slices for children can be taken from the version in force.
 	 * @return true if it holds all services
@@ -205,6 +209,14 @@
 		this.byConnection.values().stream().filter(Child::hasSubscribed).forEach((child) -> child.path(path));
 	}
 
+	/**
+	 * Tells the children that other control members form the roots.
+	 * @param addresses addresses of all roots
+	 */
+	void rootsChanged(List<String> addresses) {
+		this.byConnection.values().stream().filter(Child::hasSubscribed).forEach((child) -> child.roots(addresses));
+	}
+
 	/**
 	 * Returns the sum of the reports of the children.
 	 * @return the sum, one level up
@@ -382,6 +394,12 @@
 
 		long rootAgeMillis();
 
+		/**
+		 * Returns the addresses of the roots.
+		 * @return {@code ip:port} of each, empty if unknown
+		 */
+		List<String> roots();
+
 		/**
 		 * Makes sure that this process holds all services, as a relay needs.
 		 * @return false if they are not here in time
--- a/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessages.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessages.java
@@ -83,7 +83,9 @@
 						(unpacker) -> new Leaving(unpacker.unpackString())),
 				new MessageType<>(220, PeerHello.class,
 						(message, packer) -> packer.packString(message.memberId()).packLong(message.incarnation()),
-						(unpacker) -> new PeerHello(unpacker.unpackString(), unpacker.unpackLong())));
+						(unpacker) -> new PeerHello(unpacker.unpackString(), unpacker.unpackLong())),
+				new MessageType<>(221, Roots.class, (message, packer) -> packNames(message.addresses(), packer),
+						(unpacker) -> new Roots(names(unpacker))));
 	}
 
 	private static void packAttach(Attach message, MessagePacker packer) throws IOException {
@@ -354,6 +356,15 @@
 	record Leaving(String reason) implements DistributionMessage {
 	}
 
+	/**
+	 * Where the control members are now. It is passed down the tree, so that nodes find
+	 * the roots after all members that their settings name were replaced.
+	 *
+	 * @param addresses {@code ip:port} of each
+	 */
+	record Roots(List<String> addresses) implements DistributionMessage {
+	}
+
 	/**
 	 * First request of a control member to another one; the answer holds its digests.
 	 *
--- a/distribution/src/main/java/io/lavenderroad/distribution/EvidenceSender.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/EvidenceSender.java
@@ -35,6 +35,8 @@
 
 	private long sequence;
 
+	private long aloneMillis;
+
 	private long lost;
 
 	void add(Evidence evidence) {
@@ -48,12 +50,19 @@
 	}
 
 	/**
-	 * Drops what was not sent.
+	 * Notes that there is no receiver now. Evidence is dropped after 5 s without one: all
+	 * that was collected during a long partition would otherwise count for the step of a
+	 * move that is in progress when the partition ends.
+	 * @param now milliseconds of the clock
 	 */
-	void discard() {
+	void noReceiver(long now) {
 		this.lock.lock();
 		try {
-			this.pending = Evidence.NONE;
+			this.aloneMillis = (this.aloneMillis == 0) ? now : this.aloneMillis;
+			if (now - this.aloneMillis > TreeTimes.EVIDENCE_MILLIS && !this.pending.isEmpty()) {
+				this.pending = Evidence.NONE;
+				this.lost++;
+			}
 		}
 		finally {
 			this.lock.unlock();
@@ -132,6 +141,7 @@
 	Report next(String receiver, SubtreeStatus status, long now) {
 		this.lock.lock();
 		try {
+			this.aloneMillis = 0;
 			if (this.inDoubt != null && receiver.equals(this.inDoubtReceiver)) {
 				return this.inDoubt;
 			}
--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -65,7 +65,7 @@
 	List<Root> startRoots(int count, Supplier<Optional<Long>> floor, IntFunction<LongSupplier> quorumAge) {
 		List<Root> started = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
-			started.add(new Root("control-" + index, nextIncarnation(), 0));
+			started.add(new Root("control-" + (this.roots.size() + index), nextIncarnation(), 0));
 		}
 		List<String> addresses = started.stream().map((root) -> root.address).toList();
 		for (int index = 0; index < count; index++) {
@@ -191,7 +191,7 @@
 				.quorumAgeMillis(quorumAge)
 				.evidenceListener(this.evidence::add)
 				.build();
-			this.gate.target = this.distribution.handler();
+			this.gate.target(this.distribution.handler());
 			this.distribution.start();
 		}
 
@@ -236,7 +236,7 @@
 				.endpoint(new Endpoint(id, incarnation, 0, EndpointState.READY, service, "v1", "region", failureDomain,
 						this.address, 12, 100, ""))
 				.outgoing((target) -> {
-					this.gate.target = target;
+					this.gate.target(target);
 					return this.gate;
 				});
 		}
@@ -295,16 +295,23 @@
 	}
 
 	/**
-	 * Holds messages back while its node hangs.
+	 * Holds messages back until its process is built and while it hangs.
 	 */
 	private static final class Gate implements ConnectionHandler {
 
 		private final CountDownLatch open = new CountDownLatch(1);
 
+		private final CountDownLatch built = new CountDownLatch(1);
+
 		private volatile ConnectionHandler target;
 
 		private volatile boolean hanging;
 
+		void target(ConnectionHandler handler) {
+			this.target = handler;
+			this.built.countDown();
+		}
+
 		@Override
 		public void received(Connection connection, Object message) {
 			pass();
@@ -319,15 +326,17 @@
 
 		@Override
 		public void closed(Connection connection, String reason) {
-			this.target.closed(connection, reason);
+			if (this.target != null) {
+				this.target.closed(connection, reason);
+			}
 		}
 
 		private void pass() {
-			if (!this.hanging) {
-				return;
-			}
 			try {
-				this.open.await();
+				this.built.await();
+				if (this.hanging) {
+					this.open.await();
+				}
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -41,6 +42,7 @@
 import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
 import io.lavenderroad.distribution.DistributionMessages.RegistryRequest;
 import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.Roots;
 import io.lavenderroad.distribution.DistributionMessages.Subscribe;
 import io.lavenderroad.distribution.DistributionMessages.SubscribeAgain;
 import io.lavenderroad.distribution.DistributionMessages.WholeSlice;
@@ -88,6 +90,8 @@
 
 	private final RandomGenerator random;
 
+	private final List<String> seeds;
+
 	private final long drainMillis;
 
 	private final ReentrantLock lock = new ReentrantLock();
@@ -106,6 +110,8 @@
 
 	private volatile ParentSession lastSession;
 
+	private volatile List<String> roots = List.of();
+
 	private volatile boolean floorConfirmed;
 
 	private volatile long floor;
@@ -116,6 +122,8 @@
 
 	private NodeDistribution(Builder builder) {
 		this.options = Objects.requireNonNull(builder.options, "options");
+		this.seeds = builder.seeds;
+		this.seeds.forEach(Uplink::address);
 		this.clock = builder.clock;
 		this.random = builder.random;
 		this.own = Objects.requireNonNull(builder.endpoint, "endpoint");
@@ -129,7 +137,7 @@
 				file.<ActiveConfiguration.Memory>map((value) -> value).orElse(ActiveConfiguration.Memory.NONE));
 		file.flatMap(VersionFile::load).ifPresent(this::restore);
 		this.children = new Children(new NodeParent(), Placement.RELAY, builder.attachesPerSecond);
-		this.uplink = new Uplink(new NodeUplink(), this.options, this.clock, builder.random, builder.seeds,
+		this.uplink = new Uplink(new NodeUplink(), this.options, this.clock, builder.random, this::seeds,
 				this::ownEndpoint);
 	}
 
@@ -284,6 +292,20 @@
 		}
 	}
 
+	private List<String> seeds() {
+		Set<String> all = new LinkedHashSet<>(this.seeds);
+		all.addAll(this.roots);
+		return List.copyOf(all);
+	}
+
+	/**
+	 * Returns the roots that the parent named.
+	 * @return addresses, empty before the first attachment
+	 */
+	List<String> roots() {
+		return this.roots;
+	}
+
 	private String parentId() {
 		return this.uplink.session().map((session) -> session.parent().id()).orElse("");
 	}
@@ -366,7 +388,8 @@
 		// A random start spreads the reports of nodes that started together.
 		boolean running = sleep(this.random.nextLong(TreeTimes.REPORT_MILLIS) + 1);
 		while (running && !this.closed) {
-			this.uplink.session().ifPresent(this::sendReport);
+			this.uplink.session()
+				.ifPresentOrElse(this::sendReport, () -> this.evidence.noReceiver(this.clock.millis()));
 			running = sleep(TreeTimes.REPORT_MILLIS);
 		}
 	}
@@ -737,6 +760,7 @@
 				case EndpointUpdate update -> endpointsFromAbove(update.endpoints());
 				case RegistryDigests digests -> compareRegistry(session, digests.digests());
 				case SubscribeAgain again -> subscribe(session, true, again.whole());
+				case Roots announced -> rootsChanged(announced.addresses());
 				case PathUpdate update -> pathChanged(session, update.path());
 				case Leaving leaving -> {
 					session.parentIsLeaving();
@@ -777,6 +801,11 @@
 			}
 		}
 
+		private void rootsChanged(List<String> addresses) {
+			NodeDistribution.this.roots = addresses;
+			NodeDistribution.this.children.rootsChanged(addresses);
+		}
+
 		private void pathChanged(ParentSession session, List<Hop> path) {
 			if (path.isEmpty()) {
 				return;
@@ -823,6 +852,11 @@
 			return NodeDistribution.this.rootAgeMillis();
 		}
 
+		@Override
+		public List<String> roots() {
+			return NodeDistribution.this.roots;
+		}
+
 		@Override
 		public boolean prepareToRelay() {
 			return widen();
--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -1,6 +1,5 @@
 package io.lavenderroad.distribution;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +8,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
@@ -28,7 +29,8 @@
 
 /**
  * Links between control members. Each member opens one link to each other one and pushes
- * what it knows over it, so that two links serve each pair.
+ * what it knows over it, so that two links serve each pair. The lock guards changes of
+ * the set of links.
  */
 final class Peers {
 
@@ -42,7 +44,9 @@
 
 	private final ConnectionHandler handler;
 
-	private final List<Link> links = new ArrayList<>();
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final List<Link> links = new CopyOnWriteArrayList<>();
 
 	private final Map<Connection, Inbound> inbound = new ConcurrentHashMap<>();
 
@@ -50,6 +54,8 @@
 
 	private final ByteCount bytes = new ByteCount();
 
+	private volatile boolean started;
+
 	private volatile boolean closed;
 
 	Peers(WireOptions options, Clock clock, RandomGenerator random, List<String> addresses, EndpointRegistry registry,
@@ -59,16 +65,51 @@
 		this.random = random;
 		this.registry = registry;
 		this.handler = handler;
-		addresses.stream()
-			.filter((address) -> !address.equals(options.hello().frameAddress()))
-			.forEach((address) -> this.links.add(new Link(address)));
-		addresses.forEach(Uplink::address);
+		addresses.forEach(this::add);
 	}
 
 	void start() {
+		this.started = true;
 		this.links.forEach(Link::start);
 	}
 
+	/**
+	 * Replaces the members to link to.
+	 * @param addresses address of each other member
+	 */
+	void set(List<String> addresses) {
+		this.lock.lock();
+		try {
+			for (Link link : this.links) {
+				if (!addresses.contains(link.address)) {
+					this.links.remove(link);
+					link.remove();
+				}
+			}
+			List<String> present = addresses();
+			addresses.stream().filter((address) -> !present.contains(address)).forEach(this::add);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	List<String> addresses() {
+		return this.links.stream().map((link) -> link.address).toList();
+	}
+
+	private void add(String address) {
+		Uplink.address(address);
+		if (address.equals(this.options.hello().frameAddress())) {
+			return;
+		}
+		Link link = new Link(address);
+		this.links.add(link);
+		if (this.started) {
+			link.start();
+		}
+	}
+
 	ByteCount bytes() {
 		return this.bytes;
 	}
@@ -148,6 +189,9 @@
 
 	void report(SubtreeStatus status) {
 		for (Link link : this.links) {
+			if (link.connection == null) {
+				link.evidence.noReceiver(this.clock.millis());
+			}
 			link.status = status;
 			link.reportDue = true;
 			link.outbox.wake();
@@ -202,6 +246,8 @@
 
 		private volatile boolean reportDue;
 
+		private volatile boolean removed;
+
 		Link(String address) {
 			this.address = address;
 		}
@@ -222,6 +268,11 @@
 			}
 		}
 
+		void remove() {
+			this.removed = true;
+			close("control member was removed");
+		}
+
 		void close(String reason) {
 			Connection present = this.connection;
 			if (present != null) {
@@ -233,7 +284,7 @@
 		private void run() {
 			Backoff backoff = new Backoff(Peers.this.random);
 			try {
-				while (!Peers.this.closed) {
+				while (!Peers.this.closed && !this.removed) {
 					if (connect()) {
 						backoff.reset();
 						push();
@@ -264,7 +315,8 @@
 			}
 			this.evidence.receiverChanged();
 			this.connection = next;
-			if (!next.isOpen()) {
+			if (!next.isOpen() || this.removed) {
+				next.close("control member was removed");
 				this.connection = null;
 				return false;
 			}
@@ -283,7 +335,7 @@
 
 		private void push() throws InterruptedException {
 			Connection present = this.connection;
-			while (present != null && present.isOpen() && !Peers.this.closed) {
+			while (present != null && present.isOpen() && !Peers.this.closed && !this.removed) {
 				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
 					present.send(message);
 				}
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -109,6 +110,16 @@
 		}
 	}
 
+	/**
+	 * Sets the other control members after a change of the membership. Nodes learn of it
+	 * and try these addresses beside those of their settings.
+	 * @param addresses {@code ip:port} of each other member
+	 */
+	public void peers(List<String> addresses) {
+		this.peers.set(addresses);
+		this.children.rootsChanged(roots());
+	}
+
 	/**
 	 * Returns how far the nodes of the mesh are.
 	 * @return the status as reported
@@ -220,6 +231,12 @@
 		}
 	}
 
+	private List<String> roots() {
+		TreeSet<String> addresses = new TreeSet<>(this.peers.addresses());
+		addresses.add(this.self.address());
+		return List.copyOf(addresses);
+	}
+
 	private boolean alive(String processId) {
 		return processId.equals(this.self.id()) || this.peers.connected(processId)
 				|| this.registry.find(processId)
@@ -466,6 +483,11 @@
 			return RootDistribution.this.quorumAgeMillis.getAsLong();
 		}
 
+		@Override
+		public List<String> roots() {
+			return RootDistribution.this.roots();
+		}
+
 		@Override
 		public boolean prepareToRelay() {
 			return true;
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -62,6 +62,11 @@
 	 */
 	static final long REDIRECT_MEMORY_MILLIS = 2_000;
 
+	/**
+	 * How long evidence is kept while there is nobody to send it to.
+	 */
+	static final long EVIDENCE_MILLIS = 5_000;
+
 	/**
 	 * How long an endpoint is kept that the parent does not know. The parent may itself
 	 * be waiting for announcements after a restart.
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -44,7 +44,7 @@
 
 	private final RandomGenerator random;
 
-	private final List<String> seeds;
+	private final Supplier<List<String>> seeds;
 
 	private final Supplier<Endpoint> self;
 
@@ -60,14 +60,13 @@
 
 	private String lostParent;
 
-	Uplink(Owner owner, WireOptions options, Clock clock, RandomGenerator random, List<String> seeds,
+	Uplink(Owner owner, WireOptions options, Clock clock, RandomGenerator random, Supplier<List<String>> seeds,
 			Supplier<Endpoint> self) {
 		this.owner = owner;
 		this.options = options;
 		this.clock = clock;
 		this.random = random;
-		this.seeds = List.copyOf(seeds);
-		this.seeds.forEach(Uplink::address);
+		this.seeds = seeds;
 		this.self = self;
 		this.backoff = new Backoff(random);
 	}
@@ -229,7 +228,7 @@
 	}
 
 	private List<String> shuffledSeeds() {
-		List<String> shuffled = new ArrayList<>(this.seeds);
+		List<String> shuffled = new ArrayList<>(this.seeds.get());
 		Collections.shuffle(shuffled, Random.from(this.random));
 		return shuffled;
 	}
--- a/distribution/src/test/java/io/lavenderroad/distribution/EvidenceSenderTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/EvidenceSenderTests.java
@@ -71,6 +71,18 @@
 		Assert.assertEquals(calls(sender.next("parent/3", SubtreeStatus.EMPTY, 0).evidence()), 3);
 	}
 
+	@Test
+	public void evidenceOfALongPartitionIsNotCountedLater() {
+		EvidenceSender sender = new EvidenceSender();
+		sender.add(evidence(3));
+		sender.noReceiver(1_000);
+		sender.noReceiver(6_000);
+		Assert.assertEquals(sender.lost(), 0);
+		sender.noReceiver(6_001);
+		Assert.assertEquals(sender.lost(), 1);
+		Assert.assertTrue(sender.next("parent/1", SubtreeStatus.EMPTY, 7_000).evidence().isEmpty());
+	}
+
 	@Test
 	public void restartedSenderStartsItsNumbersAgain() {
 		ReportLedger ledger = new ReportLedger();
--- a/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
@@ -148,7 +148,7 @@
 		DistributionTests.await(() -> this.mesh.nodes()
 			.stream()
 			.allMatch((node) -> node.version() == this.configuration.version()
-					&& !node.distribution().status().path().getFirst().equals(roots.get(1).id)));
+					&& Set.of(roots.get(0).id, roots.get(2).id).contains(rootOf(node))));
 		DistributionTests.await(() -> roots.getFirst().distribution().registry().live("a").size() == NODES);
 	}
 
@@ -195,6 +195,19 @@
 		DistributionTests.await(() -> root.distribution().status().rejected().isEmpty());
 	}
 
+	@Test
+	public void nodesFindARootThatTheirSettingsDoNotName() {
+		Root first = startTree(1);
+		Root second = startRoots(1).getFirst();
+		second.distribution().peers(List.of(first.address));
+		first.distribution().peers(List.of(second.address));
+		DistributionTests.await(() -> this.mesh.nodes()
+			.stream()
+			.allMatch((node) -> node.distribution().roots().contains(second.address)));
+		first.kill();
+		DistributionTests.await(() -> this.mesh.nodes().stream().allMatch((node) -> rootOf(node).equals(second.id)));
+	}
+
 	@Test
 	public void isolatedRootIsLeft() {
 		AtomicBoolean isolated = new AtomicBoolean();
@@ -204,9 +217,8 @@
 		startNodes();
 		isolated.set(true);
 		change(40);
-		DistributionTests.await(() -> this.mesh.nodes()
-			.stream()
-			.allMatch((node) -> node.distribution().status().path().getFirst().equals(roots.get(1).id)));
+		DistributionTests
+			.await(() -> this.mesh.nodes().stream().allMatch((node) -> rootOf(node).equals(roots.get(1).id)));
 	}
 
 	private Root startTree(int roots) {
@@ -237,6 +249,10 @@
 			.orElseThrow();
 	}
 
+	private static String rootOf(Node node) {
+		return node.distribution().status().path().stream().findFirst().orElse("");
+	}
+
 	private void change(int timeoutMillis) {
 		ServiceConfiguration service = DistributionTests.service("a", timeoutMillis, Set.of())
 			.toBuilder()
