Keep comparing under a new leader after the full shift

A leader elected during the watch had no recorded latencies and compared none; it now records them from the small share left on the old version.

--- a/bench/src/main/java/io/lavenderroad/bench/moves/RunResult.java
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/RunResult.java
@@ -34,6 +34,10 @@
 		return this.firstBadMillis >= 0;
 	}
 
+	double secondsFromVerdictToZero() {
+		return isTakenBack() ? (this.lastBadMillis - this.finishedMillis) / 1_000.0 + 1 : 0;
+	}
+
 	double secondsToZero() {
 		return (this.lastBadMillis - this.firstBadMillis) / 1_000.0 + 1;
 	}
--- a/control/src/main/java/io/lavenderroad/control/moves/MoveController.java
+++ b/control/src/main/java/io/lavenderroad/control/moves/MoveController.java
@@ -31,7 +31,8 @@
  * goes on from there: it repeats no step and goes back only by a withdrawal. It lacks the
  * evidence collected so far, including the recorded baseline of the old version, and
  * therefore stays at the present share until it has collected the evidence of the present
- * step itself. The false-alarm rate holds for each leader.
+ * step itself. After the full shift it records the baseline anew from the small share
+ * left on the old version. The false-alarm rate holds for each leader.
  *
  * <p>
  * Thread-safe. One lock guards the evidence; a proposal is made without the lock, so that
--- a/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
@@ -34,6 +34,8 @@
 
 	private final MoveState move;
 
+	private final boolean startedAfterShift;
+
 	private final long fromMillis;
 
 	private final long toMillis;
@@ -48,9 +50,10 @@
 
 	private final RecentLoad recent;
 
-	private MoveEvidence(MoveState move, long fromMillis, long toMillis, Evidence sinceStart, Evidence sinceStep,
-			SequentialComparison comparison, Map<String, VersionPair> pending, RecentLoad recent) {
+	private MoveEvidence(MoveState move, boolean startedAfterShift, long fromMillis, long toMillis, Evidence sinceStart,
+			Evidence sinceStep, SequentialComparison comparison, Map<String, VersionPair> pending, RecentLoad recent) {
 		this.move = move;
+		this.startedAfterShift = startedAfterShift;
 		this.fromMillis = fromMillis;
 		this.toMillis = toMillis;
 		this.sinceStart = sinceStart;
@@ -69,8 +72,9 @@
 	 */
 	public static MoveEvidence start(MoveState move, List<String> routes, long nowMillis) {
 		double horizonSeconds = Math.max(60_000, move.parameters().deadlineMillis() - nowMillis) / 1_000.0;
-		return new MoveEvidence(move, nowMillis, nowMillis, Evidence.NONE, Evidence.NONE,
-				SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds), Map.of(), RecentLoad.NONE);
+		return new MoveEvidence(move, move.shareBasisPoints() > BASELINE_LIMIT, nowMillis, nowMillis, Evidence.NONE,
+				Evidence.NONE, SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds), Map.of(),
+				RecentLoad.NONE);
 	}
 
 	/**
@@ -80,7 +84,7 @@
 	 */
 	public MoveEvidence at(MoveState state) {
 		boolean sameStep = state.step() == this.move.step();
-		return new MoveEvidence(state, this.fromMillis, this.toMillis, this.sinceStart,
+		return new MoveEvidence(state, this.startedAfterShift, this.fromMillis, this.toMillis, this.sinceStart,
 				sameStep ? this.sinceStep : Evidence.NONE, this.comparison, sameStep ? this.pending : Map.of(),
 				this.recent);
 	}
@@ -102,12 +106,15 @@
 		pairs(own).forEach((route, pair) -> window.merge(route, pair, VersionPair::plus));
 		Map<String, VersionPair> complete = new HashMap<>();
 		Map<String, VersionPair> incomplete = new HashMap<>();
-		boolean baseline = this.move.shareBasisPoints() <= BASELINE_LIMIT;
+		// A leader that starts after the shift has no better baseline than the small
+		// share
+		// left on the old version.
+		boolean baseline = this.startedAfterShift || this.move.shareBasisPoints() <= BASELINE_LIMIT;
 		window.forEach((route, pair) -> ((pair.isComparable() || this.move.step() == 0) ? complete : incomplete)
 			.put(route, pair));
 		SequentialComparison next = this.comparison.plus(complete, conditions, baseline);
-		return new MoveEvidence(this.move, this.fromMillis, nowMillis, this.sinceStart.plus(own),
-				this.sinceStep.plus(own), next, incomplete, recent(own, seconds));
+		return new MoveEvidence(this.move, this.startedAfterShift, this.fromMillis, nowMillis,
+				this.sinceStart.plus(own), this.sinceStep.plus(own), next, incomplete, recent(own, seconds));
 	}
 
 	/**
--- a/policy/src/main/java/io/lavenderroad/policy/moves/SequentialComparison.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/SequentialComparison.java
@@ -50,15 +50,6 @@
 	 */
 	static final double[] EFFECTS = { 2, 6, 30, 300 };
 
-	/**
-	 * Largest logarithm that a window of one second or more may add; shorter windows add
-	 * less. Four seconds make at most {@code exp(8) * START_WEIGHT = 745}, which is below
-	 * the bound of 1,000, so that a version is withdrawn after the three-second lease of
-	 * a failed VM at the earliest, when its endpoints get no calls any more. 2.5 was too
-	 * much.
-	 */
-	private static final double WINDOW_LIMIT = 2;
-
 	/**
 	 * Error share tolerated on top of the usual while demand exceeds capacity, when
 	 * time-outs are the fault of the demand.
@@ -124,10 +115,11 @@
 		double start = this.unspent * Math.min(1, conditions.seconds() / this.horizonSeconds);
 		double[][] next = new double[this.wealth.length][];
 		double[][] gains = gains(window, conditions);
-		double limit = WINDOW_LIMIT * Math.min(1, conditions.seconds());
+		double part = Math.min(1, conditions.seconds());
 		for (int scope = 0; scope < next.length; scope++) {
 			next[scope] = new double[this.wealth[scope].length];
 			for (int cell = 0; cell < next[scope].length; cell++) {
+				double limit = part * Signal.values()[cell / EFFECTS.length].limit();
 				double gain = Math.exp(Math.min(limit, gains[scope][cell]));
 				next[scope][cell] = Math.min(LARGEST_WEALTH, (this.wealth[scope][cell] + start) * gain);
 			}
