--- a/bench/src/main/java/io/lavenderroad/bench/moves/MoveBenchmark.java
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/MoveBenchmark.java
@@ -14,6 +14,7 @@
 import io.lavenderroad.core.kernel.Kernel;
 import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.ThinEvidence;
+import io.lavenderroad.policy.moves.LocalComparison;
 import io.lavenderroad.policy.moves.MoveEvidence;
 
 /**
@@ -26,6 +27,8 @@
 
 	private static final double EXPOSURE_TARGET = 0.01;
 
+	private static final int LOCAL_SECONDS = 300;
+
 	private static final double TO_ZERO_TARGET_SECONDS = 5;
 
 	/**
@@ -66,6 +69,8 @@
 
 	private double longestToZero;
 
+	private long localAlarms;
+
 	private MoveBenchmark() {
 	}
 
@@ -111,10 +116,41 @@
 					lines(out, pool, kernel, policy, thin);
 				}
 			}
+			local(out, pool);
 		}
 		return conclude(out);
 	}
 
+	private void local(PrintStream out, ForkJoinPool pool) {
+		out.println();
+		out.println("| one node, calls/s | share of the new version | errors added | nodes that stop | s p50 / p99 |");
+		out.println("|---|---|---|---|---|");
+		for (double rate : new double[] { 10, 88 }) {
+			for (int share : new int[] { 500, 5_000, 9_500 }) {
+				for (double errors : new double[] { 0.2, 1 }) {
+					localLine(out, pool, rate, share, errors, this.seeds);
+				}
+			}
+		}
+		this.localAlarms = localLine(out, pool, 88, 5_000, 0, LocalComparison.NODES);
+	}
+
+	private long localLine(PrintStream out, ForkJoinPool pool, double rate, int share, double errors, int nodes) {
+		double[] seconds = pool
+			.submit(() -> IntStream.range(0, nodes)
+				.parallel()
+				.mapToDouble((index) -> LocalRun.secondsUntilStop(this.firstSeed + index, rate, share, errors,
+						LOCAL_SECONDS))
+				.filter((second) -> second >= 0)
+				.sorted()
+				.toArray())
+			.join();
+		out.printf(Locale.ROOT, "| %.0f | %.0f%% | %s | %d/%d | %s |%n", rate, share / 100.0,
+				(errors > 0) ? String.format(Locale.ROOT, "%.0f%%", errors * 100) : "none, a dependency fails",
+				seconds.length, nodes, quantiles(seconds));
+		return seconds.length;
+	}
+
 	private void lines(PrintStream out, ForkJoinPool pool, Kernel kernel, String policy, ThinEvidence thin) {
 		List<String> groups = ServiceSize.ALL.stream().map(ServiceSize::group).distinct().toList();
 		for (String group : groups) {
@@ -254,6 +290,10 @@
 		if (this.longestToZero > TO_ZERO_TARGET_SECONDS) {
 			this.misses.add("zero traffic too late after the verdict");
 		}
+		out.printf("- no false alarm of any of %d nodes: %d%n", LocalComparison.NODES, this.localAlarms);
+		if (this.localAlarms > 0) {
+			this.misses.add("nodes stopped a good version");
+		}
 		double expected = this.goodRuns * MoveEvidence.FALSE_ALARM_RATE;
 		// More than the stated rate explains with a probability of 99%.
 		if (this.falseAlarms > expected + 2.33 * Math.sqrt(expected) + 1) {
