--- a/bench/src/main/java/io/lavenderroad/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/io/lavenderroad/bench/load/LoadGenerator.java
@@ -209,7 +209,7 @@
 			return answered(kind, id, response, System.nanoTime() - start);
 		}
 		catch (IOException ex) {
-			this.counts.add("none", STATUS_UNKNOWN, "", 0);
+			this.counts.add("none", STATUS_UNKNOWN, "no answer", "", 0);
 			record(id, ExecutionVerdict.MAY_HAVE_RUN, "", true);
 			return ExecutionVerdict.MAY_HAVE_RUN;
 		}
@@ -222,7 +222,9 @@
 	private ExecutionVerdict answered(CallKind kind, String id, HttpResponse<String> response, long nanos) {
 		String label = response.headers().firstValue("Mesh-Verdict").orElse("none");
 		String version = response.headers().firstValue("Mesh-Version").orElse("");
-		this.counts.add(label, response.statusCode(), version.isEmpty() ? "" : kind.service() + " " + version, nanos);
+		String reason = response.headers().firstValue("Mesh-Reason").orElse("").replaceAll("[0-9]+", "N");
+		this.counts.add(label, response.statusCode(), reason, version.isEmpty() ? "" : kind.service() + " " + version,
+				nanos);
 		ExecutionVerdict verdict = verdictOf(label);
 		Optional<String> answeredId = response.headers().firstValue("Request-Id");
 		boolean whole = answeredId.isEmpty() || kind.method().equals("GET")
@@ -253,6 +255,8 @@
 
 		private final Map<Integer, LongAdder> byStatus = new ConcurrentHashMap<>();
 
+		private final Map<String, LongAdder> byReason = new ConcurrentHashMap<>();
+
 		private final Map<String, LongAdder> byVersion = new ConcurrentHashMap<>();
 
 		private final LongAdder[] latencies = new LongAdder[LatencyHistogram.BUCKETS];
@@ -263,9 +267,12 @@
 			}
 		}
 
-		void add(String verdict, int status, String version, long nanos) {
+		void add(String verdict, int status, String reason, String version, long nanos) {
 			this.byVerdict.computeIfAbsent(verdict, (key) -> new LongAdder()).increment();
 			this.byStatus.computeIfAbsent(status, (key) -> new LongAdder()).increment();
+			if (!reason.isEmpty()) {
+				this.byReason.computeIfAbsent(reason, (key) -> new LongAdder()).increment();
+			}
 			if (!version.isEmpty()) {
 				this.byVersion.computeIfAbsent(version, (key) -> new LongAdder()).increment();
 			}
@@ -278,8 +285,8 @@
 				counts[bucket] = this.latencies[bucket].sum();
 			}
 			LatencyHistogram histogram = LatencyHistogram.of(counts);
-			return new LoadReport(histogram.total(), sums(this.byVerdict), sums(this.byStatus), sums(this.byVersion),
-					histogram.quantileMillis(0.5), histogram.quantileMillis(0.99));
+			return new LoadReport(histogram.total(), sums(this.byVerdict), sums(this.byStatus), sums(this.byReason),
+					sums(this.byVersion), histogram.quantileMillis(0.5), histogram.quantileMillis(0.99));
 		}
 
 		private static <K> Map<K, Long> sums(Map<K, LongAdder> adders) {
--- a/bench/src/main/java/io/lavenderroad/bench/load/LoadReport.java
+++ b/bench/src/main/java/io/lavenderroad/bench/load/LoadReport.java
@@ -9,16 +9,18 @@
  * @param calls answered calls
  * @param byVerdict calls by verdict, {@code none} if the node gave no answer
  * @param byStatus calls by HTTP status
+ * @param byReason refused and failed calls by the reason given by the node
  * @param byVersion calls by service and version that answered
  * @param p50Millis median latency
  * @param p99Millis latency at the 99th percentile
  */
 public record LoadReport(long calls, Map<String, Long> byVerdict, Map<Integer, Long> byStatus,
-		Map<String, Long> byVersion, double p50Millis, double p99Millis) {
+		Map<String, Long> byReason, Map<String, Long> byVersion, double p50Millis, double p99Millis) {
 
 	public LoadReport {
 		byVerdict = new TreeMap<>(byVerdict);
 		byStatus = new TreeMap<>(byStatus);
+		byReason = new TreeMap<>(byReason);
 		byVersion = new TreeMap<>(byVersion);
 	}
 
@@ -34,8 +36,9 @@
 
 	@Override
 	public String toString() {
-		return String.format("%d calls, verdicts %s, statuses %s, versions %s, p50 %.1f ms, p99 %.1f ms", this.calls,
-				this.byVerdict, this.byStatus, this.byVersion, this.p50Millis, this.p99Millis);
+		return String.format("%d calls, verdicts %s, statuses %s, reasons %s, versions %s, p50 %.1f ms, p99 %.1f ms",
+				this.calls, this.byVerdict, this.byStatus, this.byReason, this.byVersion, this.p50Millis,
+				this.p99Millis);
 	}
 
 }
