--- a/bench/src/main/java/io/lavenderroad/bench/backend/LocalMesh.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/LocalMesh.java
@@ -56,6 +56,11 @@
 	 * @param change changes the default service
 	 */
 	public void configure(UnaryOperator<ServiceConfiguration.Builder> change) {
+		long version = this.view.configuration().map(MeshConfiguration::version).orElse(0L) + 1;
+		this.view.configure(configuration(version, change));
+	}
+
+	static MeshConfiguration configuration(long version, UnaryOperator<ServiceConfiguration.Builder> change) {
 		ServiceConfiguration.Builder service = ServiceConfiguration.builder(SERVICE)
 			.team("gauteng")
 			.openToCallers(true)
@@ -63,8 +68,7 @@
 					new Route("items", Route.ANY_METHOD, "/items", true, 2_000, 64 * 1024)))
 			.versions(List.of("v1"))
 			.split(Map.of("v1", ServiceConfiguration.WHOLE_SHARE));
-		long version = this.view.configuration().map(MeshConfiguration::version).orElse(0L) + 1;
-		this.view.configure(MeshConfiguration.of(version, List.of(change.apply(service).build())));
+		return MeshConfiguration.of(version, List.of(change.apply(service).build()));
 	}
 
 	/**
@@ -124,7 +128,7 @@
 			.wireOptions(options)
 			.backendAddress(ANY + ":" + backend.address().getPort());
 		NodeProxy proxy = change.apply(builder).start();
-		forwarder.target = proxy.handler();
+		forwarder.set(proxy.handler());
 		Member member = new Member(self, proxy, frames, backend);
 		this.members.put(id, member);
 		this.opened.addAll(List.of(proxy::stop, frames, backend));
@@ -192,10 +196,14 @@
 	/**
 	 * Lets the frame server start before the node, whose announcement needs the port.
 	 */
-	private static final class Forwarder implements ConnectionHandler {
+	static final class Forwarder implements ConnectionHandler {
 
 		private volatile ConnectionHandler target;
 
+		void set(ConnectionHandler handler) {
+			this.target = handler;
+		}
+
 		@Override
 		public void received(Connection connection, Object message) {
 			this.target.received(connection, message);
--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -54,6 +54,11 @@
 
 	private static final int STREAM_BUFFER_BYTES = 8 * 1024;
 
+	/**
+	 * Most frames are small; the default buffer of 8 KB for each would be mostly garbage.
+	 */
+	private static final MessagePack.PackerConfig PACKER = new MessagePack.PackerConfig().withBufferSize(1024);
+
 	private final Socket socket;
 
 	private final WireOptions options;
@@ -425,7 +430,7 @@
 	}
 
 	private byte[] encode(int kind, long correlation, Object message) throws IOException {
-		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+		try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
 			packer.packInt(kind);
 			packer.packLong(correlation);
 			switch (kind) {
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
@@ -32,6 +33,17 @@
 	 */
 	static final int DEFAULT_ATTEMPT_BUDGET = 2;
 
+	/**
+	 * Calls over this are refused at once. Without a bound, a surge of three times
+	 * capacity filled a heap of 24 MB.
+	 */
+	private static final int MOST_IN_FLIGHT = 256;
+
+	/**
+	 * Sum of the request bodies in flight.
+	 */
+	private static final long MOST_BODY_BYTES = 4L * 1024 * 1024;
+
 	private static final int LARGEST_KEY_LENGTH = 200;
 
 	private static final int NO_CONTENT = 204;
@@ -52,6 +64,8 @@
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
+	private final AtomicLong bodyBytes = new AtomicLong();
+
 	private volatile boolean stopping;
 
 	CallerApi(Clock clock, MeshView view, String ownService, CallRouter router, NodeMetrics metrics) {
@@ -107,12 +121,26 @@
 	}
 
 	private RoutedAnswer answer(HttpExchange exchange, MeshConfiguration configuration) throws IOException {
+		if (this.stopping) {
+			return refusal(HttpStatus.UNAVAILABLE, "node is stopping");
+		}
+		if (this.inFlight.get() > MOST_IN_FLIGHT) {
+			return refusal(HttpStatus.UNAVAILABLE, "node has " + MOST_IN_FLIGHT + " calls in flight");
+		}
 		long startNanos = System.nanoTime();
 		Either<RoutedAnswer, RoutedCall> call = read(exchange, configuration);
 		if (call.isLeft()) {
 			return call.getLeft();
 		}
-		RoutedAnswer answer = this.router.route(call.get());
+		RoutedAnswer answer;
+		int bytes = call.get().body().length;
+		if (this.bodyBytes.addAndGet(bytes) > MOST_BODY_BYTES) {
+			answer = refusal(HttpStatus.UNAVAILABLE, "request bodies in flight fill the memory of the node");
+		}
+		else {
+			answer = this.router.route(call.get());
+		}
+		this.bodyBytes.addAndGet(-bytes);
 		this.metrics.record(call.get().service().name(), call.get().customer(), answer.answer().verdict(),
 				System.nanoTime() - startNanos);
 		return answer;
@@ -120,9 +148,6 @@
 
 	private Either<RoutedAnswer, RoutedCall> read(HttpExchange exchange, MeshConfiguration configuration)
 			throws IOException {
-		if (this.stopping) {
-			return Either.left(refusal(HttpStatus.UNAVAILABLE, "node is stopping"));
-		}
 		long arrivalMillis = this.clock.millis();
 		Headers headers = exchange.getRequestHeaders();
 		String name = serviceName(headers);
--- a/node/src/main/java/io/lavenderroad/node/HttpProperties.java
+++ b/node/src/main/java/io/lavenderroad/node/HttpProperties.java
@@ -27,7 +27,11 @@
 		System.setProperty("sun.net.httpserver.nodelay", "true");
 		// Time that a caller may take to send a request, in seconds.
 		System.setProperty("sun.net.httpserver.maxReqTime", "30");
-		System.setProperty("sun.net.httpserver.maxIdleConnections", "1024");
+		// Further connections are closed at once. Each open one takes some 20 KB of heap.
+		System.setProperty("jdk.httpserver.maxConnections", "400");
+		System.setProperty("sun.net.httpserver.maxIdleConnections", "400");
+		// Buffers of 4 KB in place of 16 KB for each connection to the backend server.
+		System.setProperty("jdk.httpclient.bufsize", "4096");
 	}
 
 }
