Run the tests that depend on connections on a slow clock

Cause: on a busy machine a peer can be silent for 2.5 s, and then two tests would fail although the code is right.

--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -43,8 +43,22 @@
 
 	private final List<Node> nodes = new ArrayList<>();
 
+	private final Clock clock;
+
 	private final AtomicLong incarnations = new AtomicLong(System.currentTimeMillis());
 
+	LocalMesh() {
+		this(Clock.system());
+	}
+
+	/**
+	 * Creates a mesh whose time-outs follow a clock.
+	 * @param clock the clock of all processes
+	 */
+	LocalMesh(Clock clock) {
+		this.clock = clock;
+	}
+
 	/**
 	 * Starts roots that know each other.
 	 * @param count number of roots
@@ -65,7 +79,7 @@
 	List<Root> startRoots(int count, Supplier<Optional<Long>> floor, IntFunction<LongSupplier> quorumAge) {
 		List<Root> started = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
-			started.add(new Root("control-" + (this.roots.size() + index), nextIncarnation(), 0));
+			started.add(new Root("control-" + (this.roots.size() + index), nextIncarnation(), 0, this.clock));
 		}
 		List<String> addresses = started.stream().map((root) -> root.address).toList();
 		for (int index = 0; index < count; index++) {
@@ -84,7 +98,7 @@
 	Root restartRoot(int index, Supplier<Optional<Long>> floor) {
 		Root old = this.roots.get(index);
 		old.kill();
-		Root next = new Root(old.id, nextIncarnation(), Uplink.address(old.address).getPort());
+		Root next = new Root(old.id, nextIncarnation(), Uplink.address(old.address).getPort(), this.clock);
 		next.start(seeds(), floor, () -> 0);
 		this.roots.set(index, next);
 		return next;
@@ -98,7 +112,7 @@
 	 * @return the node
 	 */
 	Node node(String id, String failureDomain, String service) {
-		Node node = new Node(id, failureDomain, service, nextIncarnation(), seeds());
+		Node node = new Node(id, failureDomain, service, nextIncarnation(), seeds(), this.clock);
 		this.nodes.add(node);
 		return node;
 	}
@@ -170,22 +184,26 @@
 
 		private final long incarnation;
 
+		private final Clock clock;
+
 		private final Gate gate = new Gate();
 
 		private final FrameServer server;
 
 		private RootDistribution distribution;
 
-		Root(String id, long incarnation, int port) {
+		Root(String id, long incarnation, int port, Clock clock) {
+			this.clock = clock;
 			this.id = id;
 			this.incarnation = incarnation;
-			this.server = serve(id, "control", incarnation, port, Clock.system(), this.gate);
+			this.server = serve(id, "control", incarnation, port, clock, this.gate);
 			this.address = text(this.server.address());
 		}
 
 		void start(List<String> peers, Supplier<Optional<Long>> floor, LongSupplier quorumAge) {
 			this.distribution = RootDistribution.builder()
-				.options(options(this.id, "control", this.incarnation, this.address, Clock.system()))
+				.options(options(this.id, "control", this.incarnation, this.address, this.clock))
+				.clock(this.clock)
 				.peers(peers)
 				.confirmCommittedVersion(floor)
 				.quorumAgeMillis(quorumAge)
@@ -217,7 +235,7 @@
 
 		private final Gate gate = new Gate();
 
-		private final HangingClock clock = new HangingClock();
+		private final HangingClock clock;
 
 		private final FrameServer server;
 
@@ -225,7 +243,8 @@
 
 		private NodeDistribution distribution;
 
-		Node(String id, String failureDomain, String service, long incarnation, List<String> seeds) {
+		Node(String id, String failureDomain, String service, long incarnation, List<String> seeds, Clock meshClock) {
+			this.clock = new HangingClock(meshClock);
 			this.id = id;
 			this.server = serve(id, "node", incarnation, 0, this.clock, this.gate);
 			this.address = text(this.server.address());
@@ -350,18 +369,22 @@
 	 */
 	private static final class HangingClock implements Clock {
 
-		private final Clock system = Clock.system();
+		private final Clock running;
 
 		private volatile long hungMillis;
 
+		HangingClock(Clock running) {
+			this.running = running;
+		}
+
 		@Override
 		public long millis() {
 			long hung = this.hungMillis;
-			return (hung != 0) ? hung : this.system.millis();
+			return (hung != 0) ? hung : this.running.millis();
 		}
 
 		void hang() {
-			this.hungMillis = this.system.millis();
+			this.hungMillis = this.running.millis();
 		}
 
 	}
