Let the relays next to the root move first

Cause: when a root is isolated, its age passes 3 s in the whole subtree at the same time, and every node would search for another parent.

Change: the limit grows by 500 ms for each hop below the first.

Conclusion: a subtree moves with its relay, within 4 s at depth 3.

--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -97,7 +97,7 @@
 	 */
 	ParentHealth health(String selfId) {
 		return ParentHealth.of(this.connection.isOpen(), TreePath.usable(this.path, selfId), this.leaving.get(),
-				this.clock.millis() - this.lastReceivedMillis, rootAgeMillis());
+				this.clock.millis() - this.lastReceivedMillis, rootAgeMillis(), this.path.size());
 	}
 
 	/**
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -27,6 +27,12 @@
 	 */
 	static final long ROOT_AGE_LIMIT_MILLIS = 3_000;
 
+	/**
+	 * Added to the limit for each hop below the first, so that a whole subtree does not
+	 * search at once. At depth 3 a node starts to search after 4 s.
+	 */
+	static final long ROOT_AGE_PER_HOP_MILLIS = 500;
+
 	/**
 	 * Interval of the checks for silence and leases.
 	 */
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -185,9 +185,13 @@
 			candidates.redirected(redirected.targets());
 		}
 		else if (answer.isRight() && answer.get() instanceof Deferred deferred) {
+			Logger.debug("distribution: {} grants no place for {} ms: {}.", connection, deferred.retryAfterMillis(),
+					deferred.reason());
 			candidates.deferred(deferred.retryAfterMillis());
 		}
 		else {
+			Logger.debug("distribution: {} gave no usable answer: {}.", connection,
+					answer.fold(CallFailure::reason, String::valueOf));
 			candidates.failed(redirectors.get(candidate.address()), candidate);
 		}
 		connection.close("no place here");
