--- a/policy/src/main/java/io/lavenderroad/policy/moves/LocalComparison.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/LocalComparison.java
@@ -35,10 +35,17 @@
 
 	private final SequentialComparison comparison;
 
-	private LocalComparison(String service, MoveParameters move, SequentialComparison comparison) {
+	private final int share;
+
+	private final Map<String, VersionPair> pending;
+
+	private LocalComparison(String service, MoveParameters move, SequentialComparison comparison, int share,
+			Map<String, VersionPair> pending) {
 		this.service = service;
 		this.move = move;
 		this.comparison = comparison;
+		this.share = share;
+		this.pending = pending;
 	}
 
 	/**
@@ -51,11 +58,14 @@
 	 */
 	public static LocalComparison start(String service, MoveParameters move, List<String> routes, long nowMillis) {
 		double horizonSeconds = Math.max(60_000, move.deadlineMillis() - nowMillis) / 1_000.0;
-		return new LocalComparison(service, move, SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds));
+		SequentialComparison comparison = SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds);
+		return new LocalComparison(service, move, comparison, 0, Map.of());
 	}
 
 	/**
-	 * Adds a window of the node's own calls, during which its share was constant.
+	 * Adds a window of the node's own calls, during which its share was constant. Calls
+	 * of a route wait until both versions have some at the same share, since most windows
+	 * of a node with few calls have none of one version.
 	 * @param window observations of any service and version
 	 * @param conditions length of the window; {@code cold} while any server of the new
 	 * version that the node uses is cold, {@code overloaded} while the node sees refusals
@@ -65,7 +75,8 @@
 	 */
 	public LocalComparison plus(Map<ObservationKey, Observations> window, WindowConditions conditions,
 			int newShareBasisPoints) {
-		Map<String, VersionPair> pairs = new HashMap<>();
+		boolean sameShare = newShareBasisPoints == this.share;
+		Map<String, VersionPair> pairs = new HashMap<>(sameShare ? this.pending : Map.of());
 		window.forEach((key, value) -> {
 			if (key.service().equals(this.service) && key.version().equals(this.move.from())) {
 				pairs.merge(key.route(), new VersionPair(value, Observations.NONE), VersionPair::plus);
@@ -74,8 +85,12 @@
 				pairs.merge(key.route(), new VersionPair(Observations.NONE, value), VersionPair::plus);
 			}
 		});
-		return new LocalComparison(this.service, this.move,
-				this.comparison.plus(pairs, conditions, newShareBasisPoints <= MoveEvidence.BASELINE_LIMIT));
+		Map<String, VersionPair> complete = new HashMap<>(pairs);
+		complete.values().removeIf((pair) -> newShareBasisPoints > 0 && !pair.isComparable());
+		pairs.keySet().removeAll(complete.keySet());
+		boolean recordBaseline = newShareBasisPoints <= MoveEvidence.BASELINE_LIMIT;
+		return new LocalComparison(this.service, this.move, this.comparison.plus(complete, conditions, recordBaseline),
+				newShareBasisPoints, pairs);
 	}
 
 	/**
