Report metrics of control members; share the text form

Cause: GET /metrics of a control member was empty. Change: 18 gauges of a control member, and one writer of the Prometheus text format in core, used by node and control. Measurement: tests of core, node and daemon pass. Conclusion: both roles can be watched in the same way.

--- /dev/null
+++ b/core/src/main/java/io/lavenderroad/core/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Text form of metrics.
+ */
+package io.lavenderroad.core.metrics;
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
@@ -0,0 +1,55 @@
+package io.lavenderroad.daemon;
+
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.lavenderroad.control.raft.MemberRole;
+import io.lavenderroad.control.raft.MemberStatus;
+import io.lavenderroad.control.state.MeshStateMachine;
+import io.lavenderroad.core.metrics.MetricsText;
+import io.lavenderroad.distribution.ConvergenceStatus;
+
+/**
+ * Figures of a control member.
+ */
+final class ControlMetrics {
+
+	private static final String PREFIX = "lavenderroad_control_";
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	ControlMetrics(Supplier<MemberStatus> member, MeshStateMachine mesh, Supplier<ConvergenceStatus> distribution) {
+		gauge("leader", () -> (member.get().role() == MemberRole.LEADER) ? 1 : 0);
+		gauge("term", () -> member.get().term());
+		gauge("committed_index", () -> member.get().commitIndex());
+		gauge("applied_index", () -> member.get().appliedIndex());
+		gauge("last_index", () -> member.get().lastIndex());
+		gauge("snapshot_index", () -> member.get().snapshotIndex());
+		gauge("failed", () -> member.get().failure().isPresent() ? 1 : 0);
+		gauge("configuration_version", () -> mesh.configuration().version());
+		gauge("services", () -> mesh.configuration().services().size());
+		gauge("active_moves", () -> mesh.activeMoves().size());
+		gauge("remembered_changes", mesh::outcomeCount);
+		gauge("nodes", () -> distribution.get().nodes());
+		gauge("lagging_nodes", () -> distribution.get().laggards().size());
+		gauge("rejected_versions", () -> distribution.get().rejected().size());
+		gauge("unreachable_nodes", () -> distribution.get().unreachableCount());
+		gauge("tree_depth", () -> distribution.get().depth());
+		gauge("bytes_sent", () -> distribution.get().bytesSent());
+		gauge("bytes_received", () -> distribution.get().bytesReceived());
+	}
+
+	/**
+	 * Returns all figures.
+	 * @return the Prometheus text format
+	 */
+	String text() {
+		return MetricsText.of(this.registry);
+	}
+
+	private void gauge(String name, Gauge<? extends Number> gauge) {
+		this.registry.registerGauge(PREFIX + name, gauge);
+	}
+
+}
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -130,8 +130,9 @@
 			MeshCommands commands, MoveService moveService) throws IOException {
 		Predicate<String> knownPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
 		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock);
+		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
 		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
-				new RaftAdministration(this.member, commands), this::convergence, () -> "");
+				new RaftAdministration(this.member, commands), this::convergence, metrics::text);
 		operatorApi.start(settings.socketAddress(settings.ports().http()));
 		return operatorApi;
 	}
--- a/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
@@ -1,6 +1,5 @@
 package io.lavenderroad.node;
 
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -10,8 +9,8 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingWindowReservoir;
-import com.codahale.metrics.Snapshot;
 import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.metrics.MetricsText;
 
 /**
  * Figures of the calls that entered through this node, for each service and customer. The
@@ -30,8 +29,6 @@
 	 */
 	private static final int WINDOW = 256;
 
-	private static final double[] QUANTILES = { 0.5, 0.9, 0.99 };
-
 	private final MetricRegistry registry = new MetricRegistry();
 
 	private final Map<ServiceCustomer, CallFigures> figures = new ConcurrentHashMap<>();
@@ -69,13 +66,7 @@
 	 * @return the Prometheus text format
 	 */
 	String text() {
-		StringBuilder text = new StringBuilder();
-		this.registry.getGauges()
-			.forEach((name, gauge) -> text.append(name).append(' ').append(gauge.getValue()).append('\n'));
-		this.registry.getCounters()
-			.forEach((name, counter) -> text.append(name).append(' ').append(counter.getCount()).append('\n'));
-		this.registry.getHistograms().forEach((name, histogram) -> appendHistogram(text, name, histogram));
-		return text.toString();
+		return MetricsText.of(this.registry);
 	}
 
 	private CallFigures figures(String service, String customer) {
@@ -91,25 +82,6 @@
 		return new CallFigures(histogram, counters);
 	}
 
-	private static void appendHistogram(StringBuilder text, String name, Histogram histogram) {
-		Snapshot snapshot = histogram.getSnapshot();
-		String open = name.substring(0, name.length() - 1);
-		for (double quantile : QUANTILES) {
-			text.append(open)
-				.append(",quantile=\"")
-				.append(quantile)
-				.append("\"} ")
-				.append(String.format(Locale.ROOT, "%.3f%n", snapshot.getValue(quantile) / 1_000));
-		}
-		int brace = name.indexOf('{');
-		text.append(name, 0, brace)
-			.append("_count")
-			.append(name, brace, name.length())
-			.append(' ')
-			.append(histogram.getCount())
-			.append('\n');
-	}
-
 	private static String escaped(String label) {
 		return MeshHeaders.printable(label).replace("\\", "\\\\").replace("\"", "\\\"");
 	}
