Keep the search for a parent alive after a failure

Cause: an unexpected exception would end the thread that searches for a parent, and a search that was running while the node closed could attach it again.

Change: the search logs the failure and goes on; a closed node refuses a place.

Conclusion: the search ends only with the node.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -98,16 +98,12 @@
 	private void run() {
 		try {
 			while (!this.closed) {
-				switch (health()) {
-					case GOOD -> {
-						this.backoff.reset();
-						pause(TreeTimes.CHECK_MILLIS);
-					}
-					case MOVE -> search();
-					case LOST -> {
-						detach();
-						search();
-					}
+				try {
+					check(health());
+				}
+				catch (RuntimeException ex) {
+					Logger.error(ex, "distribution: The search for a parent failed.");
+					pause(this.backoff.nextMillis());
 				}
 			}
 		}
@@ -116,6 +112,20 @@
 		}
 	}
 
+	private void check(ParentHealth health) throws InterruptedException {
+		switch (health) {
+			case GOOD -> {
+				this.backoff.reset();
+				pause(TreeTimes.CHECK_MILLIS);
+			}
+			case MOVE -> search();
+			case LOST -> {
+				detach();
+				search();
+			}
+		}
+	}
+
 	private ParentHealth health() {
 		ParentSession present = this.session;
 		return (present != null) ? present.health(this.self.get().nodeId()) : ParentHealth.LOST;
@@ -209,13 +219,16 @@
 	}
 
 	private boolean use(Connection connection, Accepted accepted) {
-		if (accepted.path().isEmpty() || !TreePath.usable(accepted.path(), this.self.get().nodeId())
+		if (this.closed || accepted.path().isEmpty() || !TreePath.usable(accepted.path(), this.self.get().nodeId())
 				|| accepted.rootAgeMillis() > TreeTimes.ROOT_AGE_LIMIT_MILLIS) {
 			return false;
 		}
 		ParentSession previous = this.session;
 		ParentSession next = new ParentSession(this.clock, connection, accepted);
 		this.session = next;
+		if (this.closed) {
+			return false;
+		}
 		this.lastPath = next.path();
 		this.lostParent = null;
 		this.owner.attached(next);
