--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -54,6 +54,9 @@
 	 * @return the outcome
 	 */
 	CallAnswer run(CallRequest request, long remainingMillis, CallCancellation cancellation) {
+		if (!request.target().startsWith("/")) {
+			return CallAnswer.notRun(HttpStatus.BAD_REQUEST, "path does not start with a slash");
+		}
 		HttpRequest httpRequest;
 		try {
 			httpRequest = httpRequest(request, remainingMillis);
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -15,6 +15,7 @@
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.ObservationKey;
 import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.policy.calls.Backoff;
 import io.lavenderroad.policy.calls.BalancingContext;
 import io.lavenderroad.policy.calls.BalancingPolicy;
 import io.lavenderroad.policy.calls.EndpointLoad;
@@ -28,10 +29,12 @@
 final class CallRouter {
 
 	/**
-	 * An endpoint that cannot be reached is avoided for at least half of this time, at
-	 * most one and a half.
+	 * How long an endpoint that cannot be reached is avoided. A lost node leaves the view
+	 * within 3 s.
 	 */
-	private static final int AVOID_UNREACHABLE_MILLIS = 500;
+	private static final Backoff UNREACHABLE = new Backoff(500, 5_000);
+
+	private static final int UNKNOWN_LOAD = -1;
 
 	private final Clock clock;
 
@@ -104,9 +107,13 @@
 
 	private CallAnswer attempt(RoutedCall call, EndpointLoad target, int attemptBudget) {
 		Endpoint endpoint = target.endpoint();
+		long remaining = call.deadlineMillis() - this.clock.millis();
+		if (remaining <= 0) {
+			return late();
+		}
 		long startNanos = System.nanoTime();
 		target.started();
-		CallAnswer answer = send(call, endpoint, attemptBudget);
+		CallAnswer answer = send(call, endpoint, attemptBudget, remaining);
 		double tookMillis = (System.nanoTime() - startNanos) / 1e6;
 		observe(target, answer, tookMillis);
 		if (answer.isObservation()) {
@@ -116,11 +123,7 @@
 		return answer;
 	}
 
-	private CallAnswer send(RoutedCall call, Endpoint endpoint, int attemptBudget) {
-		long remaining = call.deadlineMillis() - this.clock.millis();
-		if (remaining <= 0) {
-			return late();
-		}
+	private CallAnswer send(RoutedCall call, Endpoint endpoint, int attemptBudget, long remaining) {
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
 				call.route().name(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
 				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget);
@@ -135,21 +138,25 @@
 	private CallAnswer failed(RoutedCall call, CallFailure failure) {
 		boolean late = this.clock.millis() >= call.deadlineMillis();
 		if (failure.verdict() == ExecutionVerdict.NOT_RUN) {
-			int avoid = AVOID_UNREACHABLE_MILLIS / 2 + this.random.nextInt(AVOID_UNREACHABLE_MILLIS);
 			return CallAnswer.notRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.UNAVAILABLE, failure.reason())
-				.avoid(avoid);
+				.withLoad(UNKNOWN_LOAD);
 		}
-		return CallAnswer.mayHaveRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY, failure.reason());
+		return CallAnswer.mayHaveRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY, failure.reason())
+			.withLoad(UNKNOWN_LOAD);
 	}
 
 	private void observe(EndpointLoad target, CallAnswer answer, double tookMillis) {
 		long now = this.clock.millis();
-		if (answer.load() > 0) {
+		boolean answered = answer.load() != UNKNOWN_LOAD;
+		if (answered) {
 			target.hint(now, answer.load());
 		}
 		if (answer.verdict() != ExecutionVerdict.NOT_RUN && answer.isObservation()) {
 			target.finished(now, tookMillis, answer.isError());
 		}
+		else if (answer.verdict() == ExecutionVerdict.NOT_RUN && !answered) {
+			target.unreachable(now, UNREACHABLE, this.random);
+		}
 		else if (answer.avoidMillis() > 0) {
 			target.refused(now + answer.avoidMillis());
 		}
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/AdmissionTests.java
@@ -0,0 +1,65 @@
+package io.lavenderroad.node;
+
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.model.ServiceLimits;
+import io.vavr.control.Either;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against slots that are lost, calls that wait past their deadline or after their
+ * caller has gone, and a drain that admits waiting calls.
+ */
+public class AdmissionTests {
+
+	private static final long WAIT_SECONDS = 30;
+
+	private final Clock clock = Clock.system();
+
+	private final Admission admission = new Admission(this.clock, new Random(1), 1, true);
+
+	@Test
+	public void waitingCallEndsAsNotRunAndTheSlotIsNotLost() throws Exception {
+		Admission.Slot slot = acquire(60_000, new CallCancellation()).get();
+		CallAnswer late = acquire(20, new CallCancellation()).getLeft();
+		Assert.assertEquals(late.status(), 504);
+		Assert.assertEquals(late.verdict(), ExecutionVerdict.NOT_RUN);
+		CallCancellation gone = new CallCancellation();
+		CompletableFuture<Either<CallAnswer, Admission.Slot>> waiting = CompletableFuture
+			.supplyAsync(() -> acquire(60_000, gone));
+		awaitLoad(2);
+		gone.cancel();
+		Assert.assertEquals(waiting.get(WAIT_SECONDS, TimeUnit.SECONDS).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
+		awaitLoad(1);
+		slot.release(-1);
+		Admission.Slot next = acquire(60_000, new CallCancellation()).get();
+		CompletableFuture<Either<CallAnswer, Admission.Slot>> drained = CompletableFuture
+			.supplyAsync(() -> acquire(60_000, new CallCancellation()));
+		awaitLoad(2);
+		Assert.assertTrue(this.admission.drain());
+		Assert.assertEquals(drained.get(WAIT_SECONDS, TimeUnit.SECONDS).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
+		Assert.assertEquals(acquire(60_000, new CallCancellation()).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
+		Assert.assertFalse(this.admission.awaitIdle(0));
+		next.release(-1);
+		Assert.assertTrue(this.admission.awaitIdle(0));
+	}
+
+	private void awaitLoad(int load) throws InterruptedException {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+		while (this.admission.load() != load) {
+			Assert.assertTrue(System.nanoTime() < end, "load is " + this.admission.load());
+			Thread.sleep(1);
+		}
+	}
+
+	private Either<CallAnswer, Admission.Slot> acquire(long remainingMillis, CallCancellation cancellation) {
+		return this.admission.acquire("shop", this.clock.millis() + remainingMillis, ServiceLimits.DEFAULT,
+				cancellation);
+	}
+
+}
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
@@ -0,0 +1,60 @@
+package io.lavenderroad.node;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+
+import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.core.wire.Fields;
+import io.lavenderroad.core.wire.MessageCatalog;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against frames of other nodes that end the process or are read as something
+ * else.
+ */
+public class NodeMessagesTests {
+
+	private static final int ROUNDS = 20_000;
+
+	private final MessageCatalog catalog = MessageCatalog.builder().addAll(NodeMessages.types()).build();
+
+	@Test
+	public void changedBytesAreReadOrRefused() throws Exception {
+		Random random = new Random(20261204);
+		KeyClaim claim = new KeyClaim(new KeyDigest(1, 2), new KeyDigest(3, 4), "node", 5, 6);
+		KeyRecord record = new KeyRecord(claim, KeyState.DONE, CallAnswer.ran(200, List.of("A", "b"), new byte[9]), 7);
+		List<Object> messages = List.of(
+				new CallRequest(1, "s", "v1", "r", "POST", "/", List.of("A", "b"), new byte[8], "c", "k", 100, 2),
+				record.answer(), new CancelCall(3), new KeyMessages.ClaimKey(claim),
+				new KeyMessages.ClaimResult(true, record), new KeyMessages.SettleKey(claim, record.answer()),
+				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)));
+		for (int round = 0; round < ROUNDS; round++) {
+			byte[] bytes = encode(messages.get(round % messages.size()));
+			Assert.assertEquals(this.catalog.decode(Fields.unpacker(bytes)).getClass(),
+					messages.get(round % messages.size()).getClass());
+			for (int change = 0; change <= round % 3; change++) {
+				bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+			}
+			try {
+				Assert.assertNotNull(this.catalog.decode(Fields.unpacker(bytes)));
+			}
+			catch (IOException | MessagePackException | LavenderroadException ex) {
+				// These close the connection with a message and nothing else.
+				Assert.assertNotNull(ex);
+			}
+		}
+	}
+
+	private byte[] encode(Object message) throws IOException {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			this.catalog.encode(message, packer);
+			return packer.toByteArray();
+		}
+	}
+
+}
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.policy.calls;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
 
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
@@ -28,6 +29,8 @@
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
+	private final AtomicInteger failedConnections = new AtomicInteger();
+
 	private final long firstSeenMillis;
 
 	private volatile Endpoint endpoint;
@@ -103,6 +106,17 @@
 		this.avoidedUntilMillis = avoidUntilMillis;
 	}
 
+	/**
+	 * Records a call that could not be sent.
+	 * @param nowMillis clock reading in milliseconds
+	 * @param pause pause after the first failure and its growth with each further one
+	 * @param random source of randomness
+	 */
+	public void unreachable(long nowMillis, Backoff pause, RandomGenerator random) {
+		int failures = this.failedConnections.incrementAndGet();
+		refused(nowMillis + pause.firstMillis() / 2 + pause.pauseMillis(failures, random));
+	}
+
 	/**
 	 * Records a call that ended without an observation of the endpoint.
 	 */
@@ -111,11 +125,13 @@
 	}
 
 	/**
-	 * Records the load that the endpoint reported with an answer.
+	 * Records the load that the endpoint reported with an answer. The answer shows that
+	 * it can be reached.
 	 * @param nowMillis clock reading in milliseconds
 	 * @param load calls running and waiting there
 	 */
 	public void hint(long nowMillis, int load) {
+		this.failedConnections.set(0);
 		this.hintedLoad = load;
 		this.hintedMillis = nowMillis;
 	}
