Give the steps of short moves the time that a verdict takes

A stage of a move of one minute lasted 1.5 s, less than the comparison needs at two per second; with hold it now lasts 9 s or more, so that such a move waits and the operator is warned. The time of the first share is kept, so that the cold start is excused for the same time in every stage.

--- a/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
@@ -36,6 +36,8 @@
 
 	private final boolean startedAfterShift;
 
+	private final long firstShareMillis;
+
 	private final long fromMillis;
 
 	private final long toMillis;
@@ -50,10 +52,12 @@
 
 	private final RecentLoad recent;
 
-	private MoveEvidence(MoveState move, boolean startedAfterShift, long fromMillis, long toMillis, Evidence sinceStart,
-			Evidence sinceStep, SequentialComparison comparison, Map<String, VersionPair> pending, RecentLoad recent) {
+	private MoveEvidence(MoveState move, boolean startedAfterShift, long firstShareMillis, long fromMillis,
+			long toMillis, Evidence sinceStart, Evidence sinceStep, SequentialComparison comparison,
+			Map<String, VersionPair> pending, RecentLoad recent) {
 		this.move = move;
 		this.startedAfterShift = startedAfterShift;
+		this.firstShareMillis = firstShareMillis;
 		this.fromMillis = fromMillis;
 		this.toMillis = toMillis;
 		this.sinceStart = sinceStart;
@@ -72,9 +76,11 @@
 	 */
 	public static MoveEvidence start(MoveState move, List<String> routes, long nowMillis) {
 		double horizonSeconds = Math.max(60_000, move.parameters().deadlineMillis() - nowMillis) / 1_000.0;
-		return new MoveEvidence(move, move.shareBasisPoints() > BASELINE_LIMIT, nowMillis, nowMillis, Evidence.NONE,
-				Evidence.NONE, SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds), Map.of(),
-				RecentLoad.NONE);
+		// A leader that starts later does not know the time of the first share any more.
+		long firstShareMillis = (move.step() <= 1) ? move.stepMillis() : move.startedMillis();
+		return new MoveEvidence(move, move.shareBasisPoints() > BASELINE_LIMIT, firstShareMillis, nowMillis, nowMillis,
+				Evidence.NONE, Evidence.NONE, SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds),
+				Map.of(), RecentLoad.NONE);
 	}
 
 	/**
@@ -84,9 +90,10 @@
 	 */
 	public MoveEvidence at(MoveState state) {
 		boolean sameStep = state.step() == this.move.step();
-		return new MoveEvidence(state, this.startedAfterShift, this.fromMillis, this.toMillis, this.sinceStart,
-				sameStep ? this.sinceStep : Evidence.NONE, this.comparison, sameStep ? this.pending : Map.of(),
-				this.recent);
+		long firstShare = (state.step() <= 1) ? state.stepMillis() : this.firstShareMillis;
+		return new MoveEvidence(state, this.startedAfterShift, firstShare, this.fromMillis, this.toMillis,
+				this.sinceStart, sameStep ? this.sinceStep : Evidence.NONE, this.comparison,
+				sameStep ? this.pending : Map.of(), this.recent);
 	}
 
 	/**
@@ -113,7 +120,7 @@
 		window.forEach((route, pair) -> ((pair.isComparable() || this.move.step() == 0) ? complete : incomplete)
 			.put(route, pair));
 		SequentialComparison next = this.comparison.plus(complete, conditions, baseline);
-		return new MoveEvidence(this.move, this.startedAfterShift, this.fromMillis, nowMillis,
+		return new MoveEvidence(this.move, this.startedAfterShift, this.firstShareMillis, this.fromMillis, nowMillis,
 				this.sinceStart.plus(own), this.sinceStep.plus(own), next, incomplete, recent(own, seconds));
 	}
 
@@ -196,7 +203,8 @@
 	}
 
 	private boolean isCold(long nowMillis, VersionServers newServers) {
-		boolean firstCalls = this.move.step() <= 1 && nowMillis - this.move.stepMillis() < RampPlan.COLD_START_MILLIS;
+		boolean firstCalls = this.move.step() == 0
+				|| nowMillis - this.firstShareMillis < RampPlan.coldStartMillis(this.move);
 		return firstCalls || newServers.youngColdServers() > 0;
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/moves/RampPlan.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/RampPlan.java
@@ -57,11 +57,17 @@
 
 	private static final long LONGEST_RESERVE_MILLIS = 1_800_000;
 
+	/**
+	 * Shortest time in which the comparison can find a fault that began with the step:
+	 * the logarithm needed is about 17, and a second adds at most 2.
+	 */
+	private static final long LEAST_EVIDENCE_MILLIS = 9_000;
+
 	/**
 	 * Time after the first calls of the new version during which slow calls are excused:
 	 * a server that is ready may still fill its caches with its first calls.
 	 */
-	static final long COLD_START_MILLIS = 60_000;
+	private static final long COLD_START_MILLIS = 60_000;
 
 	/**
 	 * Part of the time to the deadline that is kept free for failures during the ramp,
@@ -99,7 +105,9 @@
 	}
 
 	/**
-	 * Returns how long the first share waits for the cold start to end.
+	 * Returns how long after the first share slow calls are excused, which is also how
+	 * long the first share lasts at least. In a move of less than four minutes the larger
+	 * shares come so soon that a longer cold start harms many callers and counts as slow.
 	 * @param move the move
 	 * @return milliseconds
 	 */
@@ -134,8 +142,7 @@
 	}
 
 	/**
-	 * Returns the shortest time between two steps: evidence has to arrive from the nodes
-	 * first.
+	 * Returns the shortest time between two steps that are taken without evidence.
 	 * @return milliseconds
 	 */
 	long leastDwellMillis() {
@@ -292,7 +299,8 @@
 	}
 
 	private double leastMillis(int stage) {
-		return leastDwellMillis() + ((stage == 0) ? coldStartMillis(this.situation.move()) : 0);
+		return Math.max(leastDwellMillis(), LEAST_EVIDENCE_MILLIS)
+				+ ((stage == 0) ? coldStartMillis(this.situation.move()) : 0);
 	}
 
 	private double evidenceMillis(int stage, int share) {
