Link the roots to the members that join later

A control member that joined by a member change named no members in its settings, so its root never linked to the others: it knew none of their nodes, and they knew none of its. The daemon now follows the member set of the log and passes it to the root.

GET /metrics of a control member was empty. It now gives leader, term, commit index, stopped, configuration version, active moves, nodes, nodes current and rejected versions.

The help of lavenderroadd described run and check with one sentence.

--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -17,6 +17,7 @@
 import io.lavenderroad.control.raft.ControlMessages;
 import io.lavenderroad.control.raft.Member;
 import io.lavenderroad.control.raft.MemberOptions;
+import io.lavenderroad.control.raft.MemberRole;
 import io.lavenderroad.control.raft.MemberSet;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.MeshStateMachine;
@@ -31,6 +32,7 @@
 import io.lavenderroad.distribution.RootDistribution;
 import io.lavenderroad.model.Evidence;
 import io.lavenderroad.policy.moves.MovePolicy;
+import org.tinylog.Logger;
 
 /**
  * A control member: replicated log, state of the mesh, root of the relay tree, moves and
@@ -42,6 +44,8 @@
 
 	private static final long MOVE_TICK_MILLIS = 500;
 
+	private static final long PEERS_MILLIS = 500;
+
 	private static final long SHUTDOWN_MILLIS = 5_000;
 
 	private final DurableLog log;
@@ -60,10 +64,21 @@
 
 	private final PeriodicTask moveTask;
 
+	private final PeriodicTask peersTask;
+
+	private final String id;
+
+	/**
+	 * Addresses that the root links to; only the task of the peers changes it.
+	 */
+	private List<String> linkedPeers;
+
 	private ControlRole(DaemonSettings settings, Kernel kernel) throws IOException {
 		Clock clock = Clock.system();
 		RandomGenerator random = new Random();
 		MeshStateMachine mesh = new MeshStateMachine();
+		this.id = settings.id();
+		this.linkedPeers = peers(settings);
 		WireOptions options = WireSetup.options(settings, clock, ControlMessages.types(), DistributionMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
@@ -73,7 +88,7 @@
 			.options(options)
 			.clock(clock)
 			.random(random)
-			.peers(peers(settings))
+			.peers(this.linkedPeers)
 			.confirmCommittedVersion(() -> confirmedVersion(commands, mesh))
 			.evidenceListener(this::addEvidence)
 			.build();
@@ -92,6 +107,7 @@
 		this.api = api(settings, kernel, clock, mesh, commands, moveService);
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status);
 		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, this.leaderMoves::tick);
+		this.peersTask = PeriodicTask.start("peers", PEERS_MILLIS, this::followMembers);
 	}
 
 	static RunningRole start(DaemonSettings settings, Kernel kernel) throws IOException {
@@ -101,6 +117,7 @@
 	@Override
 	public void shutDown() {
 		this.moveTask.close();
+		this.peersTask.close();
 		this.api.close();
 		this.member.shutdown(SHUTDOWN_MILLIS);
 		this.root.close();
@@ -131,11 +148,25 @@
 		Predicate<String> knownPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
 		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock);
 		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
-				new RaftAdministration(this.member, commands), this::convergence, () -> "");
+				new RaftAdministration(this.member, commands), this::convergence, metrics(mesh)::text);
 		operatorApi.start(settings.socketAddress(settings.ports().http()));
 		return operatorApi;
 	}
 
+	private ControlMetrics metrics(MeshStateMachine mesh) {
+		ControlMetrics metrics = new ControlMetrics();
+		metrics.gauge("leader", () -> (this.member.status().role() == MemberRole.LEADER) ? 1 : 0);
+		metrics.gauge("term", () -> this.member.status().term());
+		metrics.gauge("commit_index", () -> this.member.status().commitIndex());
+		metrics.gauge("stopped", () -> this.member.status().failure().isPresent() ? 1 : 0);
+		metrics.gauge("configuration_version", () -> mesh.configuration().version());
+		metrics.gauge("active_moves", () -> mesh.activeMoves().size());
+		metrics.gauge("nodes", () -> convergence().nodes());
+		metrics.gauge("nodes_current", () -> convergence().nodesAtLeast(mesh.configuration().version()));
+		metrics.gauge("rejected_versions", () -> convergence().rejected().size());
+		return metrics;
+	}
+
 	private void addEvidence(Evidence evidence) {
 		this.leaderMoves.add(evidence);
 	}
@@ -154,6 +185,26 @@
 					.toList());
 	}
 
+	/**
+	 * Links the root to the present members of the group. The settings name only the
+	 * first ones, and none for a member that joins.
+	 */
+	private void followMembers() {
+		List<String> present = this.member.status()
+			.members()
+			.members()
+			.stream()
+			.filter((other) -> !other.id().equals(this.id))
+			.map(Member::address)
+			.toList();
+		// A member that waits to be added knows no group yet.
+		if (!present.isEmpty() && !present.equals(this.linkedPeers)) {
+			this.linkedPeers = present;
+			this.root.peers(present);
+			Logger.info("daemon: Linked to the control members at {}.", String.join(", ", present));
+		}
+	}
+
 	private Map<String, Object> status() {
 		Map<String, Object> status = new TreeMap<>();
 		status.put("distribution", this.root.status());
--- a/daemon/src/main/java/io/lavenderroad/daemon/Main.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -52,8 +52,8 @@
 
 	int run(String... arguments) {
 		Options options = new Options();
-		FileCommand runCommand = new FileCommand();
-		FileCommand checkCommand = new FileCommand();
+		RunCommand runCommand = new RunCommand();
+		CheckCommand checkCommand = new CheckCommand();
 		JCommander commander = JCommander.newBuilder()
 			.programName("lavenderroadd")
 			.addObject(options)
@@ -156,8 +156,16 @@
 
 	}
 
-	@Parameters(commandDescription = "Run the daemon, or check its settings without starting it")
-	private static final class FileCommand {
+	@Parameters(commandDescription = "Run the daemon with the settings in FILE")
+	private static final class RunCommand {
+
+		@Parameter(required = true, arity = 1, description = "FILE")
+		private String file;
+
+	}
+
+	@Parameters(commandDescription = "Check the settings in FILE without starting the daemon")
+	private static final class CheckCommand {
 
 		@Parameter(required = true, arity = 1, description = "FILE")
 		private String file;
