--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
@@ -22,17 +22,17 @@
 	ControlMetrics(Supplier<MemberStatus> member, MeshStateMachine mesh, Supplier<ConvergenceStatus> distribution) {
 		gauge("leader", () -> (member.get().role() == MemberRole.LEADER) ? 1 : 0);
 		gauge("term", () -> member.get().term());
-		gauge("committed_index", () -> member.get().commitIndex());
+		gauge("commit_index", () -> member.get().commitIndex());
 		gauge("applied_index", () -> member.get().appliedIndex());
 		gauge("last_index", () -> member.get().lastIndex());
 		gauge("snapshot_index", () -> member.get().snapshotIndex());
-		gauge("failed", () -> member.get().failure().isPresent() ? 1 : 0);
+		gauge("stopped", () -> member.get().failure().isPresent() ? 1 : 0);
 		gauge("configuration_version", () -> mesh.configuration().version());
 		gauge("services", () -> mesh.configuration().services().size());
 		gauge("active_moves", () -> mesh.activeMoves().size());
 		gauge("remembered_changes", mesh::outcomeCount);
 		gauge("nodes", () -> distribution.get().nodes());
-		gauge("lagging_nodes", () -> distribution.get().laggards().size());
+		gauge("nodes_current", () -> current(distribution.get()));
 		gauge("rejected_versions", () -> distribution.get().rejected().size());
 		gauge("unreachable_nodes", () -> distribution.get().unreachableCount());
 		gauge("tree_depth", () -> distribution.get().depth());
@@ -48,6 +48,10 @@
 		return MetricsText.of(this.registry);
 	}
 
+	private static int current(ConvergenceStatus status) {
+		return status.versions().tailMap(status.version()).values().stream().mapToInt(Integer::intValue).sum();
+	}
+
 	private void gauge(String name, Gauge<? extends Number> gauge) {
 		this.registry.registerGauge(PREFIX + name, gauge);
 	}
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -31,6 +31,7 @@
 import io.lavenderroad.distribution.RootDistribution;
 import io.lavenderroad.model.Evidence;
 import io.lavenderroad.policy.moves.MovePolicy;
+import org.tinylog.Logger;
 
 /**
  * A control member: replicated log, state of the mesh, root of the relay tree, moves and
@@ -42,6 +43,8 @@
 
 	private static final long MOVE_TICK_MILLIS = 500;
 
+	private static final long PEERS_MILLIS = 500;
+
 	private static final long SHUTDOWN_MILLIS = 5_000;
 
 	private final DurableLog log;
@@ -60,10 +63,21 @@
 
 	private final PeriodicTask moveTask;
 
+	private final PeriodicTask peersTask;
+
+	private final String id;
+
+	/**
+	 * Addresses that the root links to; only the task of the peers changes it.
+	 */
+	private List<String> linkedPeers;
+
 	private ControlRole(DaemonSettings settings, Kernel kernel) throws IOException {
 		Clock clock = Clock.system();
 		RandomGenerator random = new Random();
 		MeshStateMachine mesh = new MeshStateMachine();
+		this.id = settings.id();
+		this.linkedPeers = peers(settings);
 		WireOptions options = WireSetup.options(settings, clock, ControlMessages.types(), DistributionMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
@@ -73,7 +87,7 @@
 			.options(options)
 			.clock(clock)
 			.random(random)
-			.peers(peers(settings))
+			.peers(this.linkedPeers)
 			.confirmCommittedVersion(() -> confirmedVersion(commands, mesh))
 			.evidenceListener(this::addEvidence)
 			.build();
@@ -92,6 +106,7 @@
 		this.api = api(settings, kernel, clock, mesh, commands, moveService);
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status);
 		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, this.leaderMoves::tick);
+		this.peersTask = PeriodicTask.start("peers", PEERS_MILLIS, this::followMembers);
 	}
 
 	static RunningRole start(DaemonSettings settings, Kernel kernel) throws IOException {
@@ -101,6 +116,7 @@
 	@Override
 	public void shutDown() {
 		this.moveTask.close();
+		this.peersTask.close();
 		this.api.close();
 		this.member.shutdown(SHUTDOWN_MILLIS);
 		this.root.close();
@@ -155,6 +171,26 @@
 					.toList());
 	}
 
+	/**
+	 * Links the root to the present members of the group. The settings name only the
+	 * first ones, and none for a member that joins.
+	 */
+	private void followMembers() {
+		List<String> present = this.member.status()
+			.members()
+			.members()
+			.stream()
+			.filter((other) -> !other.id().equals(this.id))
+			.map(Member::address)
+			.toList();
+		// A member that waits to be added knows no group yet.
+		if (!present.isEmpty() && !present.equals(this.linkedPeers)) {
+			this.linkedPeers = present;
+			this.root.peers(present);
+			Logger.info("daemon: Linked to the control members at {}.", String.join(", ", present));
+		}
+	}
+
 	private Map<String, Object> status() {
 		Map<String, Object> status = new TreeMap<>();
 		status.put("distribution", this.root.status());
