--- /dev/null
+++ b/bench/src/main/java/io/lavenderroad/bench/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Cost of a node as a separate process.
+ */
+package io.lavenderroad.bench.node;
