Come back to the parent that asked for it

Cause: a caller that a relay turned away asked a root again in its next round, so that a mass restart cost the roots several visits of each node.

Change: the next round of a search begins with the candidates that deferred the caller.

--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentCandidates.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentCandidates.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.distribution;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
@@ -20,12 +21,16 @@
 	 */
 	private static final int MOST_ATTEMPTS = 24;
 
+	private static final int MOST_DEFERRING = 3;
+
 	private final Deque<Hop> queue = new ArrayDeque<>();
 
 	private final Set<String> tried = new HashSet<>();
 
 	private final Set<String> avoided = new HashSet<>();
 
+	private final List<Hop> deferring = new ArrayList<>();
+
 	private final String self;
 
 	private int attempts;
@@ -78,7 +83,15 @@
 		}
 	}
 
-	void deferred(long millis) {
+	/**
+	 * Notes a candidate that asked to come back later.
+	 * @param candidate the candidate
+	 * @param millis when it wants to see this process again
+	 */
+	void deferred(Hop candidate, long millis) {
+		if (this.deferring.size() < MOST_DEFERRING) {
+			this.deferring.add(candidate);
+		}
 		this.retryAfterMillis = (this.retryAfterMillis == 0) ? millis : Math.min(this.retryAfterMillis, millis);
 	}
 
@@ -90,6 +103,15 @@
 		return this.retryAfterMillis;
 	}
 
+	/**
+	 * Returns where the next round begins. Otherwise each caller that a relay turned away
+	 * would ask a root again, which has to serve everybody.
+	 * @return the first candidates that asked to come back
+	 */
+	List<Hop> deferring() {
+		return List.copyOf(this.deferring);
+	}
+
 	Set<String> avoided() {
 		return this.avoided;
 	}
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -58,6 +58,8 @@
 
 	private List<Hop> lastPath = List.of();
 
+	private List<Hop> comeBack = List.of();
+
 	private String lostParent;
 
 	Uplink(Owner owner, WireOptions options, Clock clock, RandomGenerator random, Supplier<List<String>> seeds,
@@ -154,13 +156,17 @@
 			this.lastPath = present.path();
 			this.lostParent = present.parent().id();
 		}
-		ParentCandidates candidates = new ParentCandidates(this.self.get().nodeId(), TreePath.ancestors(this.lastPath),
-				shuffledSeeds(), Optional.ofNullable(this.lostParent));
+		List<Hop> first = new ArrayList<>(this.comeBack);
+		first.addAll(TreePath.ancestors(this.lastPath));
+		ParentCandidates candidates = new ParentCandidates(this.self.get().nodeId(), first, shuffledSeeds(),
+				Optional.ofNullable(this.lostParent));
 		if (tryAll(candidates)) {
+			this.comeBack = List.of();
 			this.backoff.reset();
 		}
 		else {
 			this.lostParent = null;
+			this.comeBack = candidates.deferring();
 			pauseFully(candidates.retryAfterMillis());
 		}
 	}
@@ -197,7 +203,7 @@
 		else if (answer.isRight() && answer.get() instanceof Deferred deferred) {
 			Logger.debug("distribution: {} grants no place for {} ms: {}.", connection, deferred.retryAfterMillis(),
 					deferred.reason());
-			candidates.deferred(deferred.retryAfterMillis());
+			candidates.deferred(candidate, deferred.retryAfterMillis());
 		}
 		else {
 			Logger.debug("distribution: {} gave no usable answer: {}.", connection,
--- a/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
@@ -122,6 +122,17 @@
 		Assert.assertEquals(candidates.avoided(), Set.of("lost"));
 	}
 
+	@Test
+	public void callerComesBackToTheParentThatDeferredIt() {
+		ParentCandidates candidates = new ParentCandidates("self", List.of(hop("a"), hop("b")), List.of(),
+				Optional.empty());
+		candidates.deferred(candidates.next().orElseThrow(), 400);
+		candidates.deferred(candidates.next().orElseThrow(), 300);
+		Assert.assertEquals(candidates.next(), Optional.empty());
+		Assert.assertEquals(candidates.retryAfterMillis(), 300);
+		Assert.assertEquals(candidates.deferring(), List.of(hop("a"), hop("b")));
+	}
+
 	@Test
 	public void redirectsInACircleEnd() {
 		ParentCandidates candidates = new ParentCandidates("self", List.of(), List.of("at-0"), Optional.empty());
