--- a/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
+++ b/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
@@ -1,6 +1,8 @@
 package io.lavenderroad.bench.backend;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -265,6 +267,30 @@
 			.statusCode() == 200);
 	}
 
+	@Test
+	public void administratorSeesCallsAndDrainsTheNode() throws Exception {
+		this.mesh.start("admin", "other", "soweto", Behaviour.USUAL, 12,
+				(node) -> node.adminAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+					.healthPath("/health")
+					.loadPath("/load"));
+		LocalMesh.Member member = this.mesh.member("admin");
+		String admin = "http://127.0.0.1:" + member.proxy().adminAddress().orElseThrow().getPort();
+		Map<String, String> customer = Map.of("Mesh-Customer", "shop");
+		this.client.send(request(member.url(), "GET", "/items", "", customer), BodyHandlers.ofString());
+		Assert.assertTrue(page(admin, "GET", "/metrics").body()
+			.contains("lavenderroad_calls_total{service=\"catalogue\",customer=\"shop\",verdict=\"ran\"} 1"));
+		Assert.assertTrue(page(admin, "GET", "/endpoints").body().contains("\"node\":\"server\""));
+		Assert.assertEquals(page(admin, "GET", "/health").statusCode(), 200);
+		Assert.assertEquals(page(admin, "GET", "/nothing").statusCode(), 404);
+		Assert.assertEquals(page(admin, "POST", "/drain").statusCode(), 202);
+		await(() -> page(admin, "GET", "/health").statusCode() == 503);
+	}
+
+	private HttpResponse<String> page(String admin, String method, String path)
+			throws IOException, InterruptedException {
+		return this.client.send(request(admin, method, path, "", Map.of()), BodyHandlers.ofString());
+	}
+
 	private int starts(String id) {
 		return this.mesh.members().stream().mapToInt((member) -> member.backend().record().starts(id)).sum();
 	}
