Take back a version that has lost its servers

Without ready servers the demand exceeds the slots of the new version, so refusals were left out as overload and a version that crashed all its servers kept its share. It is now taken back after 15 s during which its servers do not carry the share although the old version could carry all calls; three times the 5 s until endpoints are known to a new leader.

--- a/control/src/test/java/io/lavenderroad/control/moves/MoveControllerTests.java
+++ b/control/src/test/java/io/lavenderroad/control/moves/MoveControllerTests.java
@@ -95,6 +95,18 @@
 		Assert.assertEquals(move().step(), step, "a withdrawn version was retried");
 	}
 
+	@Test
+	public void versionThatLosesAllItsServersIsWithdrawn() {
+		this.store.add("move", ThinEvidence.HOLD, "sequential");
+		MoveController controller = controller();
+		runUntil(controller, MoveStatus.WATCHING);
+		this.store.newServers = 0;
+		run(controller, 10_000, 300);
+		Assert.assertEquals(move().status(), MoveStatus.WATCHING, "withdrawn while endpoints may be unknown");
+		run(controller, 10_000, 300);
+		Assert.assertEquals(move().status(), MoveStatus.TAKEN_BACK);
+	}
+
 	@Test
 	public void newLeaderFindsAFaultThatItsPredecessorDidNotReport() {
 		this.store.add("move", ThinEvidence.HOLD, "sequential");
--- a/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/MoveEvidence.java
@@ -38,6 +38,8 @@
 
 	private final long firstShareMillis;
 
+	private final long carriedMillis;
+
 	private final long fromMillis;
 
 	private final long toMillis;
@@ -52,12 +54,13 @@
 
 	private final RecentLoad recent;
 
-	private MoveEvidence(MoveState move, boolean startedAfterShift, long firstShareMillis, long fromMillis,
-			long toMillis, Evidence sinceStart, Evidence sinceStep, SequentialComparison comparison,
+	private MoveEvidence(MoveState move, boolean startedAfterShift, long firstShareMillis, long carriedMillis,
+			long fromMillis, long toMillis, Evidence sinceStart, Evidence sinceStep, SequentialComparison comparison,
 			Map<String, VersionPair> pending, RecentLoad recent) {
 		this.move = move;
 		this.startedAfterShift = startedAfterShift;
 		this.firstShareMillis = firstShareMillis;
+		this.carriedMillis = carriedMillis;
 		this.fromMillis = fromMillis;
 		this.toMillis = toMillis;
 		this.sinceStart = sinceStart;
@@ -79,8 +82,8 @@
 		// A leader that starts later does not know the time of the first share any more.
 		long firstShareMillis = (move.step() <= 1) ? move.stepMillis() : move.startedMillis();
 		return new MoveEvidence(move, move.shareBasisPoints() > BASELINE_LIMIT, firstShareMillis, nowMillis, nowMillis,
-				Evidence.NONE, Evidence.NONE, SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds),
-				Map.of(), RecentLoad.NONE);
+				nowMillis, Evidence.NONE, Evidence.NONE,
+				SequentialComparison.start(FALSE_ALARM_RATE, routes, horizonSeconds), Map.of(), RecentLoad.NONE);
 	}
 
 	/**
@@ -91,8 +94,8 @@
 	public MoveEvidence at(MoveState state) {
 		boolean sameStep = state.step() == this.move.step();
 		long firstShare = (state.step() <= 1) ? state.stepMillis() : this.firstShareMillis;
-		return new MoveEvidence(state, this.startedAfterShift, firstShare, this.fromMillis, this.toMillis,
-				this.sinceStart, sameStep ? this.sinceStep : Evidence.NONE, this.comparison,
+		return new MoveEvidence(state, this.startedAfterShift, firstShare, this.carriedMillis, this.fromMillis,
+				this.toMillis, this.sinceStart, sameStep ? this.sinceStep : Evidence.NONE, this.comparison,
 				sameStep ? this.pending : Map.of(), this.recent);
 	}
 
@@ -120,8 +123,9 @@
 		window.forEach((route, pair) -> ((pair.isComparable() || this.move.step() == 0) ? complete : incomplete)
 			.put(route, pair));
 		SequentialComparison next = this.comparison.plus(complete, conditions, baseline);
-		return new MoveEvidence(this.move, this.startedAfterShift, this.firstShareMillis, this.fromMillis, nowMillis,
-				this.sinceStart.plus(own), this.sinceStep.plus(own), next, incomplete, recent(own, seconds));
+		long carried = isCarried(oldServers, newServers) ? nowMillis : this.carriedMillis;
+		return new MoveEvidence(this.move, this.startedAfterShift, this.firstShareMillis, carried, this.fromMillis,
+				nowMillis, this.sinceStart.plus(own), this.sinceStep.plus(own), next, incomplete, recent(own, seconds));
 	}
 
 	/**
@@ -164,6 +168,15 @@
 		return this.recent.callsPerSecond();
 	}
 
+	/**
+	 * Returns for how long the ready servers of the new version have not carried its
+	 * share, although the old version could carry all calls.
+	 * @return milliseconds, 0 if they carry it
+	 */
+	public long notCarriedMillis() {
+		return this.toMillis - this.carriedMillis;
+	}
+
 	/**
 	 * Returns averages over the last minute.
 	 * @return the averages
@@ -208,10 +221,19 @@
 		return firstCalls || newServers.youngColdServers() > 0;
 	}
 
+	private boolean isCarried(VersionServers oldServers, VersionServers newServers) {
+		boolean fits = newDemandSlots() <= newServers.readySlots() * OVERLOAD_USE;
+		boolean noAlternative = this.recent.demandSlots() > oldServers.readySlots() * OVERLOAD_USE;
+		return fits || noAlternative || newServers.coldServers() > 0;
+	}
+
+	private double newDemandSlots() {
+		return this.recent.demandSlots() * this.move.shareBasisPoints() / ServiceConfiguration.WHOLE_SHARE;
+	}
+
 	private boolean isOverloaded(VersionServers oldServers, VersionServers newServers) {
 		double demand = this.recent.demandSlots();
-		double newDemand = demand * this.move.shareBasisPoints() / ServiceConfiguration.WHOLE_SHARE;
-		return newDemand > newServers.readySlots() * OVERLOAD_USE
+		return newDemandSlots() > newServers.readySlots() * OVERLOAD_USE
 				|| demand > (oldServers.readySlots() + newServers.readySlots()) * OVERLOAD_USE;
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/moves/SequentialMovePolicy.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/SequentialMovePolicy.java
@@ -31,6 +31,12 @@
 	 */
 	private static final double SUSPICION = 10;
 
+	/**
+	 * Time after which a version that lost its servers is taken back. Three times the 5 s
+	 * within which endpoints are known again after a leader change.
+	 */
+	private static final long LOST_SERVERS_MILLIS = 15_000;
+
 	/**
 	 * Part of the time to the deadline after which missing servers are worth a warning.
 	 */
@@ -41,6 +47,11 @@
 		if (situation.move().shareBasisPoints() > 0 && situation.evidence().comparison().isBad()) {
 			return takeBack(situation);
 		}
+		if (situation.evidence().notCarriedMillis() >= LOST_SERVERS_MILLIS) {
+			return new MoveDecision.Withdraw("the servers of the new version no longer carry its share", "",
+					"ready servers new " + situation.newServers().readyServers() + " old "
+							+ situation.oldServers().readyServers());
+		}
 		RampPlan plan = new RampPlan(situation);
 		Optional<MoveDecision> warning = deadlineWarning(situation, plan);
 		if (warning.isPresent()) {
