Let the operators' tool change the documents of a kept demo

The demo now uses the names of the tool. It also ends its processes when it gets a signal; before, SIGTERM to the demo alone left 23 processes running.

mvn verify -pl bench -am passes.

--- a/bench/src/main/java/io/lavenderroad/bench/demo/Demo.java
+++ b/bench/src/main/java/io/lavenderroad/bench/demo/Demo.java
@@ -26,6 +26,7 @@
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.model.rendering.MeshRenderer;
 
 /**
  * Runs both example deployments as separate processes on loopback addresses: a good move
@@ -114,6 +115,8 @@
 		Path folder = Path.of(options.folder, "demo-" + System.currentTimeMillis()).toAbsolutePath();
 		Files.createDirectories(folder);
 		Demo demo = new Demo(Path.of(options.home).toAbsolutePath(), folder, options.seed);
+		// A signal to this process alone would leave the other processes running.
+		Runtime.getRuntime().addShutdownHook(new Thread(demo.cluster::close));
 		int code;
 		try {
 			code = demo.run();
@@ -173,8 +176,11 @@
 	private void applyBothDeployments() throws IOException {
 		for (String deployment : List.of("mokoena", "prairie-pantry")) {
 			for (String name : List.of("template", "parameters")) {
-				this.documents.put(deployment + "/" + name,
-						Files.readString(this.home.resolve("examples").resolve(deployment).resolve(name + ".yml")));
+				Path file = this.home.resolve("examples").resolve(deployment).resolve(name + ".yml");
+				String text = Files.readString(file);
+				// The names that the operators' tool gives, so that it can change the
+				// documents of a kept deployment.
+				this.documents.put(MeshRenderer.documentName(file.toString(), text).get(), text);
 			}
 		}
 		apply("deployments", this.documents);
@@ -182,10 +188,10 @@
 
 	private void goodMove() {
 		long start = this.clock.millis();
-		String text = this.documents.get("prairie-pantry/parameters");
+		String text = this.documents.get("parameters/prairie-pantry");
 		String changed = text.replace("  order-desk:\n    current: v1\n",
 				"  order-desk:\n    current: v1\n    move: { to: v2, deadline: " + MOVE_SECONDS + "s }\n");
-		apply("good move of order-desk to v2", Map.of("prairie-pantry/parameters", changed));
+		apply("good move of order-desk to v2", Map.of("parameters/prairie-pantry", changed));
 		Map<String, Object> move = awaitVerdict("order-desk", (MOVE_SECONDS + 10) * 1_000);
 		promise("done".equals(label(move)), "the good move ends done, it is " + label(move));
 		long tookMillis = this.clock.millis() - start;
@@ -206,10 +212,10 @@
 
 	private void badMove() {
 		long start = this.clock.millis();
-		String text = this.documents.get("mokoena/parameters");
+		String text = this.documents.get("parameters/mokoena");
 		String changed = text.replace("  catalogue:\n    current: v1\n",
 				"  catalogue:\n    current: v1\n    move: { to: v2, deadline: 60s }\n");
-		apply("move of catalogue to the bad version v2", Map.of("mokoena/parameters", changed));
+		apply("move of catalogue to the bad version v2", Map.of("parameters/mokoena", changed));
 		Map<String, Object> move = awaitVerdict("catalogue", WITHDRAWAL_LIMIT_MILLIS);
 		promise("taken back".equals(label(move)), "the bad version is taken back, it is " + label(move));
 		say("bad move: %s after %.1f s: %s, route %s, %s", label(move),
