Keep a full old version from overflowing onto a new one

Cause: read while merging: a call whose version had no endpoint went to any version with a share, so a full old version sent its calls to a new version with a share of 0.5%, which breaks the promise of a small share. Change: VersionChoice lets a version take over only calls of a version with a smaller share, and the version that the move comes from always. The client to the backend server no longer loads the trusted certificates.

--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
+import java.security.GeneralSecurityException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CancellationException;
@@ -15,7 +16,12 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 
+import javax.net.ssl.KeyManager;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManager;
+
 import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.LavenderroadException;
 
 /**
  * Calls the backend server beside the node over HTTP/1.1. Redirects are passed on and
@@ -41,6 +47,7 @@
 			.followRedirects(HttpClient.Redirect.NEVER)
 			.connectTimeout(CONNECT_TIMEOUT)
 			.executor(executor)
+			.sslContext(withoutTrust())
 			.build();
 		this.origin = "http://" + address;
 		this.largestAnswerBytes = largestAnswerBytes;
@@ -159,4 +166,18 @@
 				"backend server broke the exchange: " + MeshHeaders.printable(String.valueOf(cause.getMessage())));
 	}
 
+	// The default context reads every trusted certificate of the runtime, about 150,
+	// although
+	// the backend server on the same VM is called without TLS.
+	private static SSLContext withoutTrust() {
+		try {
+			SSLContext context = SSLContext.getInstance("TLS");
+			context.init(new KeyManager[0], new TrustManager[0], null);
+			return context;
+		}
+		catch (GeneralSecurityException ex) {
+			throw new LavenderroadException("TLS is part of every Java platform", ex);
+		}
+	}
+
 }
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -13,6 +13,7 @@
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.wire.CallFailure;
 import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.ObservationKey;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.policy.calls.Backoff;
@@ -20,6 +21,7 @@
 import io.lavenderroad.policy.calls.BalancingPolicy;
 import io.lavenderroad.policy.calls.EndpointLoad;
 import io.lavenderroad.policy.calls.RetryBudget;
+import io.lavenderroad.policy.calls.VersionChoice;
 import io.vavr.control.Either;
 
 /**
@@ -168,38 +170,18 @@
 	private Optional<EndpointLoad> choose(ServiceConfiguration service, Collection<EndpointLoad> tried) {
 		BalancingContext context = new BalancingContext(this.self.failureDomain(), this.clock.millis(), tried,
 				this.random);
-		Map<String, Integer> split = this.withdrawn.split(service);
-		String version = draw(split);
-		Optional<EndpointLoad> chosen = this.balancing.choose(this.directory.candidates(service.name(), version),
-				context);
-		if (chosen.isPresent()) {
-			return chosen;
-		}
-		// Another version takes the call, but only one that has a share.
-		for (Map.Entry<String, Integer> entry : split.entrySet()) {
-			if (entry.getValue() > 0 && !entry.getKey().equals(version)) {
-				chosen = this.balancing.choose(this.directory.candidates(service.name(), entry.getKey()), context);
-				if (chosen.isPresent()) {
-					return chosen;
-				}
+		List<String> versions = VersionChoice.order(this.withdrawn.split(service),
+				service.move().map(MoveParameters::from), this.random);
+		for (String version : versions) {
+			Optional<EndpointLoad> chosen = this.balancing.choose(this.directory.candidates(service.name(), version),
+					context);
+			if (chosen.isPresent()) {
+				return chosen;
 			}
 		}
 		return Optional.empty();
 	}
 
-	private String draw(Map<String, Integer> split) {
-		int point = this.random.nextInt(ServiceConfiguration.WHOLE_SHARE);
-		String last = "";
-		for (Map.Entry<String, Integer> entry : split.entrySet()) {
-			last = entry.getKey();
-			point -= entry.getValue();
-			if (point < 0) {
-				return last;
-			}
-		}
-		return last;
-	}
-
 	private static boolean isRetryable(RoutedCall call, CallAnswer answer) {
 		if (answer.status() == HttpStatus.OVER_SHARE || answer.status() == HttpStatus.BAD_REQUEST
 				|| answer.status() == HttpStatus.CONFLICT) {
