Report the leader's reason when a change is refused

lavenderroad members remove control-9 showed the reason of the last member asked, 'this member is not the leader', in place of the leader's 'member control-9 is not in the group'. A 421 no longer replaces another failure.

lavenderroad apply without a leader ended with 'no control member answered' and exit code 1, although members answered and nothing was sent. It now ends with 'not run' and exit code 4.

--- a/tool/src/main/java/io/lavenderroad/tool/ApplyCommand.java
+++ b/tool/src/main/java/io/lavenderroad/tool/ApplyCommand.java
@@ -53,8 +53,7 @@
 			throw new ToolException(ExitCode.USAGE, "--change-id needs the --base-version of the first attempt");
 		}
 		if (base == NO_VERSION) {
-			Reply reply = client.query("/v1/diff", DiffCommand.body(documents, this.removed));
-			JsonValue dryRun = Answers.require(reply, documents::shown);
+			JsonValue dryRun = Answers.require(dryRun(client, documents), documents::shown);
 			base = dryRun.number("baseVersion");
 			if (!this.options.json()) {
 				DiffCommand.print(dryRun, context.out());
@@ -65,6 +64,16 @@
 		return report(context, client, documents, new Identity(id, base), result);
 	}
 
+	private Reply dryRun(ControlClient client, Documents documents) {
+		try {
+			return client.query("/v1/diff", DiffCommand.body(documents, this.removed));
+		}
+		catch (ToolException ex) {
+			// The change itself was not sent yet.
+			throw new ToolException(ExitCode.REFUSED, "not run: " + ex.getMessage());
+		}
+	}
+
 	static Documents documents(List<String> paths, List<String> removed) {
 		if (paths.isEmpty() && removed.isEmpty()) {
 			throw new ToolException(ExitCode.USAGE, "name at least one file or directory, or --remove NAME");
--- a/tool/src/main/java/io/lavenderroad/tool/ControlClient.java
+++ b/tool/src/main/java/io/lavenderroad/tool/ControlClient.java
@@ -116,7 +116,7 @@
 	private Result request(String method, String path, Optional<String> body) {
 		Result result = attemptAll(method, path, body, true);
 		if (result.answer().isEmpty()) {
-			throw new ToolException(ExitCode.FAILURE, "no control member answered: " + result.lastFailure());
+			throw new ToolException(ExitCode.FAILURE, "no control member gave a final answer: " + result.lastFailure());
 		}
 		return result;
 	}
@@ -138,7 +138,10 @@
 					return new Result(attempt.reply(), answerLost, lastFailure);
 				}
 				answerLost |= attempt.answerLost();
-				lastFailure = address + ": " + attempt.failure();
+				// That a member does not lead says less than the failure of the leader.
+				if (lastFailure.isEmpty() || attempt.leader().isEmpty()) {
+					lastFailure = address + ": " + attempt.failure();
+				}
 				if (answerLost && !resend) {
 					return new Result(Optional.empty(), true, lastFailure);
 				}
--- a/tool/src/test/java/io/lavenderroad/tool/MainTests.java
+++ b/tool/src/test/java/io/lavenderroad/tool/MainTests.java
@@ -114,6 +114,24 @@
 		Assert.assertEquals(this.requests.size(), 2);
 	}
 
+	@Test
+	public void reasonOfTheLeaderIsShownThoughOthersAnswerLast() {
+		int code = run(
+				(address, method, path, body) -> address.equals("127.0.0.11:7490")
+						? answer(503, "{\"reason\":\"member control-9 is not in the group\"}")
+						: answer(421, "{\"reason\":\"not the leader\",\"leaderAddress\":\"127.0.0.11:7490\"}"),
+				"members", "remove", "control-9");
+		Assert.assertEquals(code, 4, output());
+		Assert.assertTrue(output().contains("member control-9 is not in the group"), output());
+	}
+
+	@Test
+	public void changeWithoutALeaderIsNotRun() {
+		int code = run((address, method, path, body) -> answer(503, "{\"reason\":\"no leader\"}"), "apply", EXAMPLE);
+		Assert.assertEquals(code, 4, output());
+		Assert.assertTrue(output().startsWith("not run: "), output());
+	}
+
 	@Test
 	public void problemsNameTheFileOfTheOperator() {
 		int code = run(
