--- a/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
@@ -129,7 +129,8 @@
 		String id = domain + "-" + (index + 1);
 		this.addresses.put(id, address(1 + index / LARGEST_HOST, 1 + index % LARGEST_HOST));
 		startBackend(id, service, version, slots, backendArguments);
-		String settings = commonSettings(id, "node", domain, FRAMES_PORT) + seeds() + """
+		startForwarder(id);
+		String settings = commonSettings(id, "node", domain, FORWARDED_PORT) + seeds() + """
 				backend: { service: %s, version: %s, http-port: %d, slots: %d }
 				""".formatted(service, version, BACKEND_PORT, slots);
 		startDaemon(id, settings);
@@ -209,8 +210,8 @@
 	}
 
 	/**
-	 * Cuts a control member off from every other process, silently and both ways.
-	 * @param id id of the member
+	 * Cuts a daemon off from every other daemon, silently and both ways.
+	 * @param id id of the daemon
 	 */
 	public void cutOff(String id) {
 		for (Map.Entry<String, String> other : this.addresses.entrySet()) {
@@ -230,8 +231,8 @@
 	}
 
 	/**
-	 * Silences the present connections to a control member for good; new ones work.
-	 * @param id id of the member
+	 * Silences the present connections to a daemon for good; new ones work.
+	 * @param id id of the daemon
 	 */
 	public void silenceConnections(String id) {
 		this.forwarders.get(id).silencePresentConnections();
@@ -247,13 +248,7 @@
 	private void startControlMember(String id, List<String> members) {
 		String domain = this.failureDomains.get(this.controlCount % this.failureDomains.size());
 		this.controlCount++;
-		InetSocketAddress listen = new InetSocketAddress(address(id), FRAMES_PORT);
-		try {
-			this.forwarders.put(id, LinkForwarder.start(listen, new InetSocketAddress(address(id), FORWARDED_PORT)));
-		}
-		catch (IOException ex) {
-			throw new LavenderroadException("cannot listen at " + listen, ex);
-		}
+		startForwarder(id);
 		StringBuilder settings = new StringBuilder(commonSettings(id, "control", domain, FORWARDED_PORT));
 		settings.append("data-folder: ").append(this.folder.resolve(id)).append('\n');
 		if (!members.isEmpty()) {
@@ -266,6 +261,16 @@
 		startDaemon(id, settings.toString());
 	}
 
+	private void startForwarder(String id) {
+		InetSocketAddress listen = new InetSocketAddress(address(id), FRAMES_PORT);
+		try {
+			this.forwarders.put(id, LinkForwarder.start(listen, new InetSocketAddress(address(id), FORWARDED_PORT)));
+		}
+		catch (IOException ex) {
+			throw new LavenderroadException("cannot listen at " + listen, ex);
+		}
+	}
+
 	private void startBackend(String id, String service, String version, int slots, List<String> arguments) {
 		List<String> command = new ArrayList<>(List.of(this.home.resolve("bin/stand-in-backend").toString(),
 				"--address", address(id), "--port", String.valueOf(BACKEND_PORT), "--name",
--- a/bench/src/main/java/io/lavenderroad/bench/cluster/VersionSampler.java
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/VersionSampler.java
@@ -85,6 +85,14 @@
 		return Optional.ofNullable(this.versions.get(nodeId)).map(Sample::version).orElse(0L);
 	}
 
+	/**
+	 * Forgets the last report of a node, so that a wait ends only after a new one.
+	 * @param nodeId id of the node
+	 */
+	public void forget(String nodeId) {
+		this.versions.remove(nodeId);
+	}
+
 	@Override
 	public void close() {
 		this.running = false;
--- a/bench/src/main/java/io/lavenderroad/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/io/lavenderroad/bench/load/LoadGenerator.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.bench.load;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -33,6 +34,8 @@
 
 	private static final int STATUS_UNKNOWN = 0;
 
+	private static final int STATUS_BROKEN = 502;
+
 	private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
 	private static final double NANOS_PER_MILLI = 1e6;
@@ -68,6 +71,8 @@
 
 	private final Map<String, String> keysByCall = new ConcurrentHashMap<>();
 
+	private final LongAdder broken = new LongAdder();
+
 	private volatile Counts counts = new Counts();
 
 	private volatile boolean running;
@@ -122,6 +127,16 @@
 		return this.keysByCall.getOrDefault(callId, "");
 	}
 
+	/**
+	 * Returns the calls that were cut off: the connection broke, no answer came, or the
+	 * system reported a connection broken after it sent the request. Calls that met a
+	 * refused connection or the deadline of their route do not count.
+	 * @return count since the start
+	 */
+	public long brokenCalls() {
+		return this.broken.sum();
+	}
+
 	/**
 	 * Stops sending and waits for the answers.
 	 */
@@ -208,7 +223,17 @@
 					HttpResponse.BodyHandlers.ofString());
 			return answered(kind, id, response, System.nanoTime() - start);
 		}
+		catch (ConnectException ex) {
+			// The client repeats a GET by itself after a broken connection, so only
+			// for other methods a refused connection proves that nothing was sent.
+			ExecutionVerdict verdict = kind.method().equals("GET") ? ExecutionVerdict.MAY_HAVE_RUN
+					: ExecutionVerdict.NOT_RUN;
+			this.counts.add("none", STATUS_UNKNOWN, "", 0);
+			record(id, verdict, "", true);
+			return verdict;
+		}
 		catch (IOException ex) {
+			this.broken.increment();
 			this.counts.add("none", STATUS_UNKNOWN, "", 0);
 			record(id, ExecutionVerdict.MAY_HAVE_RUN, "", true);
 			return ExecutionVerdict.MAY_HAVE_RUN;
@@ -223,6 +248,9 @@
 		String label = response.headers().firstValue("Mesh-Verdict").orElse("none");
 		String version = response.headers().firstValue("Mesh-Version").orElse("");
 		this.counts.add(label, response.statusCode(), version.isEmpty() ? "" : kind.service() + " " + version, nanos);
+		if (response.statusCode() == STATUS_BROKEN) {
+			this.broken.increment();
+		}
 		ExecutionVerdict verdict = verdictOf(label);
 		Optional<String> answeredId = response.headers().firstValue("Request-Id");
 		boolean whole = answeredId.isEmpty() || kind.method().equals("GET")
--- a/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioReader.java
+++ b/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioReader.java
@@ -11,6 +11,7 @@
 
 import io.lavenderroad.bench.load.CallKind;
 import io.lavenderroad.bench.scenario.Scenario.WorkerGroup;
+import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.Problem;
 import io.lavenderroad.core.settings.YamlDocument;
 import io.lavenderroad.core.settings.YamlNode;
@@ -124,6 +125,8 @@
 		verbs.put("heal", onText((run, text) -> run.heal()));
 		verbs.put("drain", onText(ScenarioRun::drain));
 		verbs.put("behave", ScenarioReader::behave);
+		verbs.put("mark", onText((run, text) -> run.mark()));
+		verbs.put("chaos", ScenarioReader::chaos);
 		verbs.put("replace-member", onText(ScenarioRun::replaceMember));
 		verbs.put("expect", ScenarioReader::expect);
 		return verbs;
@@ -146,6 +149,13 @@
 		return (run) -> run.behave(target, script);
 	}
 
+	private static Step.Action chaos(YamlNode node) {
+		int seed = node.child("seed").integer(0, 1_000_000, OptionalInt.empty());
+		int seconds = node.child("seconds").integer(1, 600, OptionalInt.empty());
+		node.rejectUnknownKeys();
+		return (run) -> run.chaos(seed, seconds);
+	}
+
 	private static Step.Action expect(YamlNode node) {
 		int seconds = node.child("within-seconds").integer(1, 600, OptionalInt.of(DEFAULT_LIMIT_SECONDS));
 		List<Step.Action> expectations = new ArrayList<>();
@@ -157,6 +167,18 @@
 		expectText(node, "done", expectations, (run, service) -> run.expectMove(service, "done", seconds));
 		expectText(node, "taken-back", expectations, (run, service) -> run.expectMove(service, "taken-back", seconds));
 		expectText(node, "no-work", expectations, (run, target) -> run.expectNoWork(target));
+		expectText(node, "serving", expectations, (run, target) -> run.expectServing(target, seconds));
+		expectText(node, "refusing", expectations, (run, target) -> run.expectRefusing(target, seconds));
+		expectText(node, "ended", expectations, (run, target) -> run.expectEnded(target, seconds));
+		expectWorkers(node, "started", expectations,
+				(run, workers, count) -> run.expectStarted(workers, count, seconds));
+		expectWorkers(node, "most-percent", expectations, ScenarioRun::expectMostPercent);
+		expectMost(node, "most-unknown", ExecutionVerdict.MAY_HAVE_RUN, expectations);
+		expectMost(node, "most-refused", ExecutionVerdict.NOT_RUN, expectations);
+		if (node.child("most-broken").present()) {
+			int count = node.child("most-broken").integer(0, 1_000_000, OptionalInt.empty());
+			expectations.add((run) -> run.expectMostBroken(count));
+		}
 		if (node.child("nodes").present()) {
 			int count = node.child("nodes").integer(0, 1_000, OptionalInt.empty());
 			expectations.add((run) -> run.expectNodes(count, seconds));
@@ -180,6 +202,25 @@
 		}
 	}
 
+	private static void expectWorkers(YamlNode node, String key, List<Step.Action> expectations, WorkersAction action) {
+		YamlNode value = node.child(key);
+		if (value.present()) {
+			String workers = "worker " + text(value.child("service")) + " " + text(value.child("version"));
+			int count = value.child("count").integer(0, 1_000_000, OptionalInt.empty());
+			value.rejectUnknownKeys();
+			expectations.add((run) -> action.run(run, workers, count));
+		}
+	}
+
+	private static void expectMost(YamlNode node, String key, ExecutionVerdict verdict,
+			List<Step.Action> expectations) {
+		YamlNode value = node.child(key);
+		if (value.present()) {
+			int count = value.integer(0, 1_000_000, OptionalInt.empty());
+			expectations.add((run) -> run.expectMost(verdict, count));
+		}
+	}
+
 	private static Function<YamlNode, Step.Action> onText(TextAction action) {
 		return (node) -> {
 			String text = text(node);
@@ -205,6 +246,13 @@
 
 	}
 
+	@FunctionalInterface
+	private interface WorkersAction {
+
+		void run(ScenarioRun run, String workers, int count);
+
+	}
+
 	@FunctionalInterface
 	private interface NumberAction {
 
--- a/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioRun.java
+++ b/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioRun.java
@@ -8,10 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -36,7 +36,8 @@
 /**
  * The running deployment of a scenario. Targets of steps are ids, {@code leader},
  * {@code follower}, {@code control}, {@code nodes}, {@code everything},
- * {@code domain NAME}, or {@code worker SERVICE VERSION}.
+ * {@code domain NAME}, {@code worker SERVICE VERSION}, {@code last-leader} for the leader
+ * before the last disturbance, or {@code last} for the targets of the last disturbance.
  */
 public final class ScenarioRun implements AutoCloseable {
 
@@ -53,6 +54,22 @@
 
 	private static final long OBSERVATION_MILLIS = 2_000;
 
+	/**
+	 * Longest answer to a call: both attempts of the load with their timeouts.
+	 */
+	private static final long ANSWER_LIMIT_SECONDS = 25;
+
+	/**
+	 * Bound for the return to the intended state after the faults of a round of chaos.
+	 */
+	private static final int CHAOS_LIMIT_SECONDS = 30;
+
+	private static final int LEAST_QUEUE_LENGTH = 37;
+
+	private static final int QUEUE_LENGTHS = 160;
+
+	private static final int UNAVAILABLE = 503;
+
 	private static final double NANOS_PER_MILLI = 1e6;
 
 	private final Scenario scenario;
@@ -79,10 +96,39 @@
 
 	private final Map<String, List<String>> workerIds = new TreeMap<>();
 
-	private final Set<String> downNodes = new HashSet<>();
+	private final Set<String> downNodes = ConcurrentHashMap.newKeySet();
 
 	private final AtomicLong answered = new AtomicLong();
 
+	private final Set<String> pending = ConcurrentHashMap.newKeySet();
+
+	private final Map<ExecutionVerdict, Long> verdicts = new ConcurrentHashMap<>();
+
+	private long markedBroken;
+
+	private Map<ExecutionVerdict, Long> markedVerdicts = Map.of();
+
+	private final Map<String, Long> markedStarts = new TreeMap<>();
+
+	/**
+	 * Digests of the mesh configuration by version, as far as they could be read.
+	 */
+	private final Map<Long, String> digests = new ConcurrentHashMap<>();
+
+	private Thread digestReader;
+
+	private List<String> lastTargets = List.of();
+
+	/**
+	 * Number of edits so far; distinct edits make distinct documents, since a change
+	 * without effect is accepted without a new version.
+	 */
+	private int edits;
+
+	private int faults;
+
+	private int compared;
+
 	private String lastLeader = "";
 
 	private ScenarioRun(Scenario scenario, Path home, Path folder) {
@@ -122,6 +168,9 @@
 						String.format("  %6.0f ms  %s", (System.nanoTime() - start) / NANOS_PER_MILLI, step.title()));
 			}
 			List<Violation> violations = run.finish();
+			report.accept(String.format(
+					"  %s, %d cut off, %d changes, %d faults, %d reports compared by digest, %d violations",
+					run.verdicts, run.load.brokenCalls(), run.edits, run.faults, run.compared, violations.size()));
 			violations.stream().limit(5).forEach((violation) -> report.accept("  violation: " + violation));
 			return violations.isEmpty();
 		}
@@ -161,7 +210,7 @@
 		Map<String, OperatorClient.Outcome> results = new ConcurrentHashMap<>();
 		for (int operator = 1; operator <= operators; operator++) {
 			String id = "race-" + baseVersion + "-" + operator;
-			int queueLength = 20 + operator;
+			int queueLength = nextQueueLength();
 			threads.add(Thread.ofVirtual()
 				.start(() -> results.put(id, this.client.apply(id, baseVersion,
 						withQueueLength(base.documents(), queueLength), CHANGE_LIMIT_MILLIS))));
@@ -184,15 +233,56 @@
 		SentChange base = this.sent.values().stream().findFirst().orElseThrow();
 		for (int index = 0; index < count; index++) {
 			String id = "series-" + this.sent.size();
-			send(id, new SentChange(version(), withQueueLength(base.documents(), 12 + index % 100)));
+			send(id, new SentChange(version(), withQueueLength(base.documents(), nextQueueLength())));
 		}
 	}
 
+	void mark() {
+		this.markedBroken = this.load.brokenCalls();
+		this.markedVerdicts = Map.copyOf(this.verdicts);
+		this.workerIds.keySet().forEach((workers) -> this.markedStarts.put(workers, started("worker " + workers)));
+	}
+
+	// Disturbs a random control member and a random node in each round, changes the
+	// configuration meanwhile, ends the disturbance and waits for the intended state.
+	void chaos(int seed, int seconds) {
+		Random random = new Random(seed);
+		long end = this.clock.millis() + seconds * 1_000L;
+		while (this.clock.millis() < end) {
+			List<String> targets = List.of(pick(random, true), pick(random, false));
+			targets.forEach((id) -> disturb(random.nextInt(4), id));
+			makeChanges(1 + random.nextInt(3));
+			expectAnswered(20, CHAOS_LIMIT_SECONDS);
+			heal();
+			targets.forEach((id) -> {
+				resume(id);
+				restart(id);
+			});
+			makeChanges(1);
+			expectInForce("latest", CHAOS_LIMIT_SECONDS);
+			expectCurrent(targets.getFirst(), CHAOS_LIMIT_SECONDS);
+		}
+	}
+
+	private void disturb(int kind, String id) {
+		switch (kind) {
+			case 0 -> kill(id);
+			case 1 -> pause(id);
+			case 2 -> cut(id);
+			default -> silence(id);
+		}
+	}
+
+	private String pick(Random random, boolean control) {
+		List<String> ids = this.cluster.ids(control);
+		return ids.get(random.nextInt(ids.size()));
+	}
+
 	void kill(String target) {
-		rememberLeader();
-		ids(target).forEach((id) -> {
-			this.cluster.process(id).kill();
+		disturbed(target).forEach((id) -> {
 			this.downNodes.add(id);
+			this.cluster.process(id).kill();
+			this.sampler.forget(id);
 		});
 	}
 
@@ -206,16 +296,16 @@
 	}
 
 	void stop(String target) {
-		rememberLeader();
-		for (String id : ids(target)) {
-			this.downNodes.add(id);
+		List<String> stopped = disturbed(target);
+		this.downNodes.addAll(stopped);
+		for (String id : stopped) {
 			require(this.cluster.process(id).stop(), id + " did not stop gracefully");
+			this.sampler.forget(id);
 		}
 	}
 
 	void pause(String target) {
-		rememberLeader();
-		ids(target).forEach((id) -> {
+		disturbed(target).forEach((id) -> {
 			this.cluster.process(id).pause();
 			this.downNodes.add(id);
 		});
@@ -229,12 +319,11 @@
 	}
 
 	void cut(String target) {
-		rememberLeader();
-		ids(target).forEach(this.cluster::cutOff);
+		disturbed(target).forEach(this.cluster::cutOff);
 	}
 
 	void silence(String target) {
-		ids(target).forEach(this.cluster::silenceConnections);
+		disturbed(target).forEach(this.cluster::silenceConnections);
 	}
 
 	void heal() {
@@ -242,7 +331,9 @@
 	}
 
 	void drain(String target) {
-		ids(target)
+		List<String> drained = disturbed(target);
+		this.downNodes.addAll(drained);
+		drained
 			.forEach((id) -> post("http://" + this.cluster.address(id) + ":" + ProcessCluster.ADMIN_PORT + "/drain"));
 	}
 
@@ -261,7 +352,7 @@
 	}
 
 	void expectInForce(String id, int seconds) {
-		long version = this.outcomes.get(id).version();
+		long version = id.equals("latest") ? latestAccepted() : acceptedVersion(id);
 		List<String> live = liveNodes();
 		require(this.sampler.await(live, version, seconds * 1_000L).isPresent(),
 				"version " + version + " is not in force on "
@@ -283,6 +374,10 @@
 
 	void expectCurrent(String id, int seconds) {
 		long version = version();
+		ids(id).forEach((member) -> expectCurrent(member, version, seconds));
+	}
+
+	private void expectCurrent(String id, long version, int seconds) {
 		String address = this.cluster.address(id) + ":" + ProcessCluster.HTTP_PORT;
 		awaitTrue(seconds, () -> versionAt(address) >= version,
 				() -> id + " has version " + versionAt(address) + " in place of " + version);
@@ -303,6 +398,66 @@
 				() -> (this.answered.get() - goal + count) + " of " + count + " calls were answered as run");
 	}
 
+	void expectServing(String target, int seconds) {
+		ids(target).forEach((id) -> {
+			String address = this.cluster.address(id) + ":" + ProcessCluster.ADMIN_PORT;
+			awaitTrue(seconds, () -> this.client.get(address, "/health").isPresent(), () -> id + " does not serve");
+		});
+	}
+
+	void expectRefusing(String target, int seconds) {
+		Scenario.WorkerGroup group = this.scenario.workers().getFirst();
+		ids(target).forEach((id) -> awaitTrue(seconds, () -> refuses(id, group.service()),
+				() -> id + " does not refuse calls as not run"));
+	}
+
+	void expectEnded(String target, int seconds) {
+		ids(target).forEach((id) -> {
+			awaitTrue(seconds, () -> !this.cluster.process(id).isAlive(), () -> id + " still runs");
+			this.sampler.forget(id);
+		});
+	}
+
+	void expectStarted(String workers, int count, int seconds) {
+		awaitTrue(seconds, () -> started(workers) >= count,
+				() -> workers + " started " + started(workers) + " of " + count + " requests");
+	}
+
+	// Compares the requests started since the mark with those of all versions of the
+	// service.
+	void expectMostPercent(String workers, int percent) {
+		String service = workers.split(" ")[1];
+		Map<String, Long> starts = new TreeMap<>();
+		this.workerIds.keySet()
+			.stream()
+			.filter((key) -> key.startsWith(service + " "))
+			.forEach((key) -> starts.put("worker " + key,
+					started("worker " + key) - this.markedStarts.getOrDefault(key, 0L)));
+		long all = starts.values().stream().mapToLong(Long::longValue).sum();
+		require(starts.get(workers) * 100 <= all * percent,
+				"the requests by version are " + starts + ", the limit is " + percent + "%");
+	}
+
+	// Waits for the answers to all calls sent so far.
+	void expectMost(ExecutionVerdict verdict, int count) {
+		awaitAnswers();
+		long found = this.verdicts.getOrDefault(verdict, 0L) - this.markedVerdicts.getOrDefault(verdict, 0L);
+		require(found <= count,
+				found + " calls ended as " + verdict.label() + " since the mark, the limit is " + count);
+	}
+
+	void expectMostBroken(int count) {
+		awaitAnswers();
+		long found = this.load.brokenCalls() - this.markedBroken;
+		require(found <= count, found + " calls were cut off since the mark, the limit is " + count);
+	}
+
+	private void awaitAnswers() {
+		Set<String> sentSoFar = Set.copyOf(this.pending);
+		awaitTrue(ANSWER_LIMIT_SECONDS, () -> sentSoFar.stream().noneMatch(this.pending::contains),
+				() -> "calls have no answer");
+	}
+
 	void expectNoWork(String target) {
 		sleep(DRAIN_LIMIT_MILLIS);
 		long before = started(target);
@@ -328,6 +483,7 @@
 		awaitTrue(START_LIMIT_SECONDS, () -> attachedNodes() == expected,
 				() -> attachedNodes() + " of " + expected + " nodes attached");
 		this.sampler.watchAll();
+		this.digestReader = Thread.ofVirtual().start(this::readDigests);
 		if (this.scenario.callsPerSecond() > 0) {
 			this.load.start();
 		}
@@ -338,15 +494,54 @@
 			this.load.close();
 		}
 		this.sampler.close();
+		this.digestReader.interrupt();
 		boolean complete = RunCollector.collect(this.cluster, this.client, this.load::keyOf, this::record, this.clock);
 		this.historyFile.close();
 		require(complete, "the history of the control group cannot be read");
-		return HistoryChecker.check(HistoryFile.read(this.historyPath));
+		return HistoryChecker.check(HistoryFile.read(this.historyPath).stream().map(this::withExpectedDigest).toList());
+	}
+
+	private HistoryEvent withExpectedDigest(HistoryEvent event) {
+		if (event instanceof HistoryEvent.VersionInForce report && this.digests.containsKey(report.version())) {
+			this.compared++;
+			return new HistoryEvent.VersionInForce(report.millis(), report.nodeId(), report.version(),
+					report.missingResources(), report.digest(), this.digests.get(report.version()));
+		}
+		return event;
+	}
+
+	// Reads the digest of each configuration that the leader serves. The slice of a node
+	// is the whole configuration only if every service is open to external callers; other
+	// configurations are not compared.
+	private void readDigests() {
+		while (!Thread.currentThread().isInterrupted()) {
+			this.client.get("/v1/configuration").ifPresent((configuration) -> {
+				boolean allOpen = ((List<?>) configuration.get("services")).stream()
+					.allMatch((service) -> Boolean.TRUE.equals(((Map<?, ?>) service).get("openToCallers")));
+				if (allOpen) {
+					this.digests.put(((Number) configuration.get("version")).longValue(),
+							String.valueOf(configuration.get("digest")));
+				}
+			});
+			try {
+				Thread.sleep(POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
 	}
 
 	private void record(HistoryEvent event) {
-		if (event instanceof HistoryEvent.CallAnswered answer && answer.verdict() == ExecutionVerdict.RAN) {
-			this.answered.incrementAndGet();
+		if (event instanceof HistoryEvent.CallSent call) {
+			this.pending.add(call.callId());
+		}
+		if (event instanceof HistoryEvent.CallAnswered answer) {
+			this.verdicts.merge(answer.verdict(), 1L, Long::sum);
+			this.pending.remove(answer.callId());
+			if (answer.verdict() == ExecutionVerdict.RAN) {
+				this.answered.incrementAndGet();
+			}
 		}
 		this.historyFile.add(event);
 	}
@@ -370,6 +565,10 @@
 		return texts;
 	}
 
+	private int nextQueueLength() {
+		return LEAST_QUEUE_LENGTH + this.edits++ % QUEUE_LENGTHS;
+	}
+
 	private static Map<String, String> withQueueLength(Map<String, String> documents, int queueLength) {
 		Map<String, String> changed = new TreeMap<>(documents);
 		changed.replaceAll((name, text) -> name.endsWith("parameters")
@@ -377,6 +576,44 @@
 		return changed;
 	}
 
+	private long acceptedVersion(String id) {
+		OperatorClient.Outcome outcome = this.outcomes.get(id);
+		require(outcome != null && outcome.verdict() == ExecutionVerdict.RAN, id + " ended as " + outcome);
+		return outcome.version();
+	}
+
+	private long latestAccepted() {
+		return this.outcomes.values().stream().mapToLong(OperatorClient.Outcome::version).max().orElse(0);
+	}
+
+	private boolean refuses(String id, String service) {
+		try (HttpClient http = HttpClient.newHttpClient()) {
+			HttpRequest request = HttpRequest
+				.newBuilder(URI.create("http://" + this.cluster.callerAddress(id) + "/items"))
+				.header("Mesh-Service", service)
+				.build();
+			HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+			return response.statusCode() == UNAVAILABLE && response.headers()
+				.firstValue("Mesh-Verdict")
+				.filter(ExecutionVerdict.NOT_RUN.label()::equals)
+				.isPresent();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+		catch (InterruptedException ex) {
+			throw new ScenarioFailure("interrupted");
+		}
+	}
+
+	private List<String> disturbed(String target) {
+		rememberLeader();
+		List<String> targets = ids(target);
+		this.lastTargets = targets;
+		this.faults += targets.size();
+		return targets;
+	}
+
 	private List<String> ids(String target) {
 		String[] words = target.split(" ");
 		return switch (words[0]) {
@@ -391,6 +628,7 @@
 			}
 			case "domain" -> this.cluster.ids(false).stream().filter((id) -> id.startsWith(words[1] + "-")).toList();
 			case "worker" -> this.workerIds.getOrDefault(words[1] + " " + words[2], List.of());
+			case "last" -> this.lastTargets;
 			case "last-leader" -> List.of(this.lastLeader);
 			default -> List.of(target);
 		};
