--- a/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioRun.java
+++ b/bench/src/main/java/io/lavenderroad/bench/scenario/ScenarioRun.java
@@ -131,6 +131,8 @@
 
 	private String lastLeader = "";
 
+	private long lastTerm;
+
 	private ScenarioRun(Scenario scenario, Path home, Path folder) {
 		this.scenario = scenario;
 		this.home = home;
@@ -369,7 +371,8 @@
 
 	void expectLeader(String expected, int seconds) {
 		awaitTrue(seconds, () -> confirmedLeader().filter((leader) -> matches(expected, leader)).isPresent(),
-				() -> "leader is " + confirmedLeader() + ", it was " + this.lastLeader);
+				() -> "leader is " + confirmedLeader() + " in term " + confirmedLeader().map(this::term) + ", it was "
+						+ this.lastLeader + " in term " + this.lastTerm);
 	}
 
 	void expectCurrent(String id, int seconds) {
@@ -640,7 +643,10 @@
 	}
 
 	private void rememberLeader() {
-		confirmedLeader().ifPresent((leader) -> this.lastLeader = leader);
+		confirmedLeader().ifPresent((leader) -> {
+			this.lastLeader = leader;
+			this.lastTerm = term(leader);
+		});
 	}
 
 	private String awaitLeader() {
@@ -652,7 +658,9 @@
 		return switch (expected) {
 			case "any" -> true;
 			case "another" -> !leader.equals(this.lastLeader);
-			case "same" -> leader.equals(this.lastLeader);
+			// A higher term shows that the leader was deposed meanwhile, even if it won
+			// the next election.
+			case "same" -> leader.equals(this.lastLeader) && term(leader) == this.lastTerm;
 			default -> leader.equals(expected);
 		};
 	}
@@ -681,6 +689,12 @@
 			.orElse(-1L);
 	}
 
+	private long term(String id) {
+		return this.client.get(this.cluster.address(id) + ":" + ProcessCluster.HTTP_PORT, "/v1/status")
+			.map((status) -> ((Number) status.get("term")).longValue())
+			.orElse(-1L);
+	}
+
 	private int attachedNodes() {
 		return this.client.get("/v1/status").map((status) -> ((Number) status.get("nodes")).intValue()).orElse(0);
 	}
