Wait for the leader before a member joins in the test

The node can be counted before the only member has won its election, and the join is then refused: seen once in three runs on a busy machine. The test now waits for a confirmed read, which only a leader answers.

mvn verify -pl daemon -am: 6 tests of the daemon, no failure. On a scratch copy without the call of root.peers the test fails, as it should.

--- a/daemon/src/test/java/io/lavenderroad/daemon/ControlRoleTests.java
+++ b/daemon/src/test/java/io/lavenderroad/daemon/ControlRoleTests.java
@@ -48,6 +48,8 @@
 				.build(), kernel));
 			await(first, "/v1/nodes", "\"nodes\" : 1");
 			await(first, "/metrics", "lavenderroad_control_nodes 1\n");
+			// Only a member that leads answers this read.
+			await(first, "/v1/configuration", "\"lastChangeVersion\"");
 			Ports second = ports();
 			running.add(ControlRole
 				.start(builder("control-2", "control", second).dataFolder(folder.resolve("2")).build(), kernel));
