--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -1,16 +1,12 @@
 package io.lavenderroad.control.raft;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Queue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -21,10 +17,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.control.log.DurableLog;
@@ -52,6 +45,9 @@
  * Entries are synced by the leader before they are sent. A proposal that fails on a full
  * disk has therefore reached no other member.
  * <p>
+ * This class is the public entry point. Each part of the work is in a class of its own,
+ * which uses the state and the locks of {@link MemberState}.
+ * <p>
  * Locks, in the order in which they are taken: {@code applyLock} is owned by the thread
  * that uses the state machine, {@code lock} guards all other fields. Appends and votes of
  * a follower are synced under {@code lock}; the leader syncs proposals outside of it.
@@ -65,94 +61,35 @@
 
 	private static final long TICK_MILLIS = 20;
 
-	private static final long IDLE_MILLIS = 200;
+	private final MemberState state;
+
+	final Proposals proposals;
 
 	// A full disk rarely has room again sooner; meanwhile another member should lead.
 	private static final long DISK_RETRY_ELECTIONS = 10;
 
-	private static final long MOST_QUEUED_BYTES = 64L * 1024 * 1024;
-
-	private static final byte[] NOTHING = new byte[0];
-
-	private final String id;
-
-	private final MemberOptions options;
-
-	private final Clock clock;
-
 	private final RandomGenerator random;
 
-	private final DurableLog log;
-
 	private final S stateMachine;
 
 	private final List<ApplyListener> applyListeners = new CopyOnWriteArrayList<>();
 
-	private final List<LeadershipListener> leadershipListeners = new CopyOnWriteArrayList<>();
-
-	private final EventQueue events = new EventQueue();
-
-	private final ReentrantLock applyLock = new ReentrantLock();
-
-	private final ReentrantLock lock = new ReentrantLock();
-
-	private final Condition changed = this.lock.newCondition();
-
 	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
 
 	private final ConnectionHandler handler = new Handler();
 
-	private final MemberHistory history;
-
-	private final Map<String, PeerProgress> peers = new TreeMap<>();
-
-	private final Queue<Proposal> queue = new ArrayDeque<>();
-
-	private final Map<Long, List<Proposal.Appended>> pending = new TreeMap<>();
-
-	private final List<LeadershipRound> rounds = new ArrayList<>();
-
 	private final Set<String> votes = new HashSet<>();
 
 	private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
 
 	private WireOptions wireOptions;
 
-	private boolean running;
-
-	private String failure;
-
-	private MemberRole role = MemberRole.FOLLOWER;
-
-	private long term;
-
-	private String leaderId;
-
 	private long leaderContactMillis;
 
 	private long electionMillis;
 
 	private long diskRetryMillis;
 
-	private long commitIndex;
-
-	private long appliedIndex;
-
-	/**
-	 * Last entry that is known to equal that of the leader of this term.
-	 */
-	private long verifiedIndex;
-
-	private long termStartIndex;
-
-	private long queuedBytes;
-
-	private long round;
-
-	private String transferTarget;
-
-	private boolean transferSent;
-
 	private long transferDeadlineMillis;
 
 	private long catchUpDeadlineMillis;
@@ -165,28 +102,24 @@
 
 	private long bytesAfterSnapshot;
 
-	private Leadership published;
-
 	private ControlMember(Builder<S> builder) {
-		this.id = Objects.requireNonNull(builder.id, "id");
-		this.options = builder.options;
-		this.clock = builder.clock;
+		String id = Objects.requireNonNull(builder.id, "id");
 		this.random = Objects.requireNonNull(builder.random, "random");
-		this.log = Objects.requireNonNull(builder.log, "log");
+		DurableLog log = Objects.requireNonNull(builder.log, "log");
 		this.stateMachine = Objects.requireNonNull(builder.stateMachine, "stateMachine");
-		this.term = this.log.termAndVote().term();
-		Optional<Snapshot> snapshot = this.log.snapshot();
-		this.history = new MemberHistory(snapshot.map(Snapshot::index).orElse(0L),
+		Optional<Snapshot> snapshot = log.snapshot();
+		MemberHistory history = new MemberHistory(snapshot.map(Snapshot::index).orElse(0L),
 				snapshot.map((value) -> MemberSet.fromBytes(value.members())).orElse(builder.initialMembers));
+		this.state = new MemberState(id, builder.options, builder.clock, log, history);
+		this.state.commitIndex = snapshot.map(Snapshot::index).orElse(0L);
+		this.state.appliedIndex = this.state.commitIndex;
+		this.proposals = new Proposals(this.state, this);
+		this.nextSnapshotIndex = this.state.appliedIndex + this.state.options.snapshotEveryEntries();
 		snapshot.ifPresent((value) -> this.stateMachine.restore(value.data()));
-		this.commitIndex = snapshot.map(Snapshot::index).orElse(0L);
-		this.appliedIndex = this.commitIndex;
-		this.nextSnapshotIndex = this.appliedIndex + this.options.snapshotEveryEntries();
-		for (long index = this.log.firstIndex(); index <= this.log.lastIndex(); index++) {
-			rememberMembers(this.log.entry(index).orElseThrow());
-		}
-		this.published = new Leadership(this.term, Optional.empty(), false, false);
-		locked(this::updatePeers);
+		for (long index = log.firstIndex(); index <= log.lastIndex(); index++) {
+			rememberMembers(log.entry(index).orElseThrow());
+		}
+		this.state.locked(this::updatePeers);
 		resetElectionTimeout();
 	}
 
@@ -205,20 +138,21 @@
 	 * {@link ControlMessages#types()}
 	 */
 	public void start(WireOptions wire) {
-		this.lock.lock();
+		this.state.lock.lock();
 		try {
 			this.wireOptions = wire;
-			this.running = true;
+			this.state.running = true;
 			resetElectionTimeout();
-			this.peers.values().forEach(this::startPeerTask);
+			this.state.peers.values().forEach(this::startPeerTask);
 		}
 		finally {
-			this.lock.unlock();
+			this.state.lock.unlock();
 		}
 		this.tasks.execute(this::runTimer);
-		this.tasks.execute(() -> runWhen(() -> !this.queue.isEmpty(), () -> stopOnError(this::flush)));
-		this.tasks.execute(() -> runWhen(() -> this.failure == null && this.appliedIndex < this.commitIndex,
-				this::applyCommitted));
+		this.tasks.execute(() -> runWhen(this.proposals::hasQueued, () -> stopOnError(this::flush)));
+		this.tasks
+			.execute(() -> runWhen(() -> this.state.failure == null && this.state.appliedIndex < this.state.commitIndex,
+					this::applyCommitted));
 	}
 
 	/**
@@ -251,7 +185,7 @@
 	 * @param listener the listener
 	 */
 	public void addLeadershipListener(LeadershipListener listener) {
-		this.leadershipListeners.add(listener);
+		this.state.leadershipListeners.add(listener);
 	}
 
 	/**
@@ -270,7 +204,8 @@
 	 */
 	public CompletableFuture<ProposalOutcome> submit(byte[] command) {
 		CompletableFuture<ProposalOutcome> outcome = new CompletableFuture<>();
-		locked(() -> enqueue(new Proposal(command, now() + this.options.proposalTimeoutMillis(), outcome)));
+		this.state.locked(() -> this.proposals
+			.enqueue(new Proposal(command, this.state.now() + this.state.options.proposalTimeoutMillis(), outcome)));
 		return outcome;
 	}
 
@@ -290,17 +225,7 @@
 	 */
 	public CompletableFuture<OptionalLong> requestConfirmation() {
 		CompletableFuture<OptionalLong> outcome = new CompletableFuture<>();
-		locked(() -> {
-			if (this.role != MemberRole.LEADER) {
-				complete(outcome, OptionalLong.empty());
-				return;
-			}
-			this.round++;
-			this.rounds.add(new LeadershipRound(this.round, Math.max(this.commitIndex, this.termStartIndex),
-					now() + this.options.proposalTimeoutMillis(), outcome));
-			checkRounds();
-			this.changed.signalAll();
-		});
+		this.state.locked(() -> this.proposals.beginRound(outcome));
 		return outcome;
 	}
 
@@ -312,19 +237,19 @@
 	 */
 	public boolean awaitApplied(long index, long timeoutMillis) {
 		long nanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-		this.lock.lock();
+		this.state.lock.lock();
 		try {
-			while (this.appliedIndex < index && nanos > 0) {
-				nanos = this.changed.awaitNanos(nanos);
+			while (this.state.appliedIndex < index && nanos > 0) {
+				nanos = this.state.changed.awaitNanos(nanos);
 			}
-			return this.appliedIndex >= index;
+			return this.state.appliedIndex >= index;
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			return false;
 		}
 		finally {
-			this.lock.unlock();
+			this.state.lock.unlock();
 		}
 	}
 
@@ -338,7 +263,7 @@
 	 */
 	public CompletableFuture<ProposalOutcome> changeMembers(MemberChange change) {
 		CompletableFuture<ProposalOutcome> outcome = new CompletableFuture<>();
-		locked(() -> beginChange(change, outcome));
+		this.state.locked(() -> beginChange(change, outcome));
 		return outcome;
 	}
 
@@ -359,14 +284,15 @@
 	 * @return the state at one moment
 	 */
 	public MemberStatus status() {
-		return locked(() -> {
+		return this.state.locked(() -> {
 			Map<String, Long> matches = new TreeMap<>();
-			if (this.role == MemberRole.LEADER) {
-				this.peers.forEach((peer, progress) -> matches.put(peer, progress.matchIndex));
+			if (this.state.role == MemberRole.LEADER) {
+				this.state.peers.forEach((peer, progress) -> matches.put(peer, progress.matchIndex));
 			}
-			return new MemberStatus(this.id, this.role, this.term, leader(), this.commitIndex, this.appliedIndex,
-					this.log.lastIndex(), this.log.snapshotIndex(), this.history.latest(), matches,
-					Optional.ofNullable(this.failure));
+			return new MemberStatus(this.state.id, this.state.role, this.state.term, this.state.leader(),
+					this.state.commitIndex, this.state.appliedIndex, this.state.log.lastIndex(),
+					this.state.log.snapshotIndex(), this.state.history.latest(), matches,
+					Optional.ofNullable(this.state.failure));
 		});
 	}
 
@@ -376,7 +302,7 @@
 	 * election time-out, this member goes on leading.
 	 */
 	public void transferLeadership() {
-		locked(this::beginTransfer);
+		this.state.locked(this::beginTransfer);
 	}
 
 	/**
@@ -387,17 +313,18 @@
 	public void shutdown(long timeoutMillis) {
 		transferLeadership();
 		long nanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-		this.lock.lock();
+		this.state.lock.lock();
 		try {
-			while (nanos > 0 && this.running && (this.transferTarget != null || !this.pending.isEmpty())) {
-				nanos = Math.min(nanos, this.changed.awaitNanos(nanos));
+			while (nanos > 0 && this.state.running
+					&& (this.state.transferTarget != null || this.proposals.hasPending())) {
+				nanos = Math.min(nanos, this.state.changed.awaitNanos(nanos));
 			}
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 		finally {
-			this.lock.unlock();
+			this.state.lock.unlock();
 		}
 		close();
 	}
@@ -407,15 +334,15 @@
 	 */
 	@Override
 	public void close() {
-		locked(() -> {
-			this.running = false;
-			Logger.info("control: {} is stopping.", this.id);
+		this.state.locked(() -> {
+			this.state.running = false;
+			Logger.info("control: {} is stopping.", this.state.id);
 			stopWith("member is stopping");
-			this.changed.signalAll();
+			this.state.changed.signalAll();
 		});
 		this.tasks.shutdown();
 		try {
-			this.tasks.awaitTermination(2 * this.options.electionTimeoutMillis(), TimeUnit.MILLISECONDS);
+			this.tasks.awaitTermination(2 * this.state.options.electionTimeoutMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -427,17 +354,16 @@
 	 * that waited too long and advances a member change.
 	 */
 	void tick() {
-		locked(() -> {
-			expireWaiting();
-			if (this.failure != null) {
+		this.state.locked(() -> {
+			this.proposals.expireWaiting();
+			if (this.state.failure != null) {
 				return;
 			}
-			if (this.role == MemberRole.LEADER) {
+			if (this.state.role == MemberRole.LEADER) {
 				tickLeader();
 			}
-			else if (now() >= this.electionMillis && now() >= this.diskRetryMillis
-					&& this.history.latest().isVoter(this.id)) {
-				startPreVote();
+			else {
+				tickFollower();
 			}
 		});
 	}
@@ -447,19 +373,19 @@
 	 */
 	void flush() {
 		List<Proposal> batch = new ArrayList<>();
-		if (!locked(() -> appendBatch(batch))) {
+		if (!this.state.locked(() -> this.proposals.appendBatch(batch))) {
 			return;
 		}
 		try {
-			this.log.sync();
+			this.state.log.sync();
 		}
 		catch (StorageException ex) {
-			locked(() -> stopWith(ex.getMessage()));
+			this.state.locked(() -> stopWith(ex.getMessage()));
 			return;
 		}
-		locked(() -> {
+		this.state.locked(() -> {
 			advanceCommit();
-			this.changed.signalAll();
+			this.state.changed.signalAll();
 		});
 	}
 
@@ -467,49 +393,43 @@
 	 * Applies the committed entries and writes a snapshot when one is due.
 	 */
 	void applyCommitted() {
-		withStateMachine(() -> {
-			Optional<LogEntry> next = locked(this::nextToApply);
-			while (next.isPresent()) {
-				apply(next.get());
-				next = locked(this::nextToApply);
-			}
-		});
-		withStateMachine(this::writeSnapshotIfDue);
+		applyAll();
 	}
 
 	VoteResponse handleVote(VoteRequest request) {
-		return locked(() -> {
+		return this.state.locked(() -> {
 			boolean granted = grantVote(request);
-			return new VoteResponse(this.term, granted);
+			return new VoteResponse(this.state.term, granted);
 		});
 	}
 
 	AppendResponse handleAppend(AppendRequest request) {
-		return locked(() -> append(request));
+		return this.state.locked(() -> append(request));
 	}
 
 	SnapshotResponse handleSnapshot(SnapshotChunk chunk) {
-		this.applyLock.lock();
+		this.state.applyLock.lock();
 		try {
-			return locked(() -> receiveSnapshot(chunk));
+			return this.state.locked(() -> receiveSnapshot(chunk));
 		}
 		finally {
-			this.applyLock.unlock();
-			this.events.run();
+			this.state.applyLock.unlock();
+			this.state.events.run();
 		}
 	}
 
 	void handleCommitNotice(CommitNotice notice) {
-		locked(() -> {
-			if (notice.term() == this.term && this.role == MemberRole.FOLLOWER) {
+		this.state.locked(() -> {
+			if (notice.term() == this.state.term && this.state.role == MemberRole.FOLLOWER) {
 				followerCommit(notice.commitIndex());
 			}
 		});
 	}
 
 	void handleTimeoutNow(TimeoutNow request) {
-		locked(() -> {
-			if (request.term() == this.term && this.failure == null && this.history.latest().isVoter(this.id)) {
+		this.state.locked(() -> {
+			if (request.term() == this.state.term && this.state.failure == null
+					&& this.state.history.latest().isVoter(this.state.id)) {
 				startElection(true);
 			}
 		});
@@ -521,7 +441,7 @@
 	 * @return the message, or empty
 	 */
 	Optional<PeerMessage> nextMessage(String peerId) {
-		return locked(() -> Optional.ofNullable(this.peers.get(peerId)).flatMap(this::messageFor));
+		return this.state.locked(() -> nextMessageFor(peerId));
 	}
 
 	/**
@@ -530,24 +450,7 @@
 	 * @return the message, or empty if the task of the peer should end
 	 */
 	Optional<PeerMessage> awaitMessage(PeerProgress peer) {
-		this.lock.lock();
-		try {
-			while (this.running && this.peers.get(peer.member.id()) == peer) {
-				Optional<PeerMessage> message = messageFor(peer);
-				if (message.isPresent()) {
-					return message;
-				}
-				this.changed.await(millisUntilDue(peer), TimeUnit.MILLISECONDS);
-			}
-			return Optional.empty();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return Optional.empty();
-		}
-		finally {
-			this.lock.unlock();
-		}
+		return awaitMessageFor(peer);
 	}
 
 	/**
@@ -557,23 +460,7 @@
 	 * @param response the answer
 	 */
 	void answered(String peerId, PeerMessage sent, Object response) {
-		locked(() -> {
-			PeerProgress peer = this.peers.get(peerId);
-			if (peer == null) {
-				return;
-			}
-			peer.inFlight = false;
-			if (sent.message() instanceof VoteRequest request && response instanceof VoteResponse vote) {
-				voteAnswered(peerId, request, vote);
-			}
-			else if (sent.message() instanceof AppendRequest request && response instanceof AppendResponse answer) {
-				appendAnswered(peer, sent, request, answer);
-			}
-			else if (sent.message() instanceof SnapshotChunk chunk && response instanceof SnapshotResponse answer) {
-				snapshotAnswered(peer, sent, chunk, answer);
-			}
-			this.changed.signalAll();
-		});
+		this.state.locked(() -> messageAnswered(peerId, sent, response));
 	}
 
 	/**
@@ -582,41 +469,29 @@
 	 * @param sent the message
 	 */
 	void failed(String peerId, PeerMessage sent) {
-		locked(() -> {
-			PeerProgress peer = this.peers.get(peerId);
-			if (peer == null) {
-				return;
-			}
-			peer.inFlight = false;
-			peer.retryMillis = now() + this.options.heartbeatMillis();
-			peer.roundSent = peer.roundAnswered;
-			if (sent.message() instanceof VoteRequest request && request.term() >= this.term
-					&& this.role != MemberRole.LEADER && this.role != MemberRole.FOLLOWER) {
-				peer.vote = request;
-			}
-		});
+		this.state.locked(() -> messageFailed(peerId, sent));
 	}
 
 	// Elections
 
 	private boolean grantVote(VoteRequest request) {
-		if (this.failure != null || hearsLeader() && !request.transfer()) {
+		if (this.state.failure != null || hearsLeader() && !request.transfer()) {
 			return false;
 		}
-		boolean upToDate = request.lastTerm() > lastTerm()
-				|| request.lastTerm() == lastTerm() && request.lastIndex() >= this.log.lastIndex();
+		boolean upToDate = request.lastTerm() > this.state.lastTerm()
+				|| request.lastTerm() == this.state.lastTerm() && request.lastIndex() >= this.state.log.lastIndex();
 		if (request.preVote()) {
-			return request.term() > this.term && upToDate;
+			return request.term() > this.state.term && upToDate;
 		}
-		if (request.term() < this.term || request.term() > this.term && !follow(request.term(), null)) {
+		if (request.term() < this.state.term || request.term() > this.state.term && !follow(request.term(), null)) {
 			return false;
 		}
-		Optional<String> votedFor = this.log.termAndVote().votedFor();
-		if (!upToDate || this.role != MemberRole.FOLLOWER
+		Optional<String> votedFor = this.state.log.termAndVote().votedFor();
+		if (!upToDate || this.state.role != MemberRole.FOLLOWER
 				|| votedFor.isPresent() && !votedFor.get().equals(request.candidateId())) {
 			return false;
 		}
-		if (!save(new TermAndVote(this.term, Optional.of(request.candidateId())))) {
+		if (!save(new TermAndVote(this.state.term, Optional.of(request.candidateId())))) {
 			return false;
 		}
 		resetElectionTimeout();
@@ -624,33 +499,35 @@
 	}
 
 	private boolean hearsLeader() {
-		return this.role == MemberRole.LEADER
-				|| this.leaderId != null && now() - this.leaderContactMillis < this.options.electionTimeoutMillis();
+		return this.state.role == MemberRole.LEADER || this.state.leaderId != null
+				&& this.state.now() - this.leaderContactMillis < this.state.options.electionTimeoutMillis();
 	}
 
 	private void startPreVote() {
-		this.role = MemberRole.PRE_CANDIDATE;
-		this.leaderId = null;
+		this.state.role = MemberRole.PRE_CANDIDATE;
+		this.state.leaderId = null;
 		resetElectionTimeout();
-		publishLeadership();
-		askForVotes(new VoteRequest(this.term + 1, this.id, this.log.lastIndex(), lastTerm(), true, false));
+		this.state.publishLeadership();
+		askForVotes(new VoteRequest(this.state.term + 1, this.state.id, this.state.log.lastIndex(),
+				this.state.lastTerm(), true, false));
 		if (hasVotes()) {
 			startElection(false);
 		}
 	}
 
 	private void startElection(boolean transfer) {
-		if (!save(new TermAndVote(this.term + 1, Optional.of(this.id)))) {
-			this.role = MemberRole.FOLLOWER;
+		if (!save(new TermAndVote(this.state.term + 1, Optional.of(this.state.id)))) {
+			this.state.role = MemberRole.FOLLOWER;
 			return;
 		}
-		this.term++;
-		this.role = MemberRole.CANDIDATE;
-		this.leaderId = null;
-		this.verifiedIndex = 0;
+		this.state.term++;
+		this.state.role = MemberRole.CANDIDATE;
+		this.state.leaderId = null;
+		this.state.verifiedIndex = 0;
 		resetElectionTimeout();
-		publishLeadership();
-		askForVotes(new VoteRequest(this.term, this.id, this.log.lastIndex(), lastTerm(), false, transfer));
+		this.state.publishLeadership();
+		askForVotes(new VoteRequest(this.state.term, this.state.id, this.state.log.lastIndex(), this.state.lastTerm(),
+				false, transfer));
 		if (hasVotes()) {
 			lead();
 		}
@@ -658,25 +535,26 @@
 
 	private void askForVotes(VoteRequest request) {
 		this.votes.clear();
-		this.votes.add(this.id);
-		for (PeerProgress peer : this.peers.values()) {
-			peer.vote = this.history.latest().isVoter(peer.member.id()) ? request : null;
+		this.votes.add(this.state.id);
+		for (PeerProgress peer : this.state.peers.values()) {
+			peer.vote = this.state.history.latest().isVoter(peer.member.id()) ? request : null;
 			peer.retryMillis = 0;
 		}
-		this.changed.signalAll();
+		this.state.changed.signalAll();
 	}
 
 	private boolean hasVotes() {
-		return this.history.latest().quorum().isSatisfiedBy(this.votes::contains);
+		return this.state.history.latest().quorum().isSatisfiedBy(this.votes::contains);
 	}
 
 	private void voteAnswered(String peerId, VoteRequest request, VoteResponse response) {
-		if (response.term() > this.term) {
+		if (response.term() > this.state.term) {
 			follow(response.term(), null);
 			return;
 		}
-		boolean current = request.preVote() ? this.role == MemberRole.PRE_CANDIDATE && request.term() == this.term + 1
-				: this.role == MemberRole.CANDIDATE && request.term() == this.term;
+		boolean current = request.preVote()
+				? this.state.role == MemberRole.PRE_CANDIDATE && request.term() == this.state.term + 1
+				: this.state.role == MemberRole.CANDIDATE && request.term() == this.state.term;
 		if (!current || !response.granted()) {
 			return;
 		}
@@ -692,22 +570,22 @@
 	}
 
 	private void lead() {
-		this.role = MemberRole.LEADER;
-		this.leaderId = this.id;
-		this.transferTarget = null;
-		this.termStartIndex = this.log.lastIndex() + 1;
-		this.catchUpDeadlineMillis = now() + this.options.catchUpTimeoutMillis();
-		this.peers.values().forEach((peer) -> peer.startLeading(this.termStartIndex, now()));
-		Logger.info("control: {} leads term {}.", this.id, this.term);
+		this.state.role = MemberRole.LEADER;
+		this.state.leaderId = this.state.id;
+		this.state.transferTarget = null;
+		this.state.termStartIndex = this.state.log.lastIndex() + 1;
+		restartCatchUp();
+		this.state.peers.values().forEach((peer) -> peer.startLeading(this.state.termStartIndex, this.state.now()));
+		Logger.info("control: {} leads term {}.", this.state.id, this.state.term);
 		// The first leader stores the member set of the settings, so that a member that
 		// is
 		// added later receives it.
-		boolean first = this.history.latestIndex() == 0;
+		boolean first = this.state.history.latestIndex() == 0;
 		if (!appendOwn(first ? EntryKind.MEMBERS : EntryKind.NO_OP,
-				first ? this.history.latest().toBytes() : NOTHING)) {
-			follow(this.term, null);
+				first ? this.state.history.latest().toBytes() : MemberState.NOTHING)) {
+			follow(this.state.term, null);
 		}
-		publishLeadership();
+		this.state.publishLeadership();
 	}
 
 	/**
@@ -717,163 +595,87 @@
 	 * @return false if the newer term could not be saved; then it is not entered
 	 */
 	private boolean follow(long newTerm, String leader) {
-		boolean wasLeader = this.role == MemberRole.LEADER;
-		this.role = MemberRole.FOLLOWER;
-		this.leaderId = null;
-		this.peers.values().forEach((peer) -> peer.vote = null);
+		boolean wasLeader = this.state.role == MemberRole.LEADER;
+		this.state.role = MemberRole.FOLLOWER;
+		this.state.leaderId = null;
+		this.state.peers.values().forEach((peer) -> peer.vote = null);
 		if (wasLeader) {
 			stopLeading();
 		}
-		if (newTerm > this.term) {
+		if (newTerm > this.state.term) {
 			if (!save(new TermAndVote(newTerm, Optional.empty()))) {
-				publishLeadership();
+				this.state.publishLeadership();
 				return false;
 			}
-			this.term = newTerm;
-			this.verifiedIndex = 0;
+			this.state.term = newTerm;
+			this.state.verifiedIndex = 0;
 		}
-		this.leaderId = leader;
-		publishLeadership();
+		this.state.leaderId = leader;
+		this.state.publishLeadership();
 		return true;
 	}
 
 	private void stopLeading() {
-		Logger.info("control: {} no longer leads term {}.", this.id, this.term);
-		this.transferTarget = null;
-		refuseQueued("this member is no longer the leader");
-		this.rounds.forEach((waiting) -> complete(waiting.outcome(), OptionalLong.empty()));
-		this.rounds.clear();
+		Logger.info("control: {} no longer leads term {}.", this.state.id, this.state.term);
+		this.state.transferTarget = null;
+		this.proposals.refuseQueued("this member is no longer the leader");
+		this.proposals.endRounds();
 		endChange(new Unknown("leadership was lost; the next leader continues or ends the change"));
-		this.peers.values().removeIf((peer) -> peer.leaveMillis > 0);
+		this.state.peers.values().removeIf((peer) -> peer.leaveMillis > 0);
 		resetElectionTimeout();
-		this.changed.signalAll();
+		this.state.changed.signalAll();
 	}
 
 	private void tickLeader() {
-		long oldest = now() - this.options.electionTimeoutMillis();
-		if (!this.history.latest()
+		long oldest = this.state.now() - this.state.options.electionTimeoutMillis();
+		if (!this.state.history.latest()
 			.quorum()
-			.isSatisfiedBy((voter) -> voter.equals(this.id) || answeredSince(voter, oldest))) {
-			Logger.warn("control: {} steps down, as no quorum has answered for {} ms.", this.id,
-					this.options.electionTimeoutMillis());
-			follow(this.term, null);
+			.isSatisfiedBy((voter) -> voter.equals(this.state.id) || this.state.answeredSince(voter, oldest))) {
+			Logger.warn("control: {} steps down, as no quorum has answered for {} ms.", this.state.id,
+					this.state.options.electionTimeoutMillis());
+			follow(this.state.term, null);
 			return;
 		}
-		if (this.transferTarget != null && now() >= this.transferDeadlineMillis) {
-			Logger.warn("control: Member {} did not take the leadership over.", this.transferTarget);
-			this.transferTarget = null;
-			this.changed.signalAll();
+		if (this.state.transferTarget != null && this.state.now() >= this.transferDeadlineMillis) {
+			Logger.warn("control: Member {} did not take the leadership over.", this.state.transferTarget);
+			this.state.transferTarget = null;
+			this.state.changed.signalAll();
 		}
-		if (this.peers.values().removeIf(this::hasLeft)) {
-			this.changed.signalAll();
+		if (this.state.peers.values().removeIf(this::hasLeft)) {
+			this.state.changed.signalAll();
 		}
 		advanceChange();
 	}
 
-	private boolean answeredSince(String peerId, long millis) {
-		PeerProgress peer = this.peers.get(peerId);
-		return peer != null && peer.answeredMillis >= millis;
+	private void tickFollower() {
+		if (this.state.now() >= this.electionMillis && this.state.now() >= this.diskRetryMillis
+				&& this.state.history.latest().isVoter(this.state.id)) {
+			startPreVote();
+		}
 	}
 
 	private boolean hasLeft(PeerProgress peer) {
-		return peer.leaveMillis > 0 && (now() >= peer.leaveMillis || !peer.inFlight
-				&& peer.matchIndex >= this.history.latestIndex() && peer.commitSent >= this.history.latestIndex());
+		return peer.leaveMillis > 0 && (this.state.now() >= peer.leaveMillis
+				|| !peer.inFlight && peer.matchIndex >= this.state.history.latestIndex()
+						&& peer.commitSent >= this.state.history.latestIndex());
 	}
 
 	private void beginTransfer() {
-		if (this.role != MemberRole.LEADER || this.transferTarget != null) {
+		if (this.state.role != MemberRole.LEADER || this.state.transferTarget != null) {
 			return;
 		}
-		long oldest = now() - this.options.electionTimeoutMillis();
-		mostRecentVoter().filter((peer) -> peer.answeredMillis >= oldest).ifPresent((peer) -> {
-			this.transferTarget = peer.member.id();
-			this.transferSent = false;
-			this.transferDeadlineMillis = now() + this.options.electionTimeoutMillis();
-			refuseQueued("leadership is being handed over");
-			this.changed.signalAll();
+		long oldest = this.state.now() - this.state.options.electionTimeoutMillis();
+		this.state.mostRecentVoter().filter((peer) -> peer.answeredMillis >= oldest).ifPresent((peer) -> {
+			this.state.transferTarget = peer.member.id();
+			this.state.transferSent = false;
+			this.transferDeadlineMillis = this.state.now() + this.state.options.electionTimeoutMillis();
+			this.proposals.refuseQueued("leadership is being handed over");
+			this.state.changed.signalAll();
 		});
 	}
 
-	private Optional<PeerProgress> mostRecentVoter() {
-		return this.peers.values()
-			.stream()
-			.filter((peer) -> this.history.latest().isVoter(peer.member.id()))
-			.max(Comparator.comparingLong((peer) -> peer.matchIndex));
-	}
-
 	// Proposals and commit
 
-	private void enqueue(Proposal proposal) {
-		if (this.failure != null) {
-			refuse(proposal.outcome(), "member has stopped: " + this.failure);
-		}
-		else if (this.role != MemberRole.LEADER) {
-			refuse(proposal.outcome(), "this member is not the leader");
-		}
-		else if (this.transferTarget != null) {
-			refuse(proposal.outcome(), "leadership is being handed over");
-		}
-		else if (proposal.command().length > this.options.largestCommandBytes()) {
-			refuse(proposal.outcome(), "command of " + proposal.command().length + " bytes is over the limit of "
-					+ this.options.largestCommandBytes());
-		}
-		else if (this.queuedBytes + proposal.command().length > MOST_QUEUED_BYTES) {
-			refuse(proposal.outcome(), "too many proposals are waiting");
-		}
-		else {
-			this.queue.add(proposal);
-			this.queuedBytes += proposal.command().length;
-			this.changed.signalAll();
-		}
-	}
-
-	private boolean appendBatch(List<Proposal> batch) {
-		if (this.role != MemberRole.LEADER || this.failure != null) {
-			refuseQueued("this member is not the leader");
-			return false;
-		}
-		List<LogEntry> entries = takeBatch(batch);
-		if (entries.isEmpty()) {
-			return false;
-		}
-		try {
-			this.log.append(entries);
-		}
-		catch (StorageException ex) {
-			batchFailed(batch, ex);
-			return false;
-		}
-		for (int position = 0; position < entries.size(); position++) {
-			this.pending.computeIfAbsent(entries.get(position).index(), (index) -> new ArrayList<>())
-				.add(new Proposal.Appended(batch.get(position), this.term));
-		}
-		return true;
-	}
-
-	private List<LogEntry> takeBatch(List<Proposal> batch) {
-		List<LogEntry> entries = new ArrayList<>();
-		long bytes = 0;
-		while (!this.queue.isEmpty() && bytes < this.options.batchBytes()) {
-			Proposal proposal = this.queue.remove();
-			batch.add(proposal);
-			bytes += proposal.command().length;
-			entries.add(new LogEntry(this.log.lastIndex() + 1 + entries.size(), this.term, EntryKind.COMMAND,
-					proposal.command()));
-		}
-		this.queuedBytes -= bytes;
-		return entries;
-	}
-
-	private void batchFailed(List<Proposal> batch, StorageException ex) {
-		if (ex.isPermanent()) {
-			batch.forEach((proposal) -> complete(proposal.outcome(), new Unknown(ex.getMessage())));
-		}
-		else {
-			batch.forEach((proposal) -> refuse(proposal.outcome(), ex.getMessage()));
-		}
-		storageFailed(ex);
-	}
-
 	/**
 	 * Appends an entry of the leader itself and syncs it.
 	 * @param kind kind of the entry
@@ -881,10 +683,10 @@
 	 * @return false if the disk refused it
 	 */
 	private boolean appendOwn(EntryKind kind, byte[] payload) {
-		LogEntry entry = new LogEntry(this.log.lastIndex() + 1, this.term, kind, payload);
+		LogEntry entry = new LogEntry(this.state.log.lastIndex() + 1, this.state.term, kind, payload);
 		try {
-			this.log.append(List.of(entry));
-			this.log.sync();
+			this.state.log.append(List.of(entry));
+			this.state.log.sync();
 		}
 		catch (StorageException ex) {
 			storageFailed(ex);
@@ -893,84 +695,100 @@
 		rememberMembers(entry);
 		updatePeers();
 		advanceCommit();
-		this.changed.signalAll();
+		this.state.changed.signalAll();
 		return true;
 	}
 
 	private void advanceCommit() {
-		if (this.role != MemberRole.LEADER || this.failure != null) {
+		if (this.state.role != MemberRole.LEADER || this.state.failure != null) {
 			return;
 		}
-		long agreed = this.history.latest().quorum().largestReached(this::durableIndex);
-		if (agreed > this.commitIndex && this.log.term(agreed).orElse(0) == this.term) {
-			this.commitIndex = agreed;
-			this.changed.signalAll();
-			checkRounds();
+		long agreed = this.state.history.latest().quorum().largestReached(this::durableIndex);
+		if (agreed > this.state.commitIndex && this.state.log.term(agreed).orElse(0) == this.state.term) {
+			this.state.commitIndex = agreed;
+			this.state.changed.signalAll();
+			this.proposals.checkRounds();
 			memberSetCommitted();
 		}
 	}
 
 	private long durableIndex(String voter) {
-		if (voter.equals(this.id)) {
-			return this.log.syncedIndex();
+		if (voter.equals(this.state.id)) {
+			return this.state.log.syncedIndex();
 		}
-		PeerProgress peer = this.peers.get(voter);
+		PeerProgress peer = this.state.peers.get(voter);
 		return (peer != null) ? peer.matchIndex : 0;
 	}
 
 	private void followerCommit(long leaderCommit) {
-		long index = Math.min(leaderCommit, this.verifiedIndex);
-		if (index > this.commitIndex) {
-			this.commitIndex = index;
-			this.changed.signalAll();
-		}
-	}
-
-	private void checkRounds() {
-		for (Iterator<LeadershipRound> iterator = this.rounds.iterator(); iterator.hasNext();) {
-			LeadershipRound waiting = iterator.next();
-			boolean answered = this.history.latest()
-				.quorum()
-				.isSatisfiedBy((voter) -> voter.equals(this.id) || hasAnswered(voter, waiting.round()));
-			if (answered && this.commitIndex >= waiting.index()) {
-				iterator.remove();
-				complete(waiting.outcome(), OptionalLong.of(waiting.index()));
-			}
+		long index = Math.min(leaderCommit, this.state.verifiedIndex);
+		if (index > this.state.commitIndex) {
+			this.state.commitIndex = index;
+			this.state.changed.signalAll();
 		}
 	}
 
-	private boolean hasAnswered(String peerId, long wanted) {
-		PeerProgress peer = this.peers.get(peerId);
-		return peer != null && peer.roundAnswered >= wanted;
+	// Sending to peers
+
+	private Optional<PeerMessage> nextMessageFor(String peerId) {
+		return Optional.ofNullable(this.state.peers.get(peerId)).flatMap(this::messageFor);
 	}
 
-	private void expireWaiting() {
-		long now = now();
-		while (!this.queue.isEmpty() && this.queue.element().deadlineMillis() <= now) {
-			this.queuedBytes -= this.queue.element().command().length;
-			refuse(this.queue.remove().outcome(), "the proposal was not written in time");
-		}
-		this.rounds.removeIf((waiting) -> {
-			if (waiting.deadlineMillis() > now) {
-				return false;
-			}
-			complete(waiting.outcome(), OptionalLong.empty());
-			return true;
-		});
-		this.pending.values().forEach((list) -> list.removeIf((appended) -> {
-			if (appended.proposal().deadlineMillis() > now) {
-				return false;
+	private Optional<PeerMessage> awaitMessageFor(PeerProgress peer) {
+		this.state.lock.lock();
+		try {
+			while (this.state.running && this.state.peers.get(peer.member.id()) == peer) {
+				Optional<PeerMessage> message = messageFor(peer);
+				if (message.isPresent()) {
+					return message;
+				}
+				this.state.changed.await(millisUntilDue(peer), TimeUnit.MILLISECONDS);
 			}
-			complete(appended.proposal().outcome(), new Unknown("the entry was not committed in time"));
-			return true;
-		}));
-		this.pending.values().removeIf(List::isEmpty);
+			return Optional.empty();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Optional.empty();
+		}
+		finally {
+			this.state.lock.unlock();
+		}
 	}
 
-	// Sending to peers
+	private void messageAnswered(String peerId, PeerMessage sent, Object response) {
+		PeerProgress peer = this.state.peers.get(peerId);
+		if (peer == null) {
+			return;
+		}
+		peer.inFlight = false;
+		if (sent.message() instanceof VoteRequest request && response instanceof VoteResponse vote) {
+			voteAnswered(peerId, request, vote);
+		}
+		else if (sent.message() instanceof AppendRequest request && response instanceof AppendResponse answer) {
+			appendAnswered(peer, sent, request, answer);
+		}
+		else if (sent.message() instanceof SnapshotChunk chunk && response instanceof SnapshotResponse answer) {
+			snapshotAnswered(peer, sent, chunk, answer);
+		}
+		this.state.changed.signalAll();
+	}
+
+	private void messageFailed(String peerId, PeerMessage sent) {
+		PeerProgress peer = this.state.peers.get(peerId);
+		if (peer == null) {
+			return;
+		}
+		peer.inFlight = false;
+		peer.retryMillis = this.state.now() + this.state.options.heartbeatMillis();
+		peer.roundSent = peer.roundAnswered;
+		if (sent.message() instanceof VoteRequest request && request.term() >= this.state.term
+				&& this.state.role != MemberRole.LEADER && this.state.role != MemberRole.FOLLOWER) {
+			peer.vote = request;
+		}
+	}
 
 	private Optional<PeerMessage> messageFor(PeerProgress peer) {
-		if (peer.inFlight || this.failure != null) {
+		if (peer.inFlight || this.state.failure != null) {
 			return Optional.empty();
 		}
 		if (peer.handover != null) {
@@ -978,37 +796,39 @@
 			peer.handover = null;
 			return Optional.of(message(handover, false));
 		}
-		if (peer.vote != null && now() >= peer.retryMillis) {
+		if (peer.vote != null && this.state.now() >= peer.retryMillis) {
 			VoteRequest vote = peer.vote;
 			peer.vote = null;
 			return Optional.of(call(peer, vote));
 		}
-		if (this.role == MemberRole.LEADER) {
+		if (this.state.role == MemberRole.LEADER) {
 			return leaderMessageFor(peer);
 		}
 		return Optional.empty();
 	}
 
 	private Optional<PeerMessage> leaderMessageFor(PeerProgress peer) {
-		if (peer.member.id().equals(this.transferTarget) && !this.transferSent
-				&& peer.matchIndex == this.log.lastIndex()) {
-			this.transferSent = true;
-			return Optional.of(message(new TimeoutNow(this.term, this.id), false));
+		if (peer.member.id().equals(this.state.transferTarget) && !this.state.transferSent
+				&& peer.matchIndex == this.state.log.lastIndex()) {
+			this.state.transferSent = true;
+			return Optional.of(message(new TimeoutNow(this.state.term, this.state.id), false));
 		}
-		if (now() < peer.retryMillis) {
+		if (this.state.now() < peer.retryMillis) {
 			return Optional.empty();
 		}
-		if (peer.nextIndex < this.log.firstIndex() || peer.snapshot != null) {
+		if (peer.nextIndex < this.state.log.firstIndex() || peer.snapshot != null) {
 			return snapshotMessageFor(peer);
 		}
-		boolean entries = peer.nextIndex <= this.log.syncedIndex();
-		boolean due = now() - peer.sentMillis >= this.options.heartbeatMillis() || peer.roundSent < this.round;
+		boolean entries = peer.nextIndex <= this.state.log.syncedIndex();
+		boolean due = this.state.now() - peer.sentMillis >= this.state.options.heartbeatMillis()
+				|| peer.roundSent < this.state.round;
 		if (entries || due) {
 			return Optional.of(call(peer, appendRequest(peer)));
 		}
-		if (peer.commitSent < this.commitIndex) {
-			peer.commitSent = this.commitIndex;
-			return Optional.of(message(new CommitNotice(this.term, this.id, this.commitIndex), false));
+		if (peer.commitSent < this.state.commitIndex) {
+			peer.commitSent = this.state.commitIndex;
+			return Optional
+				.of(message(new CommitNotice(this.state.term, this.state.id, this.state.commitIndex), false));
 		}
 		return Optional.empty();
 	}
@@ -1018,16 +838,17 @@
 			return Optional.empty();
 		}
 		Snapshot snapshot = peer.snapshot;
-		int length = Math.min(this.options.snapshotChunkBytes(), snapshot.data().length - peer.snapshotOffset);
+		int length = Math.min(this.state.options.snapshotChunkBytes(), snapshot.data().length - peer.snapshotOffset);
 		byte[] bytes = new byte[length];
 		System.arraycopy(snapshot.data(), peer.snapshotOffset, bytes, 0, length);
-		return Optional.of(call(peer, new SnapshotChunk(this.term, this.id, snapshot.index(), snapshot.term(),
-				snapshot.members(), snapshot.data().length, peer.snapshotChecksum, peer.snapshotOffset, bytes)));
+		return Optional
+			.of(call(peer, new SnapshotChunk(this.state.term, this.state.id, snapshot.index(), snapshot.term(),
+					snapshot.members(), snapshot.data().length, peer.snapshotChecksum, peer.snapshotOffset, bytes)));
 	}
 
 	private boolean loadSnapshot(PeerProgress peer) {
 		try {
-			peer.snapshot = this.log.snapshot().orElse(null);
+			peer.snapshot = this.state.log.snapshot().orElse(null);
 		}
 		catch (LavenderroadException ex) {
 			stopWith(ex.getMessage());
@@ -1042,30 +863,31 @@
 
 	private AppendRequest appendRequest(PeerProgress peer) {
 		long previous = peer.nextIndex - 1;
-		return new AppendRequest(this.term, this.id, previous, this.log.term(previous).orElseThrow(), this.commitIndex,
-				this.log.entries(peer.nextIndex, this.log.syncedIndex(), this.options.batchBytes()));
+		return new AppendRequest(this.state.term, this.state.id, previous, this.state.log.term(previous).orElseThrow(),
+				this.state.commitIndex,
+				this.state.log.entries(peer.nextIndex, this.state.log.syncedIndex(), this.state.options.batchBytes()));
 	}
 
 	private PeerMessage call(PeerProgress peer, Object message) {
 		peer.inFlight = true;
-		peer.sentMillis = now();
-		peer.roundSent = this.round;
+		peer.sentMillis = this.state.now();
+		peer.roundSent = this.state.round;
 		if (message instanceof AppendRequest) {
-			peer.commitSent = Math.max(peer.commitSent, this.commitIndex);
+			peer.commitSent = Math.max(peer.commitSent, this.state.commitIndex);
 		}
 		return message(message, true);
 	}
 
 	private PeerMessage message(Object message, boolean call) {
-		return new PeerMessage(message, call, now(), this.round, this.commitIndex);
+		return new PeerMessage(message, call, this.state.now(), this.state.round, this.state.commitIndex);
 	}
 
 	private long millisUntilDue(PeerProgress peer) {
-		if (this.role != MemberRole.LEADER || peer.inFlight) {
-			return IDLE_MILLIS;
+		if (this.state.role != MemberRole.LEADER || peer.inFlight) {
+			return MemberState.IDLE_MILLIS;
 		}
-		long due = Math.max(peer.sentMillis + this.options.heartbeatMillis(), peer.retryMillis);
-		return Math.clamp(due - now(), 1, IDLE_MILLIS);
+		long due = Math.max(peer.sentMillis + this.state.options.heartbeatMillis(), peer.retryMillis);
+		return Math.clamp(due - this.state.now(), 1, MemberState.IDLE_MILLIS);
 	}
 
 	private void appendAnswered(PeerProgress peer, PeerMessage sent, AppendRequest request, AppendResponse answer) {
@@ -1073,7 +895,7 @@
 			return;
 		}
 		if (answer.result() == AppendResponse.Result.UNAVAILABLE) {
-			peer.retryMillis = now() + this.options.heartbeatMillis();
+			peer.retryMillis = this.state.now() + this.state.options.heartbeatMillis();
 			return;
 		}
 		peer.answeredMillis = Math.max(peer.answeredMillis, sent.sentMillis());
@@ -1081,7 +903,7 @@
 		if (answer.result() == AppendResponse.Result.SUCCESS) {
 			peer.matched(Math.min(answer.index(), request.previousIndex() + request.entries().size()));
 			if (peer.matchIndex >= sent.commitIndex()) {
-				peer.caughtUpMillis = now();
+				peer.caughtUpMillis = this.state.now();
 			}
 		}
 		else if (answer.result() == AppendResponse.Result.MISMATCH && request.previousIndex() == peer.nextIndex - 1) {
@@ -1105,7 +927,7 @@
 		}
 		else {
 			if (answer.nextOffset() <= chunk.offset()) {
-				peer.retryMillis = now() + this.options.heartbeatMillis();
+				peer.retryMillis = this.state.now() + this.state.options.heartbeatMillis();
 			}
 			peer.snapshotOffset = Math.clamp(answer.nextOffset(), 0, chunk.totalBytes());
 		}
@@ -1113,17 +935,17 @@
 	}
 
 	private boolean isAnswerToLeader(long requestTerm, long answerTerm) {
-		if (answerTerm > this.term) {
+		if (answerTerm > this.state.term) {
 			follow(answerTerm, null);
 			return false;
 		}
-		return this.role == MemberRole.LEADER && requestTerm == this.term;
+		return this.state.role == MemberRole.LEADER && requestTerm == this.state.term;
 	}
 
 	private void progressMade() {
-		checkRounds();
+		this.proposals.checkRounds();
 		advanceCommit();
-		if (this.role == MemberRole.LEADER) {
+		if (this.state.role == MemberRole.LEADER) {
 			advanceChange();
 		}
 	}
@@ -1131,15 +953,15 @@
 	// Receiving from a leader
 
 	private AppendResponse append(AppendRequest request) {
-		if (request.term() < this.term) {
-			return new AppendResponse(this.term, AppendResponse.Result.OLD_TERM, 0);
+		if (request.term() < this.state.term) {
+			return new AppendResponse(this.state.term, AppendResponse.Result.OLD_TERM, 0);
 		}
 		if (!acceptLeader(request.term(), request.leaderId())) {
-			return new AppendResponse(this.term, AppendResponse.Result.UNAVAILABLE, 0);
+			return new AppendResponse(this.state.term, AppendResponse.Result.UNAVAILABLE, 0);
 		}
 		OptionalLong lastPossible = mismatch(request);
 		if (lastPossible.isPresent()) {
-			return new AppendResponse(this.term, AppendResponse.Result.MISMATCH, lastPossible.getAsLong());
+			return new AppendResponse(this.state.term, AppendResponse.Result.MISMATCH, lastPossible.getAsLong());
 		}
 		long last = request.previousIndex() + request.entries().size();
 		try {
@@ -1147,45 +969,47 @@
 		}
 		catch (StorageException ex) {
 			storageFailed(ex);
-			return new AppendResponse(this.term, AppendResponse.Result.UNAVAILABLE, 0);
+			return new AppendResponse(this.state.term, AppendResponse.Result.UNAVAILABLE, 0);
 		}
-		this.verifiedIndex = Math.max(this.verifiedIndex, last);
+		this.state.verifiedIndex = Math.max(this.state.verifiedIndex, last);
 		followerCommit(request.commitIndex());
-		return new AppendResponse(this.term, AppendResponse.Result.SUCCESS, last);
+		return new AppendResponse(this.state.term, AppendResponse.Result.SUCCESS, last);
 	}
 
 	private boolean acceptLeader(long leaderTerm, String leader) {
-		if (this.failure != null) {
+		if (this.state.failure != null) {
 			return false;
 		}
-		if (leaderTerm == this.term && this.role == MemberRole.LEADER) {
-			throw new LavenderroadException("members " + this.id + " and " + leader + " both lead term " + this.term);
+		if (leaderTerm == this.state.term && this.state.role == MemberRole.LEADER) {
+			throw new LavenderroadException(
+					"members " + this.state.id + " and " + leader + " both lead term " + this.state.term);
 		}
-		boolean known = leaderTerm == this.term && this.role == MemberRole.FOLLOWER && leader.equals(this.leaderId);
+		boolean known = leaderTerm == this.state.term && this.state.role == MemberRole.FOLLOWER
+				&& leader.equals(this.state.leaderId);
 		if (!known && !follow(leaderTerm, leader)) {
 			return false;
 		}
-		this.leaderContactMillis = now();
+		this.leaderContactMillis = this.state.now();
 		resetElectionTimeout();
 		return true;
 	}
 
 	private OptionalLong mismatch(AppendRequest request) {
 		long previous = request.previousIndex();
-		if (previous < this.log.firstIndex() - 1) {
+		if (previous < this.state.log.firstIndex() - 1) {
 			// The snapshot contains only committed entries, which equal those of the
 			// leader.
 			return OptionalLong.empty();
 		}
-		OptionalLong known = this.log.term(previous);
+		OptionalLong known = this.state.log.term(previous);
 		if (known.isEmpty()) {
-			return OptionalLong.of(this.log.lastIndex());
+			return OptionalLong.of(this.state.log.lastIndex());
 		}
 		if (known.getAsLong() == request.previousTerm()) {
 			return OptionalLong.empty();
 		}
 		long index = previous;
-		while (index > this.commitIndex && this.log.term(index).equals(known)) {
+		while (index > this.state.commitIndex && this.state.log.term(index).equals(known)) {
 			index--;
 		}
 		return OptionalLong.of(index);
@@ -1194,14 +1018,14 @@
 	private void store(List<LogEntry> entries, long last) {
 		List<LogEntry> missing = missing(entries);
 		if (!missing.isEmpty()) {
-			if (missing.getFirst().index() <= this.log.lastIndex()) {
+			if (missing.getFirst().index() <= this.state.log.lastIndex()) {
 				truncate(missing.getFirst().index());
 			}
-			this.log.append(missing);
+			this.state.log.append(missing);
 			missing.forEach(this::rememberMembers);
 		}
-		if (this.log.syncedIndex() < last) {
-			this.log.sync();
+		if (this.state.log.syncedIndex() < last) {
+			this.state.log.sync();
 		}
 		if (missing.stream().anyMatch((entry) -> entry.kind() == EntryKind.MEMBERS)) {
 			updatePeers();
@@ -1211,8 +1035,8 @@
 	private List<LogEntry> missing(List<LogEntry> entries) {
 		for (int position = 0; position < entries.size(); position++) {
 			LogEntry entry = entries.get(position);
-			boolean compacted = entry.index() < this.log.firstIndex();
-			if (!compacted && this.log.term(entry.index()).orElse(-1) != entry.term()) {
+			boolean compacted = entry.index() < this.state.log.firstIndex();
+			if (!compacted && this.state.log.term(entry.index()).orElse(-1) != entry.term()) {
 				return entries.subList(position, entries.size());
 			}
 		}
@@ -1220,143 +1044,142 @@
 	}
 
 	private void truncate(long index) {
-		if (index <= this.commitIndex) {
+		if (index <= this.state.commitIndex) {
 			stopWith("leader sent another entry " + index + " than the committed one");
-			throw new LavenderroadException(this.failure);
+			throw new LavenderroadException(this.state.failure);
 		}
-		this.log.truncateFrom(index);
-		this.history.truncateFrom(index);
+		this.state.log.truncateFrom(index);
+		this.state.history.truncateFrom(index);
 		updatePeers();
 	}
 
 	private SnapshotResponse receiveSnapshot(SnapshotChunk chunk) {
-		if (chunk.term() < this.term || !acceptLeader(chunk.term(), chunk.leaderId())) {
-			return new SnapshotResponse(this.term, 0, false);
+		if (chunk.term() < this.state.term || !acceptLeader(chunk.term(), chunk.leaderId())) {
+			return new SnapshotResponse(this.state.term, 0, false);
 		}
-		if (chunk.snapshotIndex() <= this.commitIndex) {
-			return new SnapshotResponse(this.term, 0, true);
+		if (chunk.snapshotIndex() <= this.state.commitIndex) {
+			return new SnapshotResponse(this.state.term, 0, true);
 		}
 		Optional<Snapshot> complete = this.snapshotReceiver.add(chunk);
 		if (complete.isEmpty()) {
-			return new SnapshotResponse(this.term, this.snapshotReceiver.nextOffset(), false);
+			return new SnapshotResponse(this.state.term, this.snapshotReceiver.nextOffset(), false);
 		}
 		try {
 			install(complete.get());
-			return new SnapshotResponse(this.term, 0, true);
+			return new SnapshotResponse(this.state.term, 0, true);
 		}
 		catch (StorageException ex) {
 			storageFailed(ex);
-			return new SnapshotResponse(this.term, 0, false);
+			return new SnapshotResponse(this.state.term, 0, false);
 		}
 	}
 
 	private void install(Snapshot snapshot) {
 		MemberSet members = MemberSet.fromBytes(snapshot.members());
-		this.log.installSnapshot(snapshot);
-		this.history.restartAt(snapshot.index(), members);
-		this.history.truncateFrom(this.log.lastIndex() + 1);
-		this.commitIndex = snapshot.index();
-		this.appliedIndex = snapshot.index();
-		this.verifiedIndex = Math.max(this.verifiedIndex, snapshot.index());
-		this.nextSnapshotIndex = this.appliedIndex + this.options.snapshotEveryEntries();
-		this.stateMachine.restore(snapshot.data());
-		this.pending.entrySet().removeIf((entry) -> {
-			boolean covered = entry.getKey() <= snapshot.index();
-			if (covered) {
-				entry.getValue()
-					.forEach((appended) -> complete(appended.proposal().outcome(),
-							new Unknown("a snapshot replaced the log before the result was known")));
-			}
-			return covered;
-		});
+		this.state.log.installSnapshot(snapshot);
+		this.state.history.restartAt(snapshot.index(), members);
+		this.state.history.truncateFrom(this.state.log.lastIndex() + 1);
+		this.state.commitIndex = snapshot.index();
+		this.state.appliedIndex = snapshot.index();
+		this.state.verifiedIndex = Math.max(this.state.verifiedIndex, snapshot.index());
+		restore(snapshot);
+		this.proposals.endReplaced(snapshot.index());
 		updatePeers();
-		this.changed.signalAll();
+		this.state.changed.signalAll();
 	}
 
 	// Applying
 
 	private void withStateMachine(Runnable action) {
-		this.applyLock.lock();
+		this.state.applyLock.lock();
 		try {
 			action.run();
 		}
 		catch (RuntimeException ex) {
 			Logger.error(ex, "control: Using the state machine failed.");
-			locked(() -> stopWith("using the state machine failed: " + ex));
+			this.state.locked(() -> stopWith("using the state machine failed: " + ex));
 		}
 		finally {
-			this.applyLock.unlock();
-			this.events.run();
+			this.state.applyLock.unlock();
+			this.state.events.run();
 		}
 	}
 
+	private void applyAll() {
+		withStateMachine(() -> {
+			Optional<LogEntry> next = this.state.locked(this::nextToApply);
+			while (next.isPresent()) {
+				apply(next.get());
+				next = this.state.locked(this::nextToApply);
+			}
+		});
+		withStateMachine(this::writeSnapshotIfDue);
+	}
+
+	/**
+	 * Replaces the state by a snapshot that was installed in the log. The caller holds
+	 * both locks.
+	 * @param snapshot the snapshot
+	 */
+	private void restore(Snapshot snapshot) {
+		this.nextSnapshotIndex = this.state.appliedIndex + this.state.options.snapshotEveryEntries();
+		this.stateMachine.restore(snapshot.data());
+	}
+
 	private Optional<LogEntry> nextToApply() {
-		if (this.failure != null || this.appliedIndex >= this.commitIndex) {
+		if (this.state.failure != null || this.state.appliedIndex >= this.state.commitIndex) {
 			return Optional.empty();
 		}
-		Optional<LogEntry> entry = this.log.entry(this.appliedIndex + 1);
+		Optional<LogEntry> entry = this.state.log.entry(this.state.appliedIndex + 1);
 		if (entry.isEmpty()) {
-			stopWith("committed entry " + (this.appliedIndex + 1) + " is missing in the log");
+			stopWith("committed entry " + (this.state.appliedIndex + 1) + " is missing in the log");
 		}
 		return entry;
 	}
 
 	private void apply(LogEntry entry) {
 		boolean command = entry.kind() == EntryKind.COMMAND;
-		byte[] result = command ? this.stateMachine.apply(entry.index(), entry.payload()) : NOTHING;
-		locked(() -> {
-			this.appliedIndex = entry.index();
-			List<Proposal.Appended> waiting = this.pending.remove(entry.index());
-			if (waiting != null) {
-				waiting.forEach((appended) -> resolve(appended, entry, result));
-			}
-			publishLeadership();
-			this.changed.signalAll();
+		byte[] result = command ? this.stateMachine.apply(entry.index(), entry.payload()) : MemberState.NOTHING;
+		this.state.locked(() -> {
+			this.state.appliedIndex = entry.index();
+			this.proposals.applied(entry, result);
+			this.state.publishLeadership();
+			this.state.changed.signalAll();
 		});
 		if (command) {
 			this.applyListeners.forEach((listener) -> listener.applied(entry.index(), entry.payload(), result));
 		}
 	}
 
-	private void resolve(Proposal.Appended appended, LogEntry committed, byte[] result) {
-		if (appended.term() == committed.term()) {
-			complete(appended.proposal().outcome(), new Accepted(result, committed.index()));
-		}
-		else {
-			// Another entry was committed at the index, so this one never can be.
-			refuse(appended.proposal().outcome(), "a newer leader committed another entry in its place");
-		}
-	}
-
 	private void writeSnapshotIfDue() {
-		long applied = this.appliedIndex;
+		long applied = this.state.appliedIndex;
 		boolean due = applied >= this.nextSnapshotIndex
-				|| this.log.bytes() - this.bytesAfterSnapshot >= this.options.snapshotEveryBytes();
-		if (!due || applied <= this.log.snapshotIndex() || locked(() -> this.failure != null)) {
+				|| this.state.log.bytes() - this.bytesAfterSnapshot >= this.state.options.snapshotEveryBytes();
+		if (!due || applied <= this.state.log.snapshotIndex() || this.state.locked(() -> this.state.failure != null)) {
 			return;
 		}
-		byte[] members = locked(() -> this.history.at(applied).toBytes());
+		byte[] members = this.state.locked(() -> this.state.history.at(applied).toBytes());
 		try {
-			this.log.saveSnapshot(
-					new Snapshot(applied, this.log.term(applied).orElseThrow(), members, this.stateMachine.snapshot()));
+			this.state.log.saveSnapshot(new Snapshot(applied, this.state.log.term(applied).orElseThrow(), members,
+					this.stateMachine.snapshot()));
 			// Under the lock, so that a message to a peer never refers to a forgotten
 			// entry.
-			locked(() -> this.log.compact(lastToForget(applied)));
+			this.state.locked(() -> this.state.log.compact(lastToForget(applied)));
 		}
 		catch (StorageException ex) {
-			locked(() -> storageFailed(ex));
+			this.state.locked(() -> storageFailed(ex));
 		}
-		this.nextSnapshotIndex = applied + this.options.snapshotEveryEntries();
-		this.bytesAfterSnapshot = this.log.bytes();
-		locked(() -> this.history.compact(this.log.snapshotIndex()));
+		this.nextSnapshotIndex = applied + this.state.options.snapshotEveryEntries();
+		this.bytesAfterSnapshot = this.state.log.bytes();
+		this.state.locked(() -> this.state.history.compact(this.state.log.snapshotIndex()));
 	}
 
 	private long lastToForget(long applied) {
 		long bytes = 0;
 		long index = applied;
-		while (index > applied - this.options.keptEntries() && index >= this.log.firstIndex()) {
-			bytes += this.log.entry(index).orElseThrow().payload().length;
-			if (bytes > this.options.snapshotEveryBytes() / 2) {
+		while (index > applied - this.state.options.keptEntries() && index >= this.state.log.firstIndex()) {
+			bytes += this.state.log.entry(index).orElseThrow().payload().length;
+			if (bytes > this.state.options.snapshotEveryBytes() / 2) {
 				break;
 			}
 			index--;
@@ -1369,26 +1192,30 @@
 	private void beginChange(MemberChange change, CompletableFuture<ProposalOutcome> outcome) {
 		Optional<String> refusal = refusal(change);
 		if (refusal.isPresent()) {
-			refuse(outcome, refusal.get());
+			this.state.refuse(outcome, refusal.get());
 			return;
 		}
 		this.changeOutcome = outcome;
 		this.changeGivenUp = null;
-		this.catchUpDeadlineMillis = now() + this.options.catchUpTimeoutMillis();
-		if (!appendOwn(EntryKind.MEMBERS, this.history.latest().begin(change).toBytes())) {
+		restartCatchUp();
+		if (!appendOwn(EntryKind.MEMBERS, this.state.history.latest().begin(change).toBytes())) {
 			endChange(new NotRun("the disk refused the change", Optional.empty()));
 		}
 	}
 
+	private void restartCatchUp() {
+		this.catchUpDeadlineMillis = this.state.now() + this.state.options.catchUpTimeoutMillis();
+	}
+
 	private Optional<String> refusal(MemberChange change) {
-		MemberSet set = this.history.latest();
-		if (this.failure != null || this.role != MemberRole.LEADER || this.transferTarget != null) {
+		MemberSet set = this.state.history.latest();
+		if (this.state.failure != null || this.state.role != MemberRole.LEADER || this.state.transferTarget != null) {
 			return Optional.of("this member is not the leader or hands the leadership over");
 		}
-		if (this.commitIndex < this.termStartIndex) {
+		if (this.state.commitIndex < this.state.termStartIndex) {
 			return Optional.of("the leader has not yet committed an entry of its term");
 		}
-		if (set.change().isPresent() || this.history.latestIndex() > this.commitIndex) {
+		if (set.change().isPresent() || this.state.history.latestIndex() > this.state.commitIndex) {
 			return Optional.of("another member change is in progress");
 		}
 		if (change.added().isPresent() && set.find(change.added().get().id()).isPresent()) {
@@ -1404,8 +1231,9 @@
 	}
 
 	private Optional<String> removalRefusal(MemberSet next) {
-		long oldest = now() - this.options.electionTimeoutMillis();
-		boolean works = next.quorum().isSatisfiedBy((voter) -> voter.equals(this.id) || answeredSince(voter, oldest));
+		long oldest = this.state.now() - this.state.options.electionTimeoutMillis();
+		boolean works = next.quorum()
+			.isSatisfiedBy((voter) -> voter.equals(this.state.id) || this.state.answeredSince(voter, oldest));
 		return works ? Optional.empty() : Optional.of("the remaining voters that answer would be no quorum");
 	}
 
@@ -1413,9 +1241,9 @@
 	 * Takes the next step of the change in progress, once the step before is committed.
 	 */
 	private void advanceChange() {
-		MemberSet set = this.history.latest();
-		if (set.change().isEmpty() || this.history.latestIndex() > this.commitIndex
-				|| this.commitIndex < this.termStartIndex || this.transferTarget != null) {
+		MemberSet set = this.state.history.latest();
+		if (set.change().isEmpty() || this.state.history.latestIndex() > this.state.commitIndex
+				|| this.state.commitIndex < this.state.termStartIndex || this.state.transferTarget != null) {
 			return;
 		}
 		String added = set.change().get().added().orElseThrow().id();
@@ -1423,29 +1251,30 @@
 			appendOwn(EntryKind.MEMBERS, set.removeReplaced().toBytes());
 			return;
 		}
-		PeerProgress peer = this.peers.get(added);
-		if (peer != null && now() - peer.caughtUpMillis <= this.options.electionTimeoutMillis()) {
+		PeerProgress peer = this.state.peers.get(added);
+		if (peer != null && this.state.now() - peer.caughtUpMillis <= this.state.options.electionTimeoutMillis()) {
 			appendOwn(EntryKind.MEMBERS, set.promoteAdded().toBytes());
 		}
-		else if (now() >= this.catchUpDeadlineMillis) {
+		else if (this.state.now() >= this.catchUpDeadlineMillis) {
 			this.changeGivenUp = "member " + added + " did not catch up in time";
 			appendOwn(EntryKind.MEMBERS, set.giveUpAdded().toBytes());
 		}
 	}
 
 	private void memberSetCommitted() {
-		MemberSet set = this.history.latest();
-		if (this.history.latestIndex() > this.commitIndex) {
+		MemberSet set = this.state.history.latest();
+		if (this.state.history.latestIndex() > this.state.commitIndex) {
 			return;
 		}
 		if (set.change().isEmpty()) {
 			endChange((this.changeGivenUp != null) ? new NotRun(this.changeGivenUp, Optional.empty())
-					: new Accepted(NOTHING, this.history.latestIndex()));
+					: new Accepted(MemberState.NOTHING, this.state.history.latestIndex()));
 		}
-		if (set.find(this.id).isEmpty()) {
-			Logger.info("control: {} was removed from the group and steps down.", this.id);
-			mostRecentVoter().ifPresent((peer) -> peer.handover = new TimeoutNow(this.term, this.id));
-			follow(this.term, null);
+		if (set.find(this.state.id).isEmpty()) {
+			Logger.info("control: {} was removed from the group and steps down.", this.state.id);
+			this.state.mostRecentVoter()
+				.ifPresent((peer) -> peer.handover = new TimeoutNow(this.state.term, this.state.id));
+			follow(this.state.term, null);
 		}
 		else {
 			advanceChange();
@@ -1454,71 +1283,59 @@
 
 	private void endChange(ProposalOutcome outcome) {
 		if (this.changeOutcome != null) {
-			complete(this.changeOutcome, outcome);
+			this.state.complete(this.changeOutcome, outcome);
 			this.changeOutcome = null;
 		}
 	}
 
 	private void rememberMembers(LogEntry entry) {
 		if (entry.kind() == EntryKind.MEMBERS) {
-			this.history.add(entry.index(), MemberSet.fromBytes(entry.payload()));
+			this.state.history.add(entry.index(), MemberSet.fromBytes(entry.payload()));
 		}
 	}
 
 	private void updatePeers() {
-		MemberSet set = this.history.latest();
+		MemberSet set = this.state.history.latest();
 		for (Member member : set.members()) {
-			PeerProgress known = this.peers.get(member.id());
+			PeerProgress known = this.state.peers.get(member.id());
 			if (known != null) {
 				known.leaveMillis = 0;
 			}
-			else if (!member.id().equals(this.id)) {
+			else if (!member.id().equals(this.state.id)) {
 				addPeer(member);
 			}
 		}
 		// The leader keeps sending to a removed member for a while, so that it learns of
 		// its
 		// removal.
-		long leave = now() + 4 * this.options.electionTimeoutMillis();
-		this.peers.values().removeIf((peer) -> {
+		long leave = this.state.now() + 4 * this.state.options.electionTimeoutMillis();
+		this.state.peers.values().removeIf((peer) -> {
 			boolean gone = set.find(peer.member.id()).isEmpty();
 			if (gone && peer.leaveMillis == 0) {
 				peer.leaveMillis = leave;
 			}
-			return gone && this.role != MemberRole.LEADER;
+			return gone && this.state.role != MemberRole.LEADER;
 		});
-		this.changed.signalAll();
+		this.state.changed.signalAll();
 	}
 
 	private void addPeer(Member member) {
 		PeerProgress peer = new PeerProgress(member);
-		peer.startLeading(this.log.lastIndex() + 1, now());
-		this.peers.put(member.id(), peer);
+		peer.startLeading(this.state.log.lastIndex() + 1, this.state.now());
+		this.state.peers.put(member.id(), peer);
 		startPeerTask(peer);
 	}
 
 	// Common parts
 
-	private long now() {
-		return this.clock.millis();
-	}
-
-	private long lastTerm() {
-		return this.log.term(this.log.lastIndex()).orElseThrow();
-	}
-
 	private void resetElectionTimeout() {
-		this.electionMillis = now() + this.options.electionTimeoutMillis()
-				+ this.random.nextLong(this.options.electionTimeoutMillis());
-	}
-
-	private Optional<Member> leader() {
-		return Optional.ofNullable(this.leaderId).flatMap((leader) -> this.history.latest().find(leader));
+		this.electionMillis = this.state.now() + this.state.options.electionTimeoutMillis()
+				+ this.random.nextLong(this.state.options.electionTimeoutMillis());
 	}
 
 	private boolean save(TermAndVote value) {
 		try {
-			this.log.saveTermAndVote(value);
+			this.state.log.saveTermAndVote(value);
 			return true;
 		}
 		catch (StorageException ex) {
@@ -1527,13 +1344,13 @@
 		}
 	}
 
-	private void storageFailed(StorageException ex) {
+	void storageFailed(StorageException ex) {
 		if (ex.isPermanent()) {
 			stopWith(ex.getMessage());
 			return;
 		}
-		Logger.warn("control: {} cannot write: {}.", this.id, ex.getMessage());
-		this.diskRetryMillis = now() + DISK_RETRY_ELECTIONS * this.options.electionTimeoutMillis();
+		Logger.warn("control: {} cannot write: {}.", this.state.id, ex.getMessage());
+		this.diskRetryMillis = this.state.now() + DISK_RETRY_ELECTIONS * this.state.options.electionTimeoutMillis();
 		beginTransfer();
 	}
 
@@ -1542,69 +1359,22 @@
 	 * @param reason short sentence for operators
 	 */
 	private void stopWith(String reason) {
-		if (this.failure != null) {
+		if (this.state.failure != null) {
 			return;
 		}
-		if (this.running) {
-			Logger.warn("control: {} stops voting and acknowledging: {}.", this.id, reason);
-		}
-		this.failure = reason;
-		follow(this.term, null);
-		refuseQueued("member has stopped: " + reason);
-		this.pending.values()
-			.forEach((list) -> list.forEach((appended) -> complete(appended.proposal().outcome(),
-					new Unknown("member has stopped: " + reason))));
-		this.pending.clear();
-		this.changed.signalAll();
-	}
-
-	private void refuseQueued(String reason) {
-		this.queue.forEach((proposal) -> refuse(proposal.outcome(), reason));
-		this.queue.clear();
-		this.queuedBytes = 0;
-	}
-
-	private void refuse(CompletableFuture<ProposalOutcome> outcome, String reason) {
-		complete(outcome, new NotRun(reason, leader().filter((member) -> !member.id().equals(this.id))));
-	}
-
-	private <T> void complete(CompletableFuture<T> future, T value) {
-		this.events.add(() -> future.complete(value));
-	}
-
-	private void publishLeadership() {
-		boolean local = this.role == MemberRole.LEADER;
-		Leadership current = new Leadership(this.term, Optional.ofNullable(this.leaderId), local,
-				local && this.appliedIndex >= this.termStartIndex);
-		if (!current.equals(this.published)) {
-			this.published = current;
-			this.events.add(() -> this.leadershipListeners.forEach((listener) -> listener.changed(current)));
-		}
-	}
-
-	private void locked(Runnable action) {
-		locked(() -> {
-			action.run();
-			return true;
-		});
-	}
-
-	private <T> T locked(Supplier<T> action) {
-		this.lock.lock();
-		try {
-			return action.get();
-		}
-		finally {
-			this.lock.unlock();
-			if (!this.applyLock.isHeldByCurrentThread()) {
-				this.events.run();
-			}
+		if (this.state.running) {
+			Logger.warn("control: {} stops voting and acknowledging: {}.", this.state.id, reason);
 		}
+		this.state.failure = reason;
+		follow(this.state.term, null);
+		this.proposals.refuseQueued("member has stopped: " + reason);
+		this.proposals.endPending("member has stopped: " + reason);
+		this.state.changed.signalAll();
 	}
 
 	private <T> T await(CompletableFuture<T> future, T late, T interrupted) {
 		try {
-			return future.get(2 * this.options.proposalTimeoutMillis(), TimeUnit.MILLISECONDS);
+			return future.get(2 * this.state.options.proposalTimeoutMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException ex) {
 			return late;
@@ -1621,14 +1391,14 @@
 	// Tasks
 
 	private void startPeerTask(PeerProgress peer) {
-		if (this.running) {
-			this.tasks.execute(new PeerTask(this, peer, this.wireOptions, this.options.electionTimeoutMillis()));
+		if (this.state.running) {
+			this.tasks.execute(new PeerTask(this, peer, this.wireOptions, this.state.options.electionTimeoutMillis()));
 		}
 	}
 
 	private void runTimer() {
 		try {
-			while (locked(() -> this.running)) {
+			while (this.state.locked(() -> this.state.running)) {
 				Thread.sleep(TICK_MILLIS);
 				stopOnError(this::tick);
 			}
@@ -1649,7 +1419,7 @@
 		}
 		catch (RuntimeException ex) {
 			Logger.error(ex, "control: Unexpected error.");
-			locked(() -> stopWith("unexpected error: " + ex));
+			this.state.locked(() -> stopWith("unexpected error: " + ex));
 		}
 	}
 
@@ -1660,19 +1430,19 @@
 	}
 
 	private boolean awaitDue(BooleanSupplier due) {
-		this.lock.lock();
+		this.state.lock.lock();
 		try {
-			while (this.running && !due.getAsBoolean()) {
-				this.changed.await(IDLE_MILLIS, TimeUnit.MILLISECONDS);
+			while (this.state.running && !due.getAsBoolean()) {
+				this.state.changed.await(MemberState.IDLE_MILLIS, TimeUnit.MILLISECONDS);
 			}
-			return this.running;
+			return this.state.running;
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			return false;
 		}
 		finally {
-			this.lock.unlock();
+			this.state.lock.unlock();
 		}
 	}
 
