--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -61,18 +60,22 @@
 
 	private static final long TICK_MILLIS = 20;
 
+	// A full disk rarely has room again sooner; meanwhile another member should lead.
+	private static final long DISK_RETRY_ELECTIONS = 10;
+
+	private final RandomGenerator random;
+
 	private final MemberState state;
 
 	final Proposals proposals;
 
-	// A full disk rarely has room again sooner; meanwhile another member should lead.
-	private static final long DISK_RETRY_ELECTIONS = 10;
+	final PeerReplication replication;
 
-	private final RandomGenerator random;
+	final LogReceiver receiver;
 
-	private final S stateMachine;
+	final EntryApplier applier;
 
-	private final List<ApplyListener> applyListeners = new CopyOnWriteArrayList<>();
+	private final S stateMachine;
 
 	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
 
@@ -80,8 +83,6 @@
 
 	private final Set<String> votes = new HashSet<>();
 
-	private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
-
 	private WireOptions wireOptions;
 
 	private long leaderContactMillis;
@@ -98,10 +99,6 @@
 
 	private String changeGivenUp;
 
-	private long nextSnapshotIndex;
-
-	private long bytesAfterSnapshot;
-
 	private ControlMember(Builder<S> builder) {
 		String id = Objects.requireNonNull(builder.id, "id");
 		this.random = Objects.requireNonNull(builder.random, "random");
@@ -114,7 +111,9 @@
 		this.state.commitIndex = snapshot.map(Snapshot::index).orElse(0L);
 		this.state.appliedIndex = this.state.commitIndex;
 		this.proposals = new Proposals(this.state, this);
-		this.nextSnapshotIndex = this.state.appliedIndex + this.state.options.snapshotEveryEntries();
+		this.replication = new PeerReplication(this.state, this);
+		this.receiver = new LogReceiver(this.state, this);
+		this.applier = new EntryApplier(this.state, this, builder.stateMachine);
 		snapshot.ifPresent((value) -> this.stateMachine.restore(value.data()));
 		for (long index = log.firstIndex(); index <= log.lastIndex(); index++) {
 			rememberMembers(log.entry(index).orElseThrow());
@@ -177,7 +176,7 @@
 	 * @param listener the listener
 	 */
 	public void addApplyListener(ApplyListener listener) {
-		this.applyListeners.add(listener);
+		this.applier.applyListeners.add(listener);
 	}
 
 	/**
@@ -393,7 +392,7 @@
 	 * Applies the committed entries and writes a snapshot when one is due.
 	 */
 	void applyCommitted() {
-		applyAll();
+		this.applier.applyAll();
 	}
 
 	VoteResponse handleVote(VoteRequest request) {
@@ -404,13 +403,13 @@
 	}
 
 	AppendResponse handleAppend(AppendRequest request) {
-		return this.state.locked(() -> append(request));
+		return this.state.locked(() -> this.receiver.append(request));
 	}
 
 	SnapshotResponse handleSnapshot(SnapshotChunk chunk) {
 		this.state.applyLock.lock();
 		try {
-			return this.state.locked(() -> receiveSnapshot(chunk));
+			return this.state.locked(() -> this.receiver.receiveSnapshot(chunk));
 		}
 		finally {
 			this.state.applyLock.unlock();
@@ -441,7 +440,7 @@
 	 * @return the message, or empty
 	 */
 	Optional<PeerMessage> nextMessage(String peerId) {
-		return this.state.locked(() -> nextMessageFor(peerId));
+		return this.state.locked(() -> this.replication.nextMessageFor(peerId));
 	}
 
 	/**
@@ -450,7 +449,7 @@
 	 * @return the message, or empty if the task of the peer should end
 	 */
 	Optional<PeerMessage> awaitMessage(PeerProgress peer) {
-		return awaitMessageFor(peer);
+		return this.replication.awaitMessageFor(peer);
 	}
 
 	/**
@@ -460,7 +459,7 @@
 	 * @param response the answer
 	 */
 	void answered(String peerId, PeerMessage sent, Object response) {
-		this.state.locked(() -> messageAnswered(peerId, sent, response));
+		this.state.locked(() -> this.replication.messageAnswered(peerId, sent, response));
 	}
 
 	/**
@@ -469,7 +468,7 @@
 	 * @param sent the message
 	 */
 	void failed(String peerId, PeerMessage sent) {
-		this.state.locked(() -> messageFailed(peerId, sent));
+		this.state.locked(() -> this.replication.messageFailed(peerId, sent));
 	}
 
 	// Elections
@@ -547,7 +546,7 @@
 		return this.state.history.latest().quorum().isSatisfiedBy(this.votes::contains);
 	}
 
-	private void voteAnswered(String peerId, VoteRequest request, VoteResponse response) {
+	void voteAnswered(String peerId, VoteRequest request, VoteResponse response) {
 		if (response.term() > this.state.term) {
 			follow(response.term(), null);
 			return;
@@ -594,7 +593,7 @@
 	 * @param leader the leader of that term, or null if it is not known
 	 * @return false if the newer term could not be saved; then it is not entered
 	 */
-	private boolean follow(long newTerm, String leader) {
+	boolean follow(long newTerm, String leader) {
 		boolean wasLeader = this.state.role == MemberRole.LEADER;
 		this.state.role = MemberRole.FOLLOWER;
 		this.state.leaderId = null;
@@ -699,7 +698,7 @@
 		return true;
 	}
 
-	private void advanceCommit() {
+	void advanceCommit() {
 		if (this.state.role != MemberRole.LEADER || this.state.failure != null) {
 			return;
 		}
@@ -720,7 +719,7 @@
 		return (peer != null) ? peer.matchIndex : 0;
 	}
 
-	private void followerCommit(long leaderCommit) {
+	void followerCommit(long leaderCommit) {
 		long index = Math.min(leaderCommit, this.state.verifiedIndex);
 		if (index > this.state.commitIndex) {
 			this.state.commitIndex = index;
@@ -728,255 +727,9 @@
 		}
 	}
 
-	// Sending to peers
-
-	private Optional<PeerMessage> nextMessageFor(String peerId) {
-		return Optional.ofNullable(this.state.peers.get(peerId)).flatMap(this::messageFor);
-	}
-
-	private Optional<PeerMessage> awaitMessageFor(PeerProgress peer) {
-		this.state.lock.lock();
-		try {
-			while (this.state.running && this.state.peers.get(peer.member.id()) == peer) {
-				Optional<PeerMessage> message = messageFor(peer);
-				if (message.isPresent()) {
-					return message;
-				}
-				this.state.changed.await(millisUntilDue(peer), TimeUnit.MILLISECONDS);
-			}
-			return Optional.empty();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return Optional.empty();
-		}
-		finally {
-			this.state.lock.unlock();
-		}
-	}
-
-	private void messageAnswered(String peerId, PeerMessage sent, Object response) {
-		PeerProgress peer = this.state.peers.get(peerId);
-		if (peer == null) {
-			return;
-		}
-		peer.inFlight = false;
-		if (sent.message() instanceof VoteRequest request && response instanceof VoteResponse vote) {
-			voteAnswered(peerId, request, vote);
-		}
-		else if (sent.message() instanceof AppendRequest request && response instanceof AppendResponse answer) {
-			appendAnswered(peer, sent, request, answer);
-		}
-		else if (sent.message() instanceof SnapshotChunk chunk && response instanceof SnapshotResponse answer) {
-			snapshotAnswered(peer, sent, chunk, answer);
-		}
-		this.state.changed.signalAll();
-	}
-
-	private void messageFailed(String peerId, PeerMessage sent) {
-		PeerProgress peer = this.state.peers.get(peerId);
-		if (peer == null) {
-			return;
-		}
-		peer.inFlight = false;
-		peer.retryMillis = this.state.now() + this.state.options.heartbeatMillis();
-		peer.roundSent = peer.roundAnswered;
-		if (sent.message() instanceof VoteRequest request && request.term() >= this.state.term
-				&& this.state.role != MemberRole.LEADER && this.state.role != MemberRole.FOLLOWER) {
-			peer.vote = request;
-		}
-	}
-
-	private Optional<PeerMessage> messageFor(PeerProgress peer) {
-		if (peer.inFlight || this.state.failure != null) {
-			return Optional.empty();
-		}
-		if (peer.handover != null) {
-			TimeoutNow handover = peer.handover;
-			peer.handover = null;
-			return Optional.of(message(handover, false));
-		}
-		if (peer.vote != null && this.state.now() >= peer.retryMillis) {
-			VoteRequest vote = peer.vote;
-			peer.vote = null;
-			return Optional.of(call(peer, vote));
-		}
-		if (this.state.role == MemberRole.LEADER) {
-			return leaderMessageFor(peer);
-		}
-		return Optional.empty();
-	}
-
-	private Optional<PeerMessage> leaderMessageFor(PeerProgress peer) {
-		if (peer.member.id().equals(this.state.transferTarget) && !this.state.transferSent
-				&& peer.matchIndex == this.state.log.lastIndex()) {
-			this.state.transferSent = true;
-			return Optional.of(message(new TimeoutNow(this.state.term, this.state.id), false));
-		}
-		if (this.state.now() < peer.retryMillis) {
-			return Optional.empty();
-		}
-		if (peer.nextIndex < this.state.log.firstIndex() || peer.snapshot != null) {
-			return snapshotMessageFor(peer);
-		}
-		boolean entries = peer.nextIndex <= this.state.log.syncedIndex();
-		boolean due = this.state.now() - peer.sentMillis >= this.state.options.heartbeatMillis()
-				|| peer.roundSent < this.state.round;
-		if (entries || due) {
-			return Optional.of(call(peer, appendRequest(peer)));
-		}
-		if (peer.commitSent < this.state.commitIndex) {
-			peer.commitSent = this.state.commitIndex;
-			return Optional
-				.of(message(new CommitNotice(this.state.term, this.state.id, this.state.commitIndex), false));
-		}
-		return Optional.empty();
-	}
-
-	private Optional<PeerMessage> snapshotMessageFor(PeerProgress peer) {
-		if (peer.snapshot == null && !loadSnapshot(peer)) {
-			return Optional.empty();
-		}
-		Snapshot snapshot = peer.snapshot;
-		int length = Math.min(this.state.options.snapshotChunkBytes(), snapshot.data().length - peer.snapshotOffset);
-		byte[] bytes = new byte[length];
-		System.arraycopy(snapshot.data(), peer.snapshotOffset, bytes, 0, length);
-		return Optional
-			.of(call(peer, new SnapshotChunk(this.state.term, this.state.id, snapshot.index(), snapshot.term(),
-					snapshot.members(), snapshot.data().length, peer.snapshotChecksum, peer.snapshotOffset, bytes)));
-	}
-
-	private boolean loadSnapshot(PeerProgress peer) {
-		try {
-			peer.snapshot = this.state.log.snapshot().orElse(null);
-		}
-		catch (LavenderroadException ex) {
-			stopWith(ex.getMessage());
-		}
-		if (peer.snapshot == null) {
-			return false;
-		}
-		peer.snapshotOffset = 0;
-		peer.snapshotChecksum = SnapshotReceiver.checksum(peer.snapshot.data());
-		return true;
-	}
-
-	private AppendRequest appendRequest(PeerProgress peer) {
-		long previous = peer.nextIndex - 1;
-		return new AppendRequest(this.state.term, this.state.id, previous, this.state.log.term(previous).orElseThrow(),
-				this.state.commitIndex,
-				this.state.log.entries(peer.nextIndex, this.state.log.syncedIndex(), this.state.options.batchBytes()));
-	}
-
-	private PeerMessage call(PeerProgress peer, Object message) {
-		peer.inFlight = true;
-		peer.sentMillis = this.state.now();
-		peer.roundSent = this.state.round;
-		if (message instanceof AppendRequest) {
-			peer.commitSent = Math.max(peer.commitSent, this.state.commitIndex);
-		}
-		return message(message, true);
-	}
-
-	private PeerMessage message(Object message, boolean call) {
-		return new PeerMessage(message, call, this.state.now(), this.state.round, this.state.commitIndex);
-	}
-
-	private long millisUntilDue(PeerProgress peer) {
-		if (this.state.role != MemberRole.LEADER || peer.inFlight) {
-			return MemberState.IDLE_MILLIS;
-		}
-		long due = Math.max(peer.sentMillis + this.state.options.heartbeatMillis(), peer.retryMillis);
-		return Math.clamp(due - this.state.now(), 1, MemberState.IDLE_MILLIS);
-	}
-
-	private void appendAnswered(PeerProgress peer, PeerMessage sent, AppendRequest request, AppendResponse answer) {
-		if (!isAnswerToLeader(request.term(), answer.term())) {
-			return;
-		}
-		if (answer.result() == AppendResponse.Result.UNAVAILABLE) {
-			peer.retryMillis = this.state.now() + this.state.options.heartbeatMillis();
-			return;
-		}
-		peer.answeredMillis = Math.max(peer.answeredMillis, sent.sentMillis());
-		peer.roundAnswered = Math.max(peer.roundAnswered, sent.round());
-		if (answer.result() == AppendResponse.Result.SUCCESS) {
-			peer.matched(Math.min(answer.index(), request.previousIndex() + request.entries().size()));
-			if (peer.matchIndex >= sent.commitIndex()) {
-				peer.caughtUpMillis = this.state.now();
-			}
-		}
-		else if (answer.result() == AppendResponse.Result.MISMATCH && request.previousIndex() == peer.nextIndex - 1) {
-			peer.mismatched(answer.index());
-		}
-		progressMade();
-	}
-
-	private void snapshotAnswered(PeerProgress peer, PeerMessage sent, SnapshotChunk chunk, SnapshotResponse answer) {
-		if (!isAnswerToLeader(chunk.term(), answer.term())) {
-			return;
-		}
-		peer.answeredMillis = Math.max(peer.answeredMillis, sent.sentMillis());
-		peer.roundAnswered = Math.max(peer.roundAnswered, sent.round());
-		if (peer.snapshot == null || peer.snapshot.index() != chunk.snapshotIndex()) {
-			return;
-		}
-		if (answer.installed()) {
-			peer.matched(chunk.snapshotIndex());
-			peer.snapshot = null;
-		}
-		else {
-			if (answer.nextOffset() <= chunk.offset()) {
-				peer.retryMillis = this.state.now() + this.state.options.heartbeatMillis();
-			}
-			peer.snapshotOffset = Math.clamp(answer.nextOffset(), 0, chunk.totalBytes());
-		}
-		progressMade();
-	}
-
-	private boolean isAnswerToLeader(long requestTerm, long answerTerm) {
-		if (answerTerm > this.state.term) {
-			follow(answerTerm, null);
-			return false;
-		}
-		return this.state.role == MemberRole.LEADER && requestTerm == this.state.term;
-	}
-
-	private void progressMade() {
-		this.proposals.checkRounds();
-		advanceCommit();
-		if (this.state.role == MemberRole.LEADER) {
-			advanceChange();
-		}
-	}
-
 	// Receiving from a leader
 
-	private AppendResponse append(AppendRequest request) {
-		if (request.term() < this.state.term) {
-			return new AppendResponse(this.state.term, AppendResponse.Result.OLD_TERM, 0);
-		}
-		if (!acceptLeader(request.term(), request.leaderId())) {
-			return new AppendResponse(this.state.term, AppendResponse.Result.UNAVAILABLE, 0);
-		}
-		OptionalLong lastPossible = mismatch(request);
-		if (lastPossible.isPresent()) {
-			return new AppendResponse(this.state.term, AppendResponse.Result.MISMATCH, lastPossible.getAsLong());
-		}
-		long last = request.previousIndex() + request.entries().size();
-		try {
-			store(request.entries(), last);
-		}
-		catch (StorageException ex) {
-			storageFailed(ex);
-			return new AppendResponse(this.state.term, AppendResponse.Result.UNAVAILABLE, 0);
-		}
-		this.state.verifiedIndex = Math.max(this.state.verifiedIndex, last);
-		followerCommit(request.commitIndex());
-		return new AppendResponse(this.state.term, AppendResponse.Result.SUCCESS, last);
-	}
-
-	private boolean acceptLeader(long leaderTerm, String leader) {
+	boolean acceptLeader(long leaderTerm, String leader) {
 		if (this.state.failure != null) {
 			return false;
 		}
@@ -994,199 +747,6 @@
 		return true;
 	}
 
-	private OptionalLong mismatch(AppendRequest request) {
-		long previous = request.previousIndex();
-		if (previous < this.state.log.firstIndex() - 1) {
-			// The snapshot contains only committed entries, which equal those of the
-			// leader.
-			return OptionalLong.empty();
-		}
-		OptionalLong known = this.state.log.term(previous);
-		if (known.isEmpty()) {
-			return OptionalLong.of(this.state.log.lastIndex());
-		}
-		if (known.getAsLong() == request.previousTerm()) {
-			return OptionalLong.empty();
-		}
-		long index = previous;
-		while (index > this.state.commitIndex && this.state.log.term(index).equals(known)) {
-			index--;
-		}
-		return OptionalLong.of(index);
-	}
-
-	private void store(List<LogEntry> entries, long last) {
-		List<LogEntry> missing = missing(entries);
-		if (!missing.isEmpty()) {
-			if (missing.getFirst().index() <= this.state.log.lastIndex()) {
-				truncate(missing.getFirst().index());
-			}
-			this.state.log.append(missing);
-			missing.forEach(this::rememberMembers);
-		}
-		if (this.state.log.syncedIndex() < last) {
-			this.state.log.sync();
-		}
-		if (missing.stream().anyMatch((entry) -> entry.kind() == EntryKind.MEMBERS)) {
-			updatePeers();
-		}
-	}
-
-	private List<LogEntry> missing(List<LogEntry> entries) {
-		for (int position = 0; position < entries.size(); position++) {
-			LogEntry entry = entries.get(position);
-			boolean compacted = entry.index() < this.state.log.firstIndex();
-			if (!compacted && this.state.log.term(entry.index()).orElse(-1) != entry.term()) {
-				return entries.subList(position, entries.size());
-			}
-		}
-		return List.of();
-	}
-
-	private void truncate(long index) {
-		if (index <= this.state.commitIndex) {
-			stopWith("leader sent another entry " + index + " than the committed one");
-			throw new LavenderroadException(this.state.failure);
-		}
-		this.state.log.truncateFrom(index);
-		this.state.history.truncateFrom(index);
-		updatePeers();
-	}
-
-	private SnapshotResponse receiveSnapshot(SnapshotChunk chunk) {
-		if (chunk.term() < this.state.term || !acceptLeader(chunk.term(), chunk.leaderId())) {
-			return new SnapshotResponse(this.state.term, 0, false);
-		}
-		if (chunk.snapshotIndex() <= this.state.commitIndex) {
-			return new SnapshotResponse(this.state.term, 0, true);
-		}
-		Optional<Snapshot> complete = this.snapshotReceiver.add(chunk);
-		if (complete.isEmpty()) {
-			return new SnapshotResponse(this.state.term, this.snapshotReceiver.nextOffset(), false);
-		}
-		try {
-			install(complete.get());
-			return new SnapshotResponse(this.state.term, 0, true);
-		}
-		catch (StorageException ex) {
-			storageFailed(ex);
-			return new SnapshotResponse(this.state.term, 0, false);
-		}
-	}
-
-	private void install(Snapshot snapshot) {
-		MemberSet members = MemberSet.fromBytes(snapshot.members());
-		this.state.log.installSnapshot(snapshot);
-		this.state.history.restartAt(snapshot.index(), members);
-		this.state.history.truncateFrom(this.state.log.lastIndex() + 1);
-		this.state.commitIndex = snapshot.index();
-		this.state.appliedIndex = snapshot.index();
-		this.state.verifiedIndex = Math.max(this.state.verifiedIndex, snapshot.index());
-		restore(snapshot);
-		this.proposals.endReplaced(snapshot.index());
-		updatePeers();
-		this.state.changed.signalAll();
-	}
-
-	// Applying
-
-	private void withStateMachine(Runnable action) {
-		this.state.applyLock.lock();
-		try {
-			action.run();
-		}
-		catch (RuntimeException ex) {
-			Logger.error(ex, "control: Using the state machine failed.");
-			this.state.locked(() -> stopWith("using the state machine failed: " + ex));
-		}
-		finally {
-			this.state.applyLock.unlock();
-			this.state.events.run();
-		}
-	}
-
-	private void applyAll() {
-		withStateMachine(() -> {
-			Optional<LogEntry> next = this.state.locked(this::nextToApply);
-			while (next.isPresent()) {
-				apply(next.get());
-				next = this.state.locked(this::nextToApply);
-			}
-		});
-		withStateMachine(this::writeSnapshotIfDue);
-	}
-
-	/**
-	 * Replaces the state by a snapshot that was installed in the log. The caller holds
-	 * both locks.
-	 * @param snapshot the snapshot
-	 */
-	private void restore(Snapshot snapshot) {
-		this.nextSnapshotIndex = this.state.appliedIndex + this.state.options.snapshotEveryEntries();
-		this.stateMachine.restore(snapshot.data());
-	}
-
-	private Optional<LogEntry> nextToApply() {
-		if (this.state.failure != null || this.state.appliedIndex >= this.state.commitIndex) {
-			return Optional.empty();
-		}
-		Optional<LogEntry> entry = this.state.log.entry(this.state.appliedIndex + 1);
-		if (entry.isEmpty()) {
-			stopWith("committed entry " + (this.state.appliedIndex + 1) + " is missing in the log");
-		}
-		return entry;
-	}
-
-	private void apply(LogEntry entry) {
-		boolean command = entry.kind() == EntryKind.COMMAND;
-		byte[] result = command ? this.stateMachine.apply(entry.index(), entry.payload()) : MemberState.NOTHING;
-		this.state.locked(() -> {
-			this.state.appliedIndex = entry.index();
-			this.proposals.applied(entry, result);
-			this.state.publishLeadership();
-			this.state.changed.signalAll();
-		});
-		if (command) {
-			this.applyListeners.forEach((listener) -> listener.applied(entry.index(), entry.payload(), result));
-		}
-	}
-
-	private void writeSnapshotIfDue() {
-		long applied = this.state.appliedIndex;
-		boolean due = applied >= this.nextSnapshotIndex
-				|| this.state.log.bytes() - this.bytesAfterSnapshot >= this.state.options.snapshotEveryBytes();
-		if (!due || applied <= this.state.log.snapshotIndex() || this.state.locked(() -> this.state.failure != null)) {
-			return;
-		}
-		byte[] members = this.state.locked(() -> this.state.history.at(applied).toBytes());
-		try {
-			this.state.log.saveSnapshot(new Snapshot(applied, this.state.log.term(applied).orElseThrow(), members,
-					this.stateMachine.snapshot()));
-			// Under the lock, so that a message to a peer never refers to a forgotten
-			// entry.
-			this.state.locked(() -> this.state.log.compact(lastToForget(applied)));
-		}
-		catch (StorageException ex) {
-			this.state.locked(() -> storageFailed(ex));
-		}
-		this.nextSnapshotIndex = applied + this.state.options.snapshotEveryEntries();
-		this.bytesAfterSnapshot = this.state.log.bytes();
-		this.state.locked(() -> this.state.history.compact(this.state.log.snapshotIndex()));
-	}
-
-	private long lastToForget(long applied) {
-		long bytes = 0;
-		long index = applied;
-		while (index > applied - this.state.options.keptEntries() && index >= this.state.log.firstIndex()) {
-			bytes += this.state.log.entry(index).orElseThrow().payload().length;
-			if (bytes > this.state.options.snapshotEveryBytes() / 2) {
-				break;
-			}
-			index--;
-		}
-		return index;
-	}
-
 	// Member changes
 
 	private void beginChange(MemberChange change, CompletableFuture<ProposalOutcome> outcome) {
@@ -1240,7 +800,7 @@
 	/**
 	 * Takes the next step of the change in progress, once the step before is committed.
 	 */
-	private void advanceChange() {
+	void advanceChange() {
 		MemberSet set = this.state.history.latest();
 		if (set.change().isEmpty() || this.state.history.latestIndex() > this.state.commitIndex
 				|| this.state.commitIndex < this.state.termStartIndex || this.state.transferTarget != null) {
@@ -1288,13 +848,13 @@
 		}
 	}
 
-	private void rememberMembers(LogEntry entry) {
+	void rememberMembers(LogEntry entry) {
 		if (entry.kind() == EntryKind.MEMBERS) {
 			this.state.history.add(entry.index(), MemberSet.fromBytes(entry.payload()));
 		}
 	}
 
-	private void updatePeers() {
+	void updatePeers() {
 		MemberSet set = this.state.history.latest();
 		for (Member member : set.members()) {
 			PeerProgress known = this.state.peers.get(member.id());
@@ -1358,7 +918,7 @@
 	 * Stops voting, acknowledging and proposing until the member is opened again.
 	 * @param reason short sentence for operators
 	 */
-	private void stopWith(String reason) {
+	void stopWith(String reason) {
 		if (this.state.failure != null) {
 			return;
 		}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/raft/EntryApplier.java
@@ -0,0 +1,138 @@
+package io.lavenderroad.control.raft;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.lavenderroad.control.log.EntryKind;
+import io.lavenderroad.control.log.LogEntry;
+import io.lavenderroad.control.log.Snapshot;
+import io.lavenderroad.control.log.StorageException;
+import org.tinylog.Logger;
+
+/**
+ * Applies committed entries to the state machine in order, writes snapshots and compacts
+ * the log. The thread that uses the state machine holds {@code applyLock} of
+ * {@link MemberState}, which also guards the fields here. {@code lock} is taken inside of
+ * it for the shared state. It is not held while an entry is applied or a snapshot is
+ * written, only while a snapshot of a leader replaces the state.
+ */
+final class EntryApplier {
+
+	private final MemberState state;
+
+	private final ControlMember<?> member;
+
+	private final StateMachine stateMachine;
+
+	final List<ApplyListener> applyListeners = new CopyOnWriteArrayList<>();
+
+	private long nextSnapshotIndex;
+
+	private long bytesAfterSnapshot;
+
+	EntryApplier(MemberState state, ControlMember<?> member, StateMachine stateMachine) {
+		this.state = state;
+		this.member = member;
+		this.stateMachine = stateMachine;
+		this.nextSnapshotIndex = state.appliedIndex + state.options.snapshotEveryEntries();
+	}
+
+	private void withStateMachine(Runnable action) {
+		this.state.applyLock.lock();
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			Logger.error(ex, "control: Using the state machine failed.");
+			this.state.locked(() -> this.member.stopWith("using the state machine failed: " + ex));
+		}
+		finally {
+			this.state.applyLock.unlock();
+			this.state.events.run();
+		}
+	}
+
+	void applyAll() {
+		withStateMachine(() -> {
+			Optional<LogEntry> next = this.state.locked(this::nextToApply);
+			while (next.isPresent()) {
+				apply(next.get());
+				next = this.state.locked(this::nextToApply);
+			}
+		});
+		withStateMachine(this::writeSnapshotIfDue);
+	}
+
+	/**
+	 * Replaces the state by a snapshot that was installed in the log. The caller holds
+	 * both locks.
+	 * @param snapshot the snapshot
+	 */
+	void restore(Snapshot snapshot) {
+		this.nextSnapshotIndex = this.state.appliedIndex + this.state.options.snapshotEveryEntries();
+		this.stateMachine.restore(snapshot.data());
+	}
+
+	private Optional<LogEntry> nextToApply() {
+		if (this.state.failure != null || this.state.appliedIndex >= this.state.commitIndex) {
+			return Optional.empty();
+		}
+		Optional<LogEntry> entry = this.state.log.entry(this.state.appliedIndex + 1);
+		if (entry.isEmpty()) {
+			this.member.stopWith("committed entry " + (this.state.appliedIndex + 1) + " is missing in the log");
+		}
+		return entry;
+	}
+
+	private void apply(LogEntry entry) {
+		boolean command = entry.kind() == EntryKind.COMMAND;
+		byte[] result = command ? this.stateMachine.apply(entry.index(), entry.payload()) : MemberState.NOTHING;
+		this.state.locked(() -> {
+			this.state.appliedIndex = entry.index();
+			this.member.proposals.applied(entry, result);
+			this.state.publishLeadership();
+			this.state.changed.signalAll();
+		});
+		if (command) {
+			this.applyListeners.forEach((listener) -> listener.applied(entry.index(), entry.payload(), result));
+		}
+	}
+
+	private void writeSnapshotIfDue() {
+		long applied = this.state.appliedIndex;
+		boolean due = applied >= this.nextSnapshotIndex
+				|| this.state.log.bytes() - this.bytesAfterSnapshot >= this.state.options.snapshotEveryBytes();
+		if (!due || applied <= this.state.log.snapshotIndex() || this.state.locked(() -> this.state.failure != null)) {
+			return;
+		}
+		byte[] members = this.state.locked(() -> this.state.history.at(applied).toBytes());
+		try {
+			this.state.log.saveSnapshot(new Snapshot(applied, this.state.log.term(applied).orElseThrow(), members,
+					this.stateMachine.snapshot()));
+			// Under the lock, so that a message to a peer never refers to a forgotten
+			// entry.
+			this.state.locked(() -> this.state.log.compact(lastToForget(applied)));
+		}
+		catch (StorageException ex) {
+			this.state.locked(() -> this.member.storageFailed(ex));
+		}
+		this.nextSnapshotIndex = applied + this.state.options.snapshotEveryEntries();
+		this.bytesAfterSnapshot = this.state.log.bytes();
+		this.state.locked(() -> this.state.history.compact(this.state.log.snapshotIndex()));
+	}
+
+	private long lastToForget(long applied) {
+		long bytes = 0;
+		long index = applied;
+		while (index > applied - this.state.options.keptEntries() && index >= this.state.log.firstIndex()) {
+			bytes += this.state.log.entry(index).orElseThrow().payload().length;
+			if (bytes > this.state.options.snapshotEveryBytes() / 2) {
+				break;
+			}
+			index--;
+		}
+		return index;
+	}
+
+}
