Move elections, member changes and commit out of ControlMember

Change: Elections holds votes, terms and the hand-over of the leadership; MemberChanges holds the change of the member set and the list of peers; CommitProgress advances the committed index. Code is moved, not changed.

--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -1,13 +1,11 @@
 package io.lavenderroad.control.raft;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -20,13 +18,8 @@
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.control.log.DurableLog;
-import io.lavenderroad.control.log.EntryKind;
-import io.lavenderroad.control.log.LogEntry;
 import io.lavenderroad.control.log.Snapshot;
 import io.lavenderroad.control.log.StorageException;
-import io.lavenderroad.control.log.TermAndVote;
-import io.lavenderroad.control.raft.ProposalOutcome.Accepted;
-import io.lavenderroad.control.raft.ProposalOutcome.NotRun;
 import io.lavenderroad.control.raft.ProposalOutcome.Unknown;
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.LavenderroadException;
@@ -60,11 +53,6 @@
 
 	private static final long TICK_MILLIS = 20;
 
-	// A full disk rarely has room again sooner; meanwhile another member should lead.
-	private static final long DISK_RETRY_ELECTIONS = 10;
-
-	private final RandomGenerator random;
-
 	private final MemberState state;
 
 	final Proposals proposals;
@@ -75,33 +63,23 @@
 
 	final EntryApplier applier;
 
+	final Elections elections;
+
+	final MemberChanges changes;
+
+	final CommitProgress commits;
+
 	private final S stateMachine;
 
 	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
 
 	private final ConnectionHandler handler = new Handler();
 
-	private final Set<String> votes = new HashSet<>();
-
 	private WireOptions wireOptions;
 
-	private long leaderContactMillis;
-
-	private long electionMillis;
-
-	private long diskRetryMillis;
-
-	private long transferDeadlineMillis;
-
-	private long catchUpDeadlineMillis;
-
-	private CompletableFuture<ProposalOutcome> changeOutcome;
-
-	private String changeGivenUp;
-
 	private ControlMember(Builder<S> builder) {
 		String id = Objects.requireNonNull(builder.id, "id");
-		this.random = Objects.requireNonNull(builder.random, "random");
+		RandomGenerator random = Objects.requireNonNull(builder.random, "random");
 		DurableLog log = Objects.requireNonNull(builder.log, "log");
 		this.stateMachine = Objects.requireNonNull(builder.stateMachine, "stateMachine");
 		Optional<Snapshot> snapshot = log.snapshot();
@@ -114,12 +92,15 @@
 		this.replication = new PeerReplication(this.state, this);
 		this.receiver = new LogReceiver(this.state, this);
 		this.applier = new EntryApplier(this.state, this, builder.stateMachine);
+		this.elections = new Elections(this.state, this, random);
+		this.changes = new MemberChanges(this.state, this);
+		this.commits = new CommitProgress(this.state, this);
 		snapshot.ifPresent((value) -> this.stateMachine.restore(value.data()));
 		for (long index = log.firstIndex(); index <= log.lastIndex(); index++) {
-			rememberMembers(log.entry(index).orElseThrow());
+			this.changes.rememberMembers(log.entry(index).orElseThrow());
 		}
-		this.state.locked(this::updatePeers);
-		resetElectionTimeout();
+		this.state.locked(this.changes::updatePeers);
+		this.elections.resetElectionTimeout();
 	}
 
 	/**
@@ -141,7 +122,7 @@
 		try {
 			this.wireOptions = wire;
 			this.state.running = true;
-			resetElectionTimeout();
+			this.elections.resetElectionTimeout();
 			this.state.peers.values().forEach(this::startPeerTask);
 		}
 		finally {
@@ -262,7 +243,7 @@
 	 */
 	public CompletableFuture<ProposalOutcome> changeMembers(MemberChange change) {
 		CompletableFuture<ProposalOutcome> outcome = new CompletableFuture<>();
-		this.state.locked(() -> beginChange(change, outcome));
+		this.state.locked(() -> this.changes.beginChange(change, outcome));
 		return outcome;
 	}
 
@@ -301,7 +282,7 @@
 	 * election time-out, this member goes on leading.
 	 */
 	public void transferLeadership() {
-		this.state.locked(this::beginTransfer);
+		this.state.locked(this.elections::beginTransfer);
 	}
 
 	/**
@@ -359,10 +340,10 @@
 				return;
 			}
 			if (this.state.role == MemberRole.LEADER) {
-				tickLeader();
+				this.elections.tickLeader();
 			}
 			else {
-				tickFollower();
+				this.elections.tickFollower();
 			}
 		});
 	}
@@ -383,7 +364,7 @@
 			return;
 		}
 		this.state.locked(() -> {
-			advanceCommit();
+			this.commits.advanceCommit();
 			this.state.changed.signalAll();
 		});
 	}
@@ -397,7 +378,7 @@
 
 	VoteResponse handleVote(VoteRequest request) {
 		return this.state.locked(() -> {
-			boolean granted = grantVote(request);
+			boolean granted = this.elections.grantVote(request);
 			return new VoteResponse(this.state.term, granted);
 		});
 	}
@@ -420,7 +401,7 @@
 	void handleCommitNotice(CommitNotice notice) {
 		this.state.locked(() -> {
 			if (notice.term() == this.state.term && this.state.role == MemberRole.FOLLOWER) {
-				followerCommit(notice.commitIndex());
+				this.commits.followerCommit(notice.commitIndex());
 			}
 		});
 	}
@@ -429,7 +410,7 @@
 		this.state.locked(() -> {
 			if (request.term() == this.state.term && this.state.failure == null
 					&& this.state.history.latest().isVoter(this.state.id)) {
-				startElection(true);
+				this.elections.startElection(true);
 			}
 		});
 	}
@@ -471,449 +452,8 @@
 		this.state.locked(() -> this.replication.messageFailed(peerId, sent));
 	}
 
-	// Elections
-
-	private boolean grantVote(VoteRequest request) {
-		if (this.state.failure != null || hearsLeader() && !request.transfer()) {
-			return false;
-		}
-		boolean upToDate = request.lastTerm() > this.state.lastTerm()
-				|| request.lastTerm() == this.state.lastTerm() && request.lastIndex() >= this.state.log.lastIndex();
-		if (request.preVote()) {
-			return request.term() > this.state.term && upToDate;
-		}
-		if (request.term() < this.state.term || request.term() > this.state.term && !follow(request.term(), null)) {
-			return false;
-		}
-		Optional<String> votedFor = this.state.log.termAndVote().votedFor();
-		if (!upToDate || this.state.role != MemberRole.FOLLOWER
-				|| votedFor.isPresent() && !votedFor.get().equals(request.candidateId())) {
-			return false;
-		}
-		if (!save(new TermAndVote(this.state.term, Optional.of(request.candidateId())))) {
-			return false;
-		}
-		resetElectionTimeout();
-		return true;
-	}
-
-	private boolean hearsLeader() {
-		return this.state.role == MemberRole.LEADER || this.state.leaderId != null
-				&& this.state.now() - this.leaderContactMillis < this.state.options.electionTimeoutMillis();
-	}
-
-	private void startPreVote() {
-		this.state.role = MemberRole.PRE_CANDIDATE;
-		this.state.leaderId = null;
-		resetElectionTimeout();
-		this.state.publishLeadership();
-		askForVotes(new VoteRequest(this.state.term + 1, this.state.id, this.state.log.lastIndex(),
-				this.state.lastTerm(), true, false));
-		if (hasVotes()) {
-			startElection(false);
-		}
-	}
-
-	private void startElection(boolean transfer) {
-		if (!save(new TermAndVote(this.state.term + 1, Optional.of(this.state.id)))) {
-			this.state.role = MemberRole.FOLLOWER;
-			return;
-		}
-		this.state.term++;
-		this.state.role = MemberRole.CANDIDATE;
-		this.state.leaderId = null;
-		this.state.verifiedIndex = 0;
-		resetElectionTimeout();
-		this.state.publishLeadership();
-		askForVotes(new VoteRequest(this.state.term, this.state.id, this.state.log.lastIndex(), this.state.lastTerm(),
-				false, transfer));
-		if (hasVotes()) {
-			lead();
-		}
-	}
-
-	private void askForVotes(VoteRequest request) {
-		this.votes.clear();
-		this.votes.add(this.state.id);
-		for (PeerProgress peer : this.state.peers.values()) {
-			peer.vote = this.state.history.latest().isVoter(peer.member.id()) ? request : null;
-			peer.retryMillis = 0;
-		}
-		this.state.changed.signalAll();
-	}
-
-	private boolean hasVotes() {
-		return this.state.history.latest().quorum().isSatisfiedBy(this.votes::contains);
-	}
-
-	void voteAnswered(String peerId, VoteRequest request, VoteResponse response) {
-		if (response.term() > this.state.term) {
-			follow(response.term(), null);
-			return;
-		}
-		boolean current = request.preVote()
-				? this.state.role == MemberRole.PRE_CANDIDATE && request.term() == this.state.term + 1
-				: this.state.role == MemberRole.CANDIDATE && request.term() == this.state.term;
-		if (!current || !response.granted()) {
-			return;
-		}
-		this.votes.add(peerId);
-		if (hasVotes()) {
-			if (request.preVote()) {
-				startElection(false);
-			}
-			else {
-				lead();
-			}
-		}
-	}
-
-	private void lead() {
-		this.state.role = MemberRole.LEADER;
-		this.state.leaderId = this.state.id;
-		this.state.transferTarget = null;
-		this.state.termStartIndex = this.state.log.lastIndex() + 1;
-		restartCatchUp();
-		this.state.peers.values().forEach((peer) -> peer.startLeading(this.state.termStartIndex, this.state.now()));
-		Logger.info("control: {} leads term {}.", this.state.id, this.state.term);
-		// The first leader stores the member set of the settings, so that a member that
-		// is
-		// added later receives it.
-		boolean first = this.state.history.latestIndex() == 0;
-		if (!appendOwn(first ? EntryKind.MEMBERS : EntryKind.NO_OP,
-				first ? this.state.history.latest().toBytes() : MemberState.NOTHING)) {
-			follow(this.state.term, null);
-		}
-		this.state.publishLeadership();
-	}
-
-	/**
-	 * Becomes a follower.
-	 * @param newTerm the current term or a newer one
-	 * @param leader the leader of that term, or null if it is not known
-	 * @return false if the newer term could not be saved; then it is not entered
-	 */
-	boolean follow(long newTerm, String leader) {
-		boolean wasLeader = this.state.role == MemberRole.LEADER;
-		this.state.role = MemberRole.FOLLOWER;
-		this.state.leaderId = null;
-		this.state.peers.values().forEach((peer) -> peer.vote = null);
-		if (wasLeader) {
-			stopLeading();
-		}
-		if (newTerm > this.state.term) {
-			if (!save(new TermAndVote(newTerm, Optional.empty()))) {
-				this.state.publishLeadership();
-				return false;
-			}
-			this.state.term = newTerm;
-			this.state.verifiedIndex = 0;
-		}
-		this.state.leaderId = leader;
-		this.state.publishLeadership();
-		return true;
-	}
-
-	private void stopLeading() {
-		Logger.info("control: {} no longer leads term {}.", this.state.id, this.state.term);
-		this.state.transferTarget = null;
-		this.proposals.refuseQueued("this member is no longer the leader");
-		this.proposals.endRounds();
-		endChange(new Unknown("leadership was lost; the next leader continues or ends the change"));
-		this.state.peers.values().removeIf((peer) -> peer.leaveMillis > 0);
-		resetElectionTimeout();
-		this.state.changed.signalAll();
-	}
-
-	private void tickLeader() {
-		long oldest = this.state.now() - this.state.options.electionTimeoutMillis();
-		if (!this.state.history.latest()
-			.quorum()
-			.isSatisfiedBy((voter) -> voter.equals(this.state.id) || this.state.answeredSince(voter, oldest))) {
-			Logger.warn("control: {} steps down, as no quorum has answered for {} ms.", this.state.id,
-					this.state.options.electionTimeoutMillis());
-			follow(this.state.term, null);
-			return;
-		}
-		if (this.state.transferTarget != null && this.state.now() >= this.transferDeadlineMillis) {
-			Logger.warn("control: Member {} did not take the leadership over.", this.state.transferTarget);
-			this.state.transferTarget = null;
-			this.state.changed.signalAll();
-		}
-		if (this.state.peers.values().removeIf(this::hasLeft)) {
-			this.state.changed.signalAll();
-		}
-		advanceChange();
-	}
-
-	private void tickFollower() {
-		if (this.state.now() >= this.electionMillis && this.state.now() >= this.diskRetryMillis
-				&& this.state.history.latest().isVoter(this.state.id)) {
-			startPreVote();
-		}
-	}
-
-	private boolean hasLeft(PeerProgress peer) {
-		return peer.leaveMillis > 0 && (this.state.now() >= peer.leaveMillis
-				|| !peer.inFlight && peer.matchIndex >= this.state.history.latestIndex()
-						&& peer.commitSent >= this.state.history.latestIndex());
-	}
-
-	private void beginTransfer() {
-		if (this.state.role != MemberRole.LEADER || this.state.transferTarget != null) {
-			return;
-		}
-		long oldest = this.state.now() - this.state.options.electionTimeoutMillis();
-		this.state.mostRecentVoter().filter((peer) -> peer.answeredMillis >= oldest).ifPresent((peer) -> {
-			this.state.transferTarget = peer.member.id();
-			this.state.transferSent = false;
-			this.transferDeadlineMillis = this.state.now() + this.state.options.electionTimeoutMillis();
-			this.proposals.refuseQueued("leadership is being handed over");
-			this.state.changed.signalAll();
-		});
-	}
-
-	// Proposals and commit
-
-	/**
-	 * Appends an entry of the leader itself and syncs it.
-	 * @param kind kind of the entry
-	 * @param payload payload of the entry
-	 * @return false if the disk refused it
-	 */
-	private boolean appendOwn(EntryKind kind, byte[] payload) {
-		LogEntry entry = new LogEntry(this.state.log.lastIndex() + 1, this.state.term, kind, payload);
-		try {
-			this.state.log.append(List.of(entry));
-			this.state.log.sync();
-		}
-		catch (StorageException ex) {
-			storageFailed(ex);
-			return false;
-		}
-		rememberMembers(entry);
-		updatePeers();
-		advanceCommit();
-		this.state.changed.signalAll();
-		return true;
-	}
-
-	void advanceCommit() {
-		if (this.state.role != MemberRole.LEADER || this.state.failure != null) {
-			return;
-		}
-		long agreed = this.state.history.latest().quorum().largestReached(this::durableIndex);
-		if (agreed > this.state.commitIndex && this.state.log.term(agreed).orElse(0) == this.state.term) {
-			this.state.commitIndex = agreed;
-			this.state.changed.signalAll();
-			this.proposals.checkRounds();
-			memberSetCommitted();
-		}
-	}
-
-	private long durableIndex(String voter) {
-		if (voter.equals(this.state.id)) {
-			return this.state.log.syncedIndex();
-		}
-		PeerProgress peer = this.state.peers.get(voter);
-		return (peer != null) ? peer.matchIndex : 0;
-	}
-
-	void followerCommit(long leaderCommit) {
-		long index = Math.min(leaderCommit, this.state.verifiedIndex);
-		if (index > this.state.commitIndex) {
-			this.state.commitIndex = index;
-			this.state.changed.signalAll();
-		}
-	}
-
-	// Receiving from a leader
-
-	boolean acceptLeader(long leaderTerm, String leader) {
-		if (this.state.failure != null) {
-			return false;
-		}
-		if (leaderTerm == this.state.term && this.state.role == MemberRole.LEADER) {
-			throw new LavenderroadException(
-					"members " + this.state.id + " and " + leader + " both lead term " + this.state.term);
-		}
-		boolean known = leaderTerm == this.state.term && this.state.role == MemberRole.FOLLOWER
-				&& leader.equals(this.state.leaderId);
-		if (!known && !follow(leaderTerm, leader)) {
-			return false;
-		}
-		this.leaderContactMillis = this.state.now();
-		resetElectionTimeout();
-		return true;
-	}
-
-	// Member changes
-
-	private void beginChange(MemberChange change, CompletableFuture<ProposalOutcome> outcome) {
-		Optional<String> refusal = refusal(change);
-		if (refusal.isPresent()) {
-			this.state.refuse(outcome, refusal.get());
-			return;
-		}
-		this.changeOutcome = outcome;
-		this.changeGivenUp = null;
-		restartCatchUp();
-		if (!appendOwn(EntryKind.MEMBERS, this.state.history.latest().begin(change).toBytes())) {
-			endChange(new NotRun("the disk refused the change", Optional.empty()));
-		}
-	}
-
-	private void restartCatchUp() {
-		this.catchUpDeadlineMillis = this.state.now() + this.state.options.catchUpTimeoutMillis();
-	}
-
-	private Optional<String> refusal(MemberChange change) {
-		MemberSet set = this.state.history.latest();
-		if (this.state.failure != null || this.state.role != MemberRole.LEADER || this.state.transferTarget != null) {
-			return Optional.of("this member is not the leader or hands the leadership over");
-		}
-		if (this.state.commitIndex < this.state.termStartIndex) {
-			return Optional.of("the leader has not yet committed an entry of its term");
-		}
-		if (set.change().isPresent() || this.state.history.latestIndex() > this.state.commitIndex) {
-			return Optional.of("another member change is in progress");
-		}
-		if (change.added().isPresent() && set.find(change.added().get().id()).isPresent()) {
-			return Optional.of("member " + change.added().get().id() + " is already in the group");
-		}
-		if (change.added().isPresent() && !PeerTask.isAddress(change.added().get().address())) {
-			return Optional.of("address '" + change.added().get().address() + "' is not of the form ip:port");
-		}
-		if (change.removed().isPresent() && set.find(change.removed().get()).isEmpty()) {
-			return Optional.of("member " + change.removed().get() + " is not in the group");
-		}
-		return change.added().isPresent() ? Optional.empty() : removalRefusal(set.begin(change));
-	}
-
-	private Optional<String> removalRefusal(MemberSet next) {
-		long oldest = this.state.now() - this.state.options.electionTimeoutMillis();
-		boolean works = next.quorum()
-			.isSatisfiedBy((voter) -> voter.equals(this.state.id) || this.state.answeredSince(voter, oldest));
-		return works ? Optional.empty() : Optional.of("the remaining voters that answer would be no quorum");
-	}
-
-	/**
-	 * Takes the next step of the change in progress, once the step before is committed.
-	 */
-	void advanceChange() {
-		MemberSet set = this.state.history.latest();
-		if (set.change().isEmpty() || this.state.history.latestIndex() > this.state.commitIndex
-				|| this.state.commitIndex < this.state.termStartIndex || this.state.transferTarget != null) {
-			return;
-		}
-		String added = set.change().get().added().orElseThrow().id();
-		if (set.isVoter(added)) {
-			appendOwn(EntryKind.MEMBERS, set.removeReplaced().toBytes());
-			return;
-		}
-		PeerProgress peer = this.state.peers.get(added);
-		if (peer != null && this.state.now() - peer.caughtUpMillis <= this.state.options.electionTimeoutMillis()) {
-			appendOwn(EntryKind.MEMBERS, set.promoteAdded().toBytes());
-		}
-		else if (this.state.now() >= this.catchUpDeadlineMillis) {
-			this.changeGivenUp = "member " + added + " did not catch up in time";
-			appendOwn(EntryKind.MEMBERS, set.giveUpAdded().toBytes());
-		}
-	}
-
-	private void memberSetCommitted() {
-		MemberSet set = this.state.history.latest();
-		if (this.state.history.latestIndex() > this.state.commitIndex) {
-			return;
-		}
-		if (set.change().isEmpty()) {
-			endChange((this.changeGivenUp != null) ? new NotRun(this.changeGivenUp, Optional.empty())
-					: new Accepted(MemberState.NOTHING, this.state.history.latestIndex()));
-		}
-		if (set.find(this.state.id).isEmpty()) {
-			Logger.info("control: {} was removed from the group and steps down.", this.state.id);
-			this.state.mostRecentVoter()
-				.ifPresent((peer) -> peer.handover = new TimeoutNow(this.state.term, this.state.id));
-			follow(this.state.term, null);
-		}
-		else {
-			advanceChange();
-		}
-	}
-
-	private void endChange(ProposalOutcome outcome) {
-		if (this.changeOutcome != null) {
-			this.state.complete(this.changeOutcome, outcome);
-			this.changeOutcome = null;
-		}
-	}
-
-	void rememberMembers(LogEntry entry) {
-		if (entry.kind() == EntryKind.MEMBERS) {
-			this.state.history.add(entry.index(), MemberSet.fromBytes(entry.payload()));
-		}
-	}
-
-	void updatePeers() {
-		MemberSet set = this.state.history.latest();
-		for (Member member : set.members()) {
-			PeerProgress known = this.state.peers.get(member.id());
-			if (known != null) {
-				known.leaveMillis = 0;
-			}
-			else if (!member.id().equals(this.state.id)) {
-				addPeer(member);
-			}
-		}
-		// The leader keeps sending to a removed member for a while, so that it learns of
-		// its
-		// removal.
-		long leave = this.state.now() + 4 * this.state.options.electionTimeoutMillis();
-		this.state.peers.values().removeIf((peer) -> {
-			boolean gone = set.find(peer.member.id()).isEmpty();
-			if (gone && peer.leaveMillis == 0) {
-				peer.leaveMillis = leave;
-			}
-			return gone && this.state.role != MemberRole.LEADER;
-		});
-		this.state.changed.signalAll();
-	}
-
-	private void addPeer(Member member) {
-		PeerProgress peer = new PeerProgress(member);
-		peer.startLeading(this.state.log.lastIndex() + 1, this.state.now());
-		this.state.peers.put(member.id(), peer);
-		startPeerTask(peer);
-	}
-
 	// Common parts
 
-	private void resetElectionTimeout() {
-		this.electionMillis = this.state.now() + this.state.options.electionTimeoutMillis()
-				+ this.random.nextLong(this.state.options.electionTimeoutMillis());
-	}
-
-	private boolean save(TermAndVote value) {
-		try {
-			this.state.log.saveTermAndVote(value);
-			return true;
-		}
-		catch (StorageException ex) {
-			storageFailed(ex);
-			return false;
-		}
-	}
-
-	void storageFailed(StorageException ex) {
-		if (ex.isPermanent()) {
-			stopWith(ex.getMessage());
-			return;
-		}
-		Logger.warn("control: {} cannot write: {}.", this.state.id, ex.getMessage());
-		this.diskRetryMillis = this.state.now() + DISK_RETRY_ELECTIONS * this.state.options.electionTimeoutMillis();
-		beginTransfer();
-	}
-
 	/**
 	 * Stops voting, acknowledging and proposing until the member is opened again.
 	 * @param reason short sentence for operators
@@ -926,7 +466,7 @@
 			Logger.warn("control: {} stops voting and acknowledging: {}.", this.state.id, reason);
 		}
 		this.state.failure = reason;
-		follow(this.state.term, null);
+		this.elections.follow(this.state.term, null);
 		this.proposals.refuseQueued("member has stopped: " + reason);
 		this.proposals.endPending("member has stopped: " + reason);
 		this.state.changed.signalAll();
@@ -950,7 +490,7 @@
 
 	// Tasks
 
-	private void startPeerTask(PeerProgress peer) {
+	void startPeerTask(PeerProgress peer) {
 		if (this.state.running) {
 			this.tasks.execute(new PeerTask(this, peer, this.wireOptions, this.state.options.electionTimeoutMillis()));
 		}
--- a/control/src/main/java/io/lavenderroad/control/raft/EntryApplier.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/EntryApplier.java
@@ -115,7 +115,7 @@
 			this.state.locked(() -> this.state.log.compact(lastToForget(applied)));
 		}
 		catch (StorageException ex) {
-			this.state.locked(() -> this.member.storageFailed(ex));
+			this.state.locked(() -> this.member.elections.storageFailed(ex));
 		}
 		this.nextSnapshotIndex = applied + this.state.options.snapshotEveryEntries();
 		this.bytesAfterSnapshot = this.state.log.bytes();
--- a/control/src/main/java/io/lavenderroad/control/raft/LogReceiver.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/LogReceiver.java
@@ -32,7 +32,7 @@
 		if (request.term() < this.state.term) {
 			return new AppendResponse(this.state.term, AppendResponse.Result.OLD_TERM, 0);
 		}
-		if (!this.member.acceptLeader(request.term(), request.leaderId())) {
+		if (!this.member.elections.acceptLeader(request.term(), request.leaderId())) {
 			return new AppendResponse(this.state.term, AppendResponse.Result.UNAVAILABLE, 0);
 		}
 		OptionalLong lastPossible = mismatch(request);
@@ -44,11 +44,11 @@
 			store(request.entries(), last);
 		}
 		catch (StorageException ex) {
-			this.member.storageFailed(ex);
+			this.member.elections.storageFailed(ex);
 			return new AppendResponse(this.state.term, AppendResponse.Result.UNAVAILABLE, 0);
 		}
 		this.state.verifiedIndex = Math.max(this.state.verifiedIndex, last);
-		this.member.followerCommit(request.commitIndex());
+		this.member.commits.followerCommit(request.commitIndex());
 		return new AppendResponse(this.state.term, AppendResponse.Result.SUCCESS, last);
 	}
 
@@ -80,13 +80,13 @@
 				truncate(missing.getFirst().index());
 			}
 			this.state.log.append(missing);
-			missing.forEach(this.member::rememberMembers);
+			missing.forEach(this.member.changes::rememberMembers);
 		}
 		if (this.state.log.syncedIndex() < last) {
 			this.state.log.sync();
 		}
 		if (missing.stream().anyMatch((entry) -> entry.kind() == EntryKind.MEMBERS)) {
-			this.member.updatePeers();
+			this.member.changes.updatePeers();
 		}
 	}
 
@@ -108,11 +108,11 @@
 		}
 		this.state.log.truncateFrom(index);
 		this.state.history.truncateFrom(index);
-		this.member.updatePeers();
+		this.member.changes.updatePeers();
 	}
 
 	SnapshotResponse receiveSnapshot(SnapshotChunk chunk) {
-		if (chunk.term() < this.state.term || !this.member.acceptLeader(chunk.term(), chunk.leaderId())) {
+		if (chunk.term() < this.state.term || !this.member.elections.acceptLeader(chunk.term(), chunk.leaderId())) {
 			return new SnapshotResponse(this.state.term, 0, false);
 		}
 		if (chunk.snapshotIndex() <= this.state.commitIndex) {
@@ -127,7 +127,7 @@
 			return new SnapshotResponse(this.state.term, 0, true);
 		}
 		catch (StorageException ex) {
-			this.member.storageFailed(ex);
+			this.member.elections.storageFailed(ex);
 			return new SnapshotResponse(this.state.term, 0, false);
 		}
 	}
@@ -142,7 +142,7 @@
 		this.state.verifiedIndex = Math.max(this.state.verifiedIndex, snapshot.index());
 		this.member.applier.restore(snapshot);
 		this.member.proposals.endReplaced(snapshot.index());
-		this.member.updatePeers();
+		this.member.changes.updatePeers();
 		this.state.changed.signalAll();
 	}
 
--- a/control/src/main/java/io/lavenderroad/control/raft/PeerReplication.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/PeerReplication.java
@@ -57,7 +57,7 @@
 		}
 		peer.inFlight = false;
 		if (sent.message() instanceof VoteRequest request && response instanceof VoteResponse vote) {
-			this.member.voteAnswered(peerId, request, vote);
+			this.member.elections.voteAnswered(peerId, request, vote);
 		}
 		else if (sent.message() instanceof AppendRequest request && response instanceof AppendResponse answer) {
 			appendAnswered(peer, sent, request, answer);
@@ -231,7 +231,7 @@
 
 	private boolean isAnswerToLeader(long requestTerm, long answerTerm) {
 		if (answerTerm > this.state.term) {
-			this.member.follow(answerTerm, null);
+			this.member.elections.follow(answerTerm, null);
 			return false;
 		}
 		return this.state.role == MemberRole.LEADER && requestTerm == this.state.term;
@@ -239,9 +239,9 @@
 
 	private void progressMade() {
 		this.member.proposals.checkRounds();
-		this.member.advanceCommit();
+		this.member.commits.advanceCommit();
 		if (this.state.role == MemberRole.LEADER) {
-			this.member.advanceChange();
+			this.member.changes.advanceChange();
 		}
 	}
 
--- a/control/src/main/java/io/lavenderroad/control/raft/Proposals.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/Proposals.java
@@ -163,7 +163,7 @@
 		else {
 			batch.forEach((proposal) -> this.state.refuse(proposal.outcome(), ex.getMessage()));
 		}
-		this.member.storageFailed(ex);
+		this.member.elections.storageFailed(ex);
 	}
 
 	void checkRounds() {
