Move the tasks of a control member into a class of their own

Change: MemberTasks runs the timer, group commit, apply and peer tasks and hands received messages to them. Code is moved, not changed.

--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -9,12 +9,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.control.log.DurableLog;
@@ -23,7 +19,6 @@
 import io.lavenderroad.control.raft.ProposalOutcome.Unknown;
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.LavenderroadException;
-import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.WireOptions;
 import org.tinylog.Logger;
@@ -51,8 +46,6 @@
  */
 public final class ControlMember<S extends StateMachine> implements AutoCloseable {
 
-	private static final long TICK_MILLIS = 20;
-
 	private final MemberState state;
 
 	final Proposals proposals;
@@ -69,13 +62,9 @@
 
 	final CommitProgress commits;
 
-	private final S stateMachine;
-
-	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
+	final MemberTasks tasks;
 
-	private final ConnectionHandler handler = new Handler();
-
-	private WireOptions wireOptions;
+	private final S stateMachine;
 
 	private ControlMember(Builder<S> builder) {
 		String id = Objects.requireNonNull(builder.id, "id");
@@ -95,6 +84,7 @@
 		this.elections = new Elections(this.state, this, random);
 		this.changes = new MemberChanges(this.state, this);
 		this.commits = new CommitProgress(this.state, this);
+		this.tasks = new MemberTasks(this.state, this);
 		snapshot.ifPresent((value) -> this.stateMachine.restore(value.data()));
 		for (long index = log.firstIndex(); index <= log.lastIndex(); index++) {
 			this.changes.rememberMembers(log.entry(index).orElseThrow());
@@ -120,19 +110,15 @@
 	public void start(WireOptions wire) {
 		this.state.lock.lock();
 		try {
-			this.wireOptions = wire;
+			this.tasks.wireOptions = wire;
 			this.state.running = true;
 			this.elections.resetElectionTimeout();
-			this.state.peers.values().forEach(this::startPeerTask);
+			this.state.peers.values().forEach(this.tasks::startPeerTask);
 		}
 		finally {
 			this.state.lock.unlock();
 		}
-		this.tasks.execute(this::runTimer);
-		this.tasks.execute(() -> runWhen(this.proposals::hasQueued, () -> stopOnError(this::flush)));
-		this.tasks
-			.execute(() -> runWhen(() -> this.state.failure == null && this.state.appliedIndex < this.state.commitIndex,
-					this::applyCommitted));
+		this.tasks.runTasks();
 	}
 
 	/**
@@ -141,7 +127,7 @@
 	 * @return the handler for a frame server
 	 */
 	public ConnectionHandler handler() {
-		return this.handler;
+		return this.tasks.handler;
 	}
 
 	/**
@@ -320,13 +306,7 @@
 			stopWith("member is stopping");
 			this.state.changed.signalAll();
 		});
-		this.tasks.shutdown();
-		try {
-			this.tasks.awaitTermination(2 * this.state.options.electionTimeoutMillis(), TimeUnit.MILLISECONDS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
+		this.tasks.stopTasks();
 	}
 
 	/**
@@ -488,114 +468,6 @@
 		}
 	}
 
-	// Tasks
-
-	void startPeerTask(PeerProgress peer) {
-		if (this.state.running) {
-			this.tasks.execute(new PeerTask(this, peer, this.wireOptions, this.state.options.electionTimeoutMillis()));
-		}
-	}
-
-	private void runTimer() {
-		try {
-			while (this.state.locked(() -> this.state.running)) {
-				Thread.sleep(TICK_MILLIS);
-				stopOnError(this::tick);
-			}
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
-	/**
-	 * Runs a step of a task. After an unexpected error the member stops visibly, in place
-	 * of going on without the task.
-	 * @param step the step
-	 */
-	private void stopOnError(Runnable step) {
-		try {
-			step.run();
-		}
-		catch (RuntimeException ex) {
-			Logger.error(ex, "control: Unexpected error.");
-			this.state.locked(() -> stopWith("unexpected error: " + ex));
-		}
-	}
-
-	private void runWhen(BooleanSupplier due, Runnable action) {
-		while (awaitDue(due)) {
-			action.run();
-		}
-	}
-
-	private boolean awaitDue(BooleanSupplier due) {
-		this.state.lock.lock();
-		try {
-			while (this.state.running && !due.getAsBoolean()) {
-				this.state.changed.await(MemberState.IDLE_MILLIS, TimeUnit.MILLISECONDS);
-			}
-			return this.state.running;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
-		}
-		finally {
-			this.state.lock.unlock();
-		}
-	}
-
-	private Object handle(Object request) {
-		return switch (request) {
-			case VoteRequest vote -> handleVote(vote);
-			case AppendRequest append -> handleAppend(append);
-			case SnapshotChunk chunk -> handleSnapshot(chunk);
-			default ->
-				throw new LavenderroadException("control member does not answer " + request.getClass().getSimpleName());
-		};
-	}
-
-	private void handleOneWay(Object message) {
-		switch (message) {
-			case CommitNotice notice -> handleCommitNotice(notice);
-			case TimeoutNow request -> handleTimeoutNow(request);
-			default -> Logger.warn("control: Ignored a {} message.", message.getClass().getSimpleName());
-		}
-	}
-
-	/**
-	 * Hands messages to tasks of the member. The threads of a connection are interrupted
-	 * when it closes, and an interrupt during a write would close the file of the log.
-	 */
-	private final class Handler implements ConnectionHandler {
-
-		@Override
-		public void received(Connection connection, Object message) {
-			try {
-				ControlMember.this.tasks.execute(() -> handleOneWay(message));
-			}
-			catch (RejectedExecutionException ex) {
-				Logger.debug("control: Ignored a message while stopping.");
-			}
-		}
-
-		@Override
-		public Object answer(Connection connection, Object request) {
-			try {
-				return ControlMember.this.tasks.submit(() -> handle(request)).get();
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				throw new LavenderroadException("connection closed before the answer", ex);
-			}
-			catch (ExecutionException | RejectedExecutionException ex) {
-				throw new LavenderroadException("request failed: " + ex.getMessage(), ex);
-			}
-		}
-
-	}
-
 	/**
 	 * Builds a {@link ControlMember}.
 	 *
--- a/control/src/main/java/io/lavenderroad/control/raft/MemberChanges.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/MemberChanges.java
@@ -165,7 +165,7 @@
 		PeerProgress peer = new PeerProgress(member);
 		peer.startLeading(this.state.log.lastIndex() + 1, this.state.now());
 		this.state.peers.put(member.id(), peer);
-		this.member.startPeerTask(peer);
+		this.member.tasks.startPeerTask(peer);
 	}
 
 }
