Correct the lock note of ControlMember after the split

Cause: The fields that the lock guards are now in the parts. Change: The doc comment says so; a section comment without use is removed.

--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -36,11 +36,11 @@
  * which uses the state and the locks of {@link MemberState}.
  * <p>
  * Locks, in the order in which they are taken: {@code applyLock} is owned by the thread
- * that uses the state machine, {@code lock} guards all other fields. Appends and votes of
- * a follower are synced under {@code lock}; the leader syncs proposals outside of it.
- * Time-outs are taken from the clock by {@link #tick()}, so that a test can drive every
- * step by hand; the tasks of {@link #start(WireOptions)} only wait and call the same
- * methods.
+ * that uses the state machine, {@code lock} guards the other fields of the parts. Appends
+ * and votes of a follower are synced under {@code lock}; the leader syncs proposals
+ * outside of it. Time-outs are taken from the clock by {@link #tick()}, so that a test
+ * can drive every step by hand; the tasks of {@link #start(WireOptions)} only wait and
+ * call the same methods.
  *
  * @param <S> type of the state machine
  */
@@ -432,8 +432,6 @@
 		this.state.locked(() -> this.replication.messageFailed(peerId, sent));
 	}
 
-	// Common parts
-
 	/**
 	 * Stops voting, acknowledging and proposing until the member is opened again.
 	 * @param reason short sentence for operators
