Let nodes leave a control member that is cut off from its quorum

Cause: a root that is isolated from the other members, while its links to nodes work, looked current, so its nodes would have missed new versions. Ruled out: letting such a root take new children as a last resort; nodes that restart in an isolated region wait until a quorum can be reached.

--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -245,6 +245,15 @@
 		return changeMembers(MemberChange.replace(oldId, newId, address));
 	}
 
+	/**
+	 * Returns how long this member has been without contact to a quorum: at the leader 0,
+	 * at any other member the time since it last heard a leader.
+	 * @return milliseconds
+	 */
+	public long quorumContactAgeMillis() {
+		return this.state.locked(this.elections::quorumContactAgeMillis);
+	}
+
 	/**
 	 * Returns the state of this member.
 	 * @return the state at one moment
--- a/control/src/main/java/io/lavenderroad/control/raft/Elections.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/Elections.java
@@ -42,6 +42,7 @@
 		this.state = state;
 		this.member = member;
 		this.random = random;
+		this.leaderContactMillis = state.now();
 	}
 
 	boolean grantVote(VoteRequest request) {
@@ -68,6 +69,16 @@
 		return true;
 	}
 
+	/**
+	 * Returns the time since this member was in contact with a quorum. A leader without a
+	 * quorum steps down within an election time-out, so its age counts as 0. A member
+	 * that never heard a leader counts from its start.
+	 * @return milliseconds
+	 */
+	long quorumContactAgeMillis() {
+		return (this.state.role == MemberRole.LEADER) ? 0 : this.state.now() - this.leaderContactMillis;
+	}
+
 	private boolean hearsLeader() {
 		return this.state.role == MemberRole.LEADER || this.state.leaderId != null
 				&& this.state.now() - this.leaderContactMillis < this.state.options.electionTimeoutMillis();
--- a/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
@@ -113,6 +113,25 @@
 		group.checkOutcomes();
 	}
 
+	/**
+	 * Guards against nodes that stay below an isolated member because it looks current.
+	 */
+	@Test
+	public void isolatedMemberKnowsThatItsContactIsOld() {
+		SimulatedGroup group = new SimulatedGroup(12, THREE);
+		String leader = group.awaitLeader();
+		String isolated = follower(group, leader);
+		group.run(5_000);
+		Assert.assertTrue(group.member(isolated).quorumContactAgeMillis() < 1_000);
+		group.isolate(isolated);
+		group.run(5_000);
+		Assert.assertTrue(group.member(isolated).quorumContactAgeMillis() >= 4_000);
+		Assert.assertEquals(group.member(leader).quorumContactAgeMillis(), 0);
+		group.heal(isolated);
+		group.run(5_000);
+		Assert.assertTrue(group.member(isolated).quorumContactAgeMillis() < 1_000);
+	}
+
 	@Test
 	public void isolatedLeaderStepsDownAndAcceptsAndConfirmsNothing() {
 		SimulatedGroup group = new SimulatedGroup(3, THREE);
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -89,6 +89,7 @@
 			.random(random)
 			.peers(this.linkedPeers)
 			.confirmCommittedVersion(() -> confirmedVersion(commands, mesh))
+			.quorumAgeMillis(this.member::quorumContactAgeMillis)
 			.evidenceListener(this::addEvidence)
 			.build();
 		this.leaderMoves = LeaderMoves.create(mesh, moveService, (service) -> this.root.registry().live(service),
