Read the status of a node from one configuration

Cause: scenarios/partitioned-member.yml reported one slice that was never accepted: version 122 with the digest of version 123. The page read the configuration in force three times; the node had switched in between. Ruled out: a node with a partial version; four other nodes report this digest for version 123, and the node itself had 122 before.

--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -16,10 +17,12 @@
 import io.lavenderroad.daemon.DaemonSettings.BackendSettings;
 import io.lavenderroad.distribution.DistributionMessages;
 import io.lavenderroad.distribution.NodeDistribution;
+import io.lavenderroad.distribution.NodeStatus;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
 import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.MeshView;
 import io.lavenderroad.model.ObservationKey;
 import io.lavenderroad.model.Observations;
 import io.lavenderroad.model.ServiceConfiguration;
@@ -122,12 +125,24 @@
 	}
 
 	private Map<String, Object> status() {
+		return status(this.distribution.status(), this.distribution);
+	}
+
+	/**
+	 * Describes the state of a node. The configuration is read once: a page put together
+	 * from several reads can show the version of one configuration with the digest of the
+	 * next.
+	 * @param distribution state of the distribution
+	 * @param view gives the configuration in force
+	 * @return the page
+	 */
+	static Map<String, Object> status(NodeStatus distribution, MeshView view) {
+		Optional<MeshConfiguration> configuration = view.configuration();
 		Map<String, Object> status = new TreeMap<>();
-		status.put("distribution", this.distribution.status());
-		status.put("version", this.distribution.configuration().map(MeshConfiguration::version).orElse(0L));
-		status.put("digest", this.distribution.configuration().map(MeshConfiguration::digest).orElse(""));
-		status.put("missingResources",
-				this.distribution.configuration().map(MeshConfiguration::missingResources).orElse(List.of()));
+		status.put("distribution", distribution);
+		status.put("version", configuration.map(MeshConfiguration::version).orElse(0L));
+		status.put("digest", configuration.map(MeshConfiguration::digest).orElse(""));
+		status.put("missingResources", configuration.map(MeshConfiguration::missingResources).orElse(List.of()));
 		return status;
 	}
 
