Remove an unused address and a load report that is always empty

Cause: reading the whole change showed that nothing calls DaemonSettings.httpAddress, and that the demo's last load report is read right after the one before it, so it printed 0 calls. Change: both are gone; behaviour stays as it is otherwise.

--- a/bench/src/main/java/io/lavenderroad/bench/demo/Demo.java
+++ b/bench/src/main/java/io/lavenderroad/bench/demo/Demo.java
@@ -139,7 +139,6 @@
 		goodMove();
 		killLeader();
 		badMove();
-		reportLoad("whole load after the moves");
 		restartKilledMember();
 		reportResources();
 		this.load.close();
--- a/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
@@ -127,14 +127,6 @@
 		return this.address + ":" + this.ports.frames();
 	}
 
-	/**
-	 * Returns the address for operators as the tool uses it.
-	 * @return {@code ip:port}
-	 */
-	public String httpAddress() {
-		return this.address + ":" + this.ports.http();
-	}
-
 	/**
 	 * Returns the ports.
 	 * @return the ports
