--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -7,8 +7,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Semaphore;
@@ -17,6 +19,7 @@
 import java.util.regex.Pattern;
 
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.CommandFailure;
@@ -98,6 +101,8 @@
 
 	private final Supplier<String> metrics;
 
+	private final Map<String, HttpHandler> pages = new TreeMap<>();
+
 	private HttpServer server;
 
 	private ExecutorService executor;
@@ -124,6 +129,14 @@
 		this.metrics = metrics;
 	}
 
+	/**
+	 * Adds pages beside the API. Called before the start.
+	 * @param added handlers by path
+	 */
+	public void addPages(Map<String, HttpHandler> added) {
+		this.pages.putAll(added);
+	}
+
 	/**
 	 * Starts to accept requests.
 	 * @param address address to bind; port 0 chooses a free one
@@ -135,6 +148,7 @@
 		this.executor = Executors.newVirtualThreadPerTaskExecutor();
 		this.server.setExecutor(this.executor);
 		this.server.createContext("/", this::handle);
+		this.pages.forEach(this.server::createContext);
 		this.server.start();
 		return this.server.getAddress();
 	}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/log/IdentityFile.java
@@ -0,0 +1,84 @@
+package io.lavenderroad.control.log;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Keeps the id of a control member beside its log, so that a member whose disk was lost
+ * is not taken for the one that voted before. The file also names the addresses of the
+ * members that founded the group.
+ */
+public final class IdentityFile {
+
+	private static final String NAME = "identity";
+
+	private static final String SEPARATOR = "\n";
+
+	private final StorageFileSystem files;
+
+	private final Path file;
+
+	/**
+	 * Names the file.
+	 * @param files file operations
+	 * @param folder data folder of the member
+	 */
+	public IdentityFile(StorageFileSystem files, Path folder) {
+		this.files = files;
+		this.file = folder.resolve(NAME);
+	}
+
+	/**
+	 * Reads the identity.
+	 * @return the identity, empty if there is none
+	 * @throws StorageException if the file cannot be read
+	 */
+	public Optional<Identity> load() {
+		try {
+			if (!this.files.list(this.file.getParent()).contains(NAME)) {
+				return Optional.empty();
+			}
+			String text = new String(AtomicFile.read(this.files, this.file), StandardCharsets.UTF_8);
+			List<String> lines = Arrays.asList(text.split(SEPARATOR));
+			return Optional.of(new Identity(lines.getFirst(), lines.subList(1, lines.size())));
+		}
+		catch (IOException ex) {
+			throw new StorageException("cannot read " + this.file + ": " + ex.getMessage(), ex, true);
+		}
+	}
+
+	/**
+	 * Stores the identity durably.
+	 * @param identity the identity
+	 * @throws StorageException if it cannot be written
+	 */
+	public void save(Identity identity) {
+		try {
+			this.files.createFolder(this.file.getParent());
+		}
+		catch (IOException ex) {
+			throw new StorageException("cannot create " + this.file.getParent() + ": " + ex.getMessage(), ex, true);
+		}
+		String text = identity.id() + SEPARATOR + String.join(SEPARATOR, identity.founders());
+		AtomicFile.write(this.files, this.file, text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Who a member is.
+	 *
+	 * @param id id of the member
+	 * @param founders addresses of the founding members, empty for a member that joins
+	 */
+	public record Identity(String id, List<String> founders) {
+
+		public Identity {
+			founders = List.copyOf(founders);
+		}
+
+	}
+
+}
--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -330,6 +330,7 @@
 			}
 			if (this.state.role == MemberRole.LEADER) {
 				this.elections.tickLeader();
+				this.changes.giveUpSurplus();
 			}
 			else {
 				this.elections.tickFollower();
@@ -387,6 +388,10 @@
 		}
 	}
 
+	JoinAnswer handleJoin(JoinRequest request) {
+		return this.state.locked(() -> this.changes.join(request));
+	}
+
 	void handleCommitNotice(CommitNotice notice) {
 		this.state.locked(() -> {
 			if (notice.term() == this.state.term && this.state.role == MemberRole.FOLLOWER) {
--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMessages.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMessages.java
@@ -38,7 +38,12 @@
 					(unpacker) -> new CommitNotice(unpacker.unpackLong(), unpacker.unpackString(),
 							unpacker.unpackLong())),
 			new MessageType<>(107, TimeoutNow.class, ControlMessages::packTimeoutNow,
-					(unpacker) -> new TimeoutNow(unpacker.unpackLong(), unpacker.unpackString())));
+					(unpacker) -> new TimeoutNow(unpacker.unpackLong(), unpacker.unpackString())),
+			new MessageType<>(108, JoinRequest.class,
+					(message, packer) -> packer.packString(message.id()).packString(message.address()),
+					(unpacker) -> new JoinRequest(unpacker.unpackString(), unpacker.unpackString())),
+			new MessageType<>(109, JoinAnswer.class, ControlMessages::packJoinAnswer,
+					(unpacker) -> new JoinAnswer(unpacker.unpackBoolean(), Fields.unpackOptionalText(unpacker))));
 
 	private static final Set<Class<?>> CLASSES = TYPES.stream().map(MessageType::type).collect(Collectors.toSet());
 
@@ -63,6 +68,11 @@
 		return CLASSES.contains(message.getClass());
 	}
 
+	private static void packJoinAnswer(JoinAnswer message, MessagePacker packer) throws IOException {
+		packer.packBoolean(message.member());
+		Fields.packOptionalText(packer, message.leaderAddress());
+	}
+
 	private static void packVoteRequest(VoteRequest message, MessagePacker packer) throws IOException {
 		packer.packLong(message.term());
 		packer.packString(message.candidateId());
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/raft/JoinRequest.java
@@ -0,0 +1,11 @@
+package io.lavenderroad.control.raft;
+
+/**
+ * Asks to become a member of the group.
+ *
+ * @param id id of the process
+ * @param address {@code ip:port} of its frame server
+ */
+public record JoinRequest(String id, String address) {
+
+}
--- a/control/src/main/java/io/lavenderroad/control/raft/MemberChanges.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/MemberChanges.java
@@ -16,6 +16,11 @@
  */
 final class MemberChanges {
 
+	/**
+	 * Interval of the checks for surplus voters.
+	 */
+	private static final long SURPLUS_MILLIS = 1_000;
+
 	private final MemberState state;
 
 	private final ControlMember<?> member;
@@ -26,6 +31,8 @@
 
 	private long catchUpDeadlineMillis;
 
+	private long nextSurplusMillis;
+
 	MemberChanges(MemberState state, ControlMember<?> member) {
 		this.state = state;
 		this.member = member;
@@ -45,6 +52,47 @@
 		}
 	}
 
+	/**
+	 * Answers a process that asks to join, and begins the change that takes it in.
+	 * @param request the request
+	 * @return whether the process is a member, or who leads
+	 */
+	JoinAnswer join(JoinRequest request) {
+		if (this.state.role != MemberRole.LEADER) {
+			return new JoinAnswer(false, this.state.leader().map(Member::address));
+		}
+		boolean member = this.state.history.latest().find(request.id()).isPresent();
+		if (!member) {
+			beginOwn(decision().join(request));
+		}
+		return new JoinAnswer(member, Optional.empty());
+	}
+
+	/**
+	 * Gives up a lost voter of a group that has more than its usual voters. Called by the
+	 * leader.
+	 */
+	void giveUpSurplus() {
+		long now = this.state.now();
+		if (now >= this.nextSurplusMillis && this.state.history.latest().change().isEmpty()) {
+			this.nextSurplusMillis = now + SURPLUS_MILLIS;
+			decision().surplus().ifPresent(this::beginOwn);
+		}
+	}
+
+	private void beginOwn(MemberChange change) {
+		CompletableFuture<ProposalOutcome> outcome = new CompletableFuture<>();
+		outcome.thenAccept((result) -> Logger.info("control: Member change {}: {}.", change, result));
+		beginChange(change, outcome);
+	}
+
+	private JoinDecision decision() {
+		return new JoinDecision(this.state.history.latest(), this.state.options.usualVoters(), (id) -> {
+			PeerProgress peer = this.state.peers.get(id);
+			return (peer != null) ? this.state.now() - peer.answeredMillis : 0;
+		});
+	}
+
 	void restartCatchUp() {
 		this.catchUpDeadlineMillis = this.state.now() + this.state.options.catchUpTimeoutMillis();
 	}
--- a/control/src/main/java/io/lavenderroad/control/raft/MemberOptions.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/MemberOptions.java
@@ -25,6 +25,8 @@
 
 	private final long keptEntries;
 
+	private final int usualVoters;
+
 	private MemberOptions(Builder builder) {
 		this.heartbeatMillis = builder.heartbeatMillis;
 		this.electionTimeoutMillis = builder.electionTimeoutMillis;
@@ -36,6 +38,7 @@
 		this.snapshotEveryEntries = builder.snapshotEveryEntries;
 		this.snapshotEveryBytes = builder.snapshotEveryBytes;
 		this.keptEntries = builder.keptEntries;
+		this.usualVoters = builder.usualVoters;
 	}
 
 	/**
@@ -64,6 +67,15 @@
 		return this.electionTimeoutMillis;
 	}
 
+	/**
+	 * Returns how many voters a group has when all are well. Processes that ask to join
+	 * replace lost voters beyond that number.
+	 * @return count
+	 */
+	public int usualVoters() {
+		return this.usualVoters;
+	}
+
 	/**
 	 * Returns how long a proposal and a read confirmation wait.
 	 * @return milliseconds
@@ -156,6 +168,8 @@
 
 		private long keptEntries = 1_000;
 
+		private int usualVoters = 7;
+
 		private Builder() {
 		}
 
@@ -259,6 +273,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets how many voters a group has when all are well.
+		 * @param count the count
+		 * @return this builder
+		 */
+		public Builder usualVoters(int count) {
+			this.usualVoters = count;
+			return this;
+		}
+
 		/**
 		 * Creates the options.
 		 * @return the options
--- a/control/src/main/java/io/lavenderroad/control/raft/MemberTasks.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/MemberTasks.java
@@ -118,6 +118,7 @@
 			case VoteRequest vote -> this.member.handleVote(vote);
 			case AppendRequest append -> this.member.handleAppend(append);
 			case SnapshotChunk chunk -> this.member.handleSnapshot(chunk);
+			case JoinRequest join -> this.member.handleJoin(join);
 			default ->
 				throw new LavenderroadException("control member does not answer " + request.getClass().getSimpleName());
 		};
--- a/control/src/main/java/io/lavenderroad/control/raft/PeerTask.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/PeerTask.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 
+import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.wire.CallFailure;
 import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.WireOptions;
@@ -95,11 +96,27 @@
 		int colon = address.lastIndexOf(':');
 		InetSocketAddress target = new InetSocketAddress(address.substring(0, colon),
 				Integer.parseInt(address.substring(colon + 1)));
-		Either<CallFailure, Connection> result = Connection.open(target, this.options, this.member.handler());
+		Either<CallFailure, Connection> result = Connection.open(target, this.options, this.member.handler())
+			.flatMap(this::checkIdentity);
 		result.forEach((opened) -> this.connection = opened);
 		return result;
 	}
 
+	/**
+	 * Refuses a process at the address of the member that is another one, such as one
+	 * that lost the disk of the member.
+	 * @param opened connection to the process
+	 * @return the connection, or why it is not used
+	 */
+	private Either<CallFailure, Connection> checkIdentity(Connection opened) {
+		String found = opened.peer().senderId();
+		if (found.equals(this.peer.member.id())) {
+			return Either.right(opened);
+		}
+		opened.close("another member is meant");
+		return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "the process there is " + found));
+	}
+
 	private void report(String reason) {
 		if (!this.reported) {
 			this.reported = true;
--- a/control/src/main/java/io/lavenderroad/control/state/Command.java
+++ b/control/src/main/java/io/lavenderroad/control/state/Command.java
@@ -4,6 +4,7 @@
 import java.util.SortedMap;
 
 import io.lavenderroad.model.Change;
+import io.lavenderroad.model.ConfigurationEdit;
 import io.lavenderroad.model.rendering.RenderedService;
 
 /**
@@ -99,4 +100,44 @@
 
 	}
 
+	/**
+	 * Replaces the declared configuration.
+	 *
+	 * @param atMillis time of the leader, milliseconds since the epoch
+	 * @param declaredVersion version that the operator chose
+	 * @param baseDeclaredVersion declared version that the edit was computed for
+	 * @param digest digest of the declaration
+	 * @param edit difference to the configuration of the base version
+	 * @param changedParts texts of the parts that are new or changed
+	 * @param removedParts names of the parts that are gone
+	 */
+	record ReplaceConfiguration(long atMillis, long declaredVersion, long baseDeclaredVersion, String digest,
+			ConfigurationEdit edit, SortedMap<String, String> changedParts,
+			List<String> removedParts) implements Command {
+
+	}
+
+	/**
+	 * Begins a move with a deadline that counts from the order.
+	 *
+	 * @param atMillis time of the leader, milliseconds since the epoch
+	 * @param service name of the service
+	 * @param target version that takes over
+	 * @param durationMillis time until the move must be finished
+	 */
+	record BeginMove(long atMillis, String service, String target, long durationMillis) implements Command {
+
+	}
+
+	/**
+	 * Records which version serves a declared service, unless one is recorded.
+	 *
+	 * @param atMillis time of the leader, milliseconds since the epoch
+	 * @param service name of the service
+	 * @param version the version
+	 */
+	record RecordFirstVersion(long atMillis, String service, String version) implements Command {
+
+	}
+
 }
--- a/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
+++ b/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
@@ -4,7 +4,10 @@
 import java.util.TreeMap;
 
 import io.lavenderroad.control.state.Command.ApplyChange;
+import io.lavenderroad.control.state.Command.BeginMove;
 import io.lavenderroad.control.state.Command.FinishMove;
+import io.lavenderroad.control.state.Command.RecordFirstVersion;
+import io.lavenderroad.control.state.Command.ReplaceConfiguration;
 import io.lavenderroad.control.state.Command.StepMove;
 import io.lavenderroad.control.state.Command.WarnOfMove;
 import io.lavenderroad.control.state.Command.WithdrawMove;
@@ -36,6 +39,12 @@
 
 	private static final int WARN_OF_MOVE = 5;
 
+	private static final int REPLACE_CONFIGURATION = 6;
+
+	private static final int BEGIN_MOVE = 7;
+
+	private static final int RECORD_FIRST_VERSION = 8;
+
 	private CommandBinding() {
 	}
 
@@ -124,9 +133,35 @@
 				packHeader(packer, WARN_OF_MOVE, warn.atMillis(), warn.moveId(), warn.expectedStep());
 				packer.packString(warn.warning());
 			}
+			case ReplaceConfiguration replace -> packReplace(replace, packer);
+			case BeginMove begin -> {
+				packer.packInt(BEGIN_MOVE).packLong(begin.atMillis());
+				packer.packString(begin.service()).packString(begin.target()).packLong(begin.durationMillis());
+			}
+			case RecordFirstVersion first -> {
+				packer.packInt(RECORD_FIRST_VERSION).packLong(first.atMillis());
+				packer.packString(first.service()).packString(first.version());
+			}
 		}
 	}
 
+	private static void packReplace(ReplaceConfiguration replace, MessagePacker packer) throws IOException {
+		packer.packInt(REPLACE_CONFIGURATION);
+		packer.packLong(replace.atMillis());
+		packer.packLong(replace.declaredVersion());
+		packer.packLong(replace.baseDeclaredVersion());
+		packer.packString(replace.digest());
+		ConfigurationBinding.packEdit(replace.edit(), packer);
+		Fields.packMap(packer, replace.changedParts(), (text, target) -> target.packString(text));
+		Fields.packList(packer, replace.removedParts(), (name, target) -> target.packString(name));
+	}
+
+	private static ReplaceConfiguration unpackReplace(long atMillis, MessageUnpacker unpacker) throws IOException {
+		return new ReplaceConfiguration(atMillis, unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackString(),
+				ConfigurationBinding.unpackEdit(unpacker), Fields.unpackMap(unpacker, MessageUnpacker::unpackString),
+				Fields.unpackList(unpacker, MessageUnpacker::unpackString));
+	}
+
 	private static void packHeader(MessagePacker packer, int code, long atMillis, String moveId, int expectedStep)
 			throws IOException {
 		packer.packInt(code);
@@ -158,9 +193,18 @@
 		}
 		int code = unpacker.unpackInt();
 		long atMillis = unpacker.unpackLong();
-		if (code == APPLY_CHANGE) {
-			return unpackApply(atMillis, unpacker);
-		}
+		return switch (code) {
+			case APPLY_CHANGE -> unpackApply(atMillis, unpacker);
+			case REPLACE_CONFIGURATION -> unpackReplace(atMillis, unpacker);
+			case BEGIN_MOVE ->
+				new BeginMove(atMillis, unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
+			case RECORD_FIRST_VERSION ->
+				new RecordFirstVersion(atMillis, unpacker.unpackString(), unpacker.unpackString());
+			default -> unpackMoveCommand(code, atMillis, unpacker);
+		};
+	}
+
+	private static Command unpackMoveCommand(int code, long atMillis, MessageUnpacker unpacker) throws IOException {
 		String moveId = unpacker.unpackString();
 		int step = unpacker.unpackInt();
 		return switch (code) {
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationService.java
@@ -0,0 +1,151 @@
+package io.lavenderroad.control.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import io.lavenderroad.control.state.Command.ReplaceConfiguration;
+import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.Problem;
+import io.lavenderroad.model.ConfigurationEdit;
+import io.lavenderroad.model.HostRoute;
+import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.vavr.control.Either;
+import org.tinylog.Logger;
+
+/**
+ * Accepts declared configurations at the leader. Only the difference to the base version
+ * enters the replicated log, so that a configuration of many routes costs little.
+ */
+public final class DeclarationService {
+
+	private final MeshStateMachine stateMachine;
+
+	private final CommandLog log;
+
+	private final ReadConfirmation confirmation;
+
+	private final Clock clock;
+
+	/**
+	 * Creates the service.
+	 * @param stateMachine state machine of this member
+	 * @param log way into the replicated log
+	 * @param confirmation proves that this member leads
+	 * @param clock source of time
+	 */
+	public DeclarationService(MeshStateMachine stateMachine, CommandLog log, ReadConfirmation confirmation,
+			Clock clock) {
+		this.stateMachine = stateMachine;
+		this.log = log;
+		this.confirmation = confirmation;
+		this.clock = clock;
+	}
+
+	/**
+	 * Replaces the declared configuration. The same declaration sent again has the same
+	 * outcome.
+	 * @param declared the declaration
+	 * @return the outcome of the state machine, or why there is none; a refusal as
+	 * invalid lists the problems
+	 */
+	public Either<ChangeRefusal, CommandOutcome> replace(DeclaredConfiguration declared) {
+		Either<ChangeRefusal, Long> confirmed = this.confirmation.confirm().mapLeft(ChangeRefusal::of);
+		if (confirmed.isLeft()) {
+			return Either.left(confirmed.getLeft());
+		}
+		DeclarationBase base = this.stateMachine.declarationBase();
+		if (this.stateMachine.wasDeclared(declared.version(), declared.digest())) {
+			return Either.right(new CommandOutcome(CommandOutcome.Kind.APPLIED, base.configuration().version(), ""));
+		}
+		List<Problem> problems = DeclarationCheck.problems(declared);
+		if (!problems.isEmpty()) {
+			log(declared, "refused, " + problems.size() + " problems, first: " + problems.getFirst());
+			return Either.left(ChangeRefusal.invalid(problems));
+		}
+		if (declared.baseVersion() != base.declaredVersion()) {
+			String reason = "version " + base.declaredVersion() + " is in force, not " + declared.baseVersion();
+			log(declared, "refused: " + reason);
+			return Either
+				.right(new CommandOutcome(CommandOutcome.Kind.REFUSED, base.configuration().version(), reason));
+		}
+		Either<ChangeRefusal, CommandOutcome> outcome = propose(declared, base);
+		log(declared, outcome.fold((refusal) -> "unclear: " + refusal.reason(),
+				(known) -> known.applied() ? "accepted as mesh version " + known.version() : known.reason()));
+		return outcome;
+	}
+
+	/**
+	 * Reads the declared configuration.
+	 * @return version and parts, or why they might be old
+	 */
+	public Either<ChangeRefusal, DeclarationBase> read() {
+		return this.confirmation.confirm()
+			.mapLeft(ChangeRefusal::of)
+			.map((index) -> this.stateMachine.declarationBase());
+	}
+
+	private Either<ChangeRefusal, CommandOutcome> propose(DeclaredConfiguration declared, DeclarationBase base) {
+		SortedMap<String, String> changed = new TreeMap<>(declared.parts());
+		changed.entrySet().removeIf((entry) -> entry.getValue().equals(base.parts().get(entry.getKey())));
+		List<String> removed = base.parts()
+			.keySet()
+			.stream()
+			.filter((name) -> !declared.parts().containsKey(name))
+			.toList();
+		ReplaceConfiguration command = new ReplaceConfiguration(this.clock.millis(), declared.version(),
+				declared.baseVersion(), declared.digest(), edit(declared, base.configuration()), changed, removed);
+		return this.log.propose(CommandBinding.toBytes(command))
+			.mapLeft(ChangeRefusal::of)
+			.map(CommandBinding::outcomeFromBytes);
+	}
+
+	private static ConfigurationEdit edit(DeclaredConfiguration declared, MeshConfiguration present) {
+		List<ServiceConfiguration> services = new ArrayList<>();
+		for (String name : declared.services()) {
+			if (present.service(name).isEmpty()) {
+				services.add(ServiceConfiguration.builder(name).openToCallers(true).build());
+			}
+		}
+		List<String> removedServices = present.services()
+			.keySet()
+			.stream()
+			.filter((name) -> !declared.services().contains(name))
+			.toList();
+		Map<String, HostRoute> before = present.routes()
+			.all()
+			.stream()
+			.collect(Collectors.toMap(HostRoute::name, (route) -> route));
+		List<HostRoute> routes = declared.routes()
+			.stream()
+			.filter((route) -> !before.containsKey(route.name()) || !before.get(route.name()).sameRule(route))
+			.toList();
+		Set<String> names = declared.routes().stream().map(HostRoute::name).collect(Collectors.toSet());
+		List<String> removedRoutes = before.keySet().stream().filter((name) -> !names.contains(name)).sorted().toList();
+		return new ConfigurationEdit(services, removedServices, routes, removedRoutes, Optional.of(declared.limits()));
+	}
+
+	private static void log(DeclaredConfiguration declared, String outcome) {
+		Logger.info("control: Declared configuration {} on {} with {} routes: {}.", declared.version(),
+				declared.baseVersion(), declared.routes().size(), outcome);
+	}
+
+	/**
+	 * The declared configuration at one moment.
+	 *
+	 * @param declaredVersion version that the operator chose, 0 before the first
+	 * @param parts text of each part
+	 * @param configuration the mesh configuration in force
+	 */
+	public record DeclarationBase(long declaredVersion, SortedMap<String, String> parts,
+			MeshConfiguration configuration) {
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lavenderroad/control/state/Declarations.java
@@ -0,0 +1,153 @@
+package io.lavenderroad.control.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.lavenderroad.control.state.Command.BeginMove;
+import io.lavenderroad.control.state.Command.RecordFirstVersion;
+import io.lavenderroad.control.state.Command.ReplaceConfiguration;
+import io.lavenderroad.control.state.CommandOutcome.Kind;
+import io.lavenderroad.model.ConfigurationEdit;
+import io.lavenderroad.model.MoveParameters;
+import io.lavenderroad.model.MoveState;
+import io.lavenderroad.model.MoveStatus;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.ThinEvidence;
+
+/**
+ * Transitions of the state by declared configurations and ordered moves. Called with the
+ * lock of {@link MeshStateMachine}.
+ */
+final class Declarations {
+
+	/**
+	 * Age up to which an order for the target of the newest move counts as the same order
+	 * sent again. Operators give an order up after a few seconds.
+	 */
+	private static final long RESEND_MILLIS = 10_000;
+
+	private static final String DECLARATION = "declaration";
+
+	private Declarations() {
+	}
+
+	static CommandOutcome replace(MeshState state, ReplaceConfiguration command) {
+		if (state.declared.wasAccepted(command.declaredVersion(), command.digest())) {
+			return applied(state);
+		}
+		if (command.baseDeclaredVersion() != state.declared.version) {
+			return refused(state,
+					"version " + state.declared.version + " is in force, not " + command.baseDeclaredVersion());
+		}
+		if (command.declaredVersion() <= state.declared.version) {
+			return refused(state, "version " + command.declaredVersion() + " is not above " + state.declared.version);
+		}
+		command.edit().removedServices().forEach((service) -> endMove(state, service, command.atMillis()));
+		state.configuration = state.configuration.next(state.configuration.version() + 1,
+				withVersions(state, command.edit()));
+		state.declared.replace(command);
+		state.record(new HistoryEntry(state.configuration.version(), command.atMillis(), DECLARATION,
+				String.valueOf(command.declaredVersion()), "", lines(command.edit())));
+		return applied(state);
+	}
+
+	static CommandOutcome beginMove(MeshState state, BeginMove command) {
+		Optional<ServiceConfiguration> service = state.configuration.service(command.service());
+		if (service.isEmpty()) {
+			return refused(state, "service " + command.service() + " is unknown");
+		}
+		String from = state.currentVersions.get(command.service());
+		if (from == null) {
+			return new CommandOutcome(Kind.STALE, state.configuration.version(),
+					"no version of service " + command.service() + " is recorded yet");
+		}
+		Optional<MoveState> newest = newestMove(state, command.service());
+		if (newest.isPresent() && isSameOrder(newest.get(), command)) {
+			return applied(state);
+		}
+		if (newest.isPresent() && !newest.get().status().isFinal()) {
+			return refused(state, "move " + newest.get().id() + " is in progress");
+		}
+		begin(state, service.get(), from, command);
+		return applied(state);
+	}
+
+	static CommandOutcome recordFirstVersion(MeshState state, RecordFirstVersion command) {
+		Optional<ServiceConfiguration> service = state.configuration.service(command.service());
+		if (service.isEmpty() || !service.get().split().isEmpty()) {
+			return new CommandOutcome(Kind.STALE, state.configuration.version(),
+					"service " + command.service() + " is gone or has a version");
+		}
+		state.currentVersions.put(command.service(), command.version());
+		state.configuration = state.configuration.next(state.configuration.version() + 1,
+				List.of(serving(service.get(), command.version())), List.of());
+		return applied(state);
+	}
+
+	static Optional<MoveState> newestMove(MeshState state, String service) {
+		return state.moves.values()
+			.stream()
+			.filter((move) -> move.service().equals(service))
+			.reduce((first, second) -> (second.startedMillis() >= first.startedMillis()) ? second : first);
+	}
+
+	private static boolean isSameOrder(MoveState newest, BeginMove command) {
+		if (!newest.parameters().to().equals(command.target())) {
+			return false;
+		}
+		return !newest.status().isFinal() || command.atMillis() - newest.startedMillis() < RESEND_MILLIS;
+	}
+
+	private static void begin(MeshState state, ServiceConfiguration service, String from, BeginMove command) {
+		long version = state.configuration.version() + 1;
+		String id = service.name() + "-" + command.target() + "-" + version;
+		MoveParameters parameters = new MoveParameters(id, from, command.target(),
+				command.atMillis() + command.durationMillis(), ThinEvidence.PROCEED, MoveParameters.DEFAULT_POLICY);
+		ServiceConfiguration next = service.toBuilder()
+			.versions(List.of(from, command.target()))
+			.split(Map.of(from, ServiceConfiguration.WHOLE_SHARE))
+			.move(parameters)
+			.build();
+		state.configuration = state.configuration.next(version, List.of(next), List.of());
+		state.moves.put(id, MoveState.started(service.name(), parameters, command.atMillis()));
+	}
+
+	private static ConfigurationEdit withVersions(MeshState state, ConfigurationEdit edit) {
+		List<ServiceConfiguration> services = new ArrayList<>();
+		for (ServiceConfiguration service : edit.services()) {
+			String version = state.currentVersions.get(service.name());
+			services.add((version != null) ? serving(service, version) : service);
+		}
+		return new ConfigurationEdit(services, edit.removedServices(), edit.routes(), edit.removedRoutes(),
+				edit.limits());
+	}
+
+	private static ServiceConfiguration serving(ServiceConfiguration service, String version) {
+		return service.toBuilder()
+			.versions(List.of(version))
+			.split(Map.of(version, ServiceConfiguration.WHOLE_SHARE))
+			.build();
+	}
+
+	private static void endMove(MeshState state, String service, long atMillis) {
+		newestMove(state, service).filter((move) -> !move.status().isFinal())
+			.ifPresent((move) -> state.endMove(
+					MoveChanges.finished(move, MoveStatus.TAKEN_BACK, atMillis, "the service was removed", "", "")));
+	}
+
+	private static List<String> lines(ConfigurationEdit edit) {
+		return List.of(edit.routes().size() + " routes changed, " + edit.removedRoutes().size() + " removed, "
+				+ edit.services().size() + " services added, " + edit.removedServices().size() + " removed");
+	}
+
+	private static CommandOutcome applied(MeshState state) {
+		return new CommandOutcome(Kind.APPLIED, state.configuration.version(), "");
+	}
+
+	private static CommandOutcome refused(MeshState state, String reason) {
+		return new CommandOutcome(Kind.REFUSED, state.configuration.version(), reason);
+	}
+
+}
--- a/control/src/main/java/io/lavenderroad/control/state/MeshState.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshState.java
@@ -34,7 +34,7 @@
 	/**
 	 * Version of the snapshot format.
 	 */
-	static final int FORMAT_VERSION = 1;
+	static final int FORMAT_VERSION = 2;
 
 	/**
 	 * Outcomes kept whatever their age.
@@ -82,6 +82,13 @@
 
 	final TreeMap<String, String> requestedMoves = new TreeMap<>();
 
+	final DeclaredState declared = new DeclaredState();
+
+	/**
+	 * Version that serves each declared service when no move is active.
+	 */
+	final TreeMap<String, String> currentVersions = new TreeMap<>();
+
 	Optional<ServiceBefore> before(String service) {
 		RenderedService request = this.requested.get(service);
 		Optional<ServiceConfiguration> live = this.configuration.service(service);
@@ -153,6 +160,8 @@
 		Fields.packList(packer, this.history, MeshState::packHistory);
 		Fields.packList(packer, this.moves.values(), StateBinding::packMove);
 		Fields.packMap(packer, this.requestedMoves, (id, target) -> target.packString(id));
+		this.declared.pack(packer);
+		Fields.packMap(packer, this.currentVersions, (version, target) -> target.packString(version));
 	}
 
 	static MeshState unpack(MessageUnpacker unpacker) throws IOException {
@@ -175,6 +184,8 @@
 		state.history.addAll(Fields.unpackList(unpacker, MeshState::unpackHistory));
 		Fields.unpackList(unpacker, StateBinding::unpackMove).forEach((move) -> state.moves.put(move.id(), move));
 		state.requestedMoves.putAll(Fields.unpackMap(unpacker, MessageUnpacker::unpackString));
+		state.declared.unpack(unpacker);
+		state.currentVersions.putAll(Fields.unpackMap(unpacker, MessageUnpacker::unpackString));
 		return state;
 	}
 
--- a/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
@@ -16,11 +16,15 @@
 import java.util.stream.Collectors;
 
 import io.lavenderroad.control.state.Command.ApplyChange;
+import io.lavenderroad.control.state.Command.BeginMove;
 import io.lavenderroad.control.state.Command.FinishMove;
+import io.lavenderroad.control.state.Command.RecordFirstVersion;
+import io.lavenderroad.control.state.Command.ReplaceConfiguration;
 import io.lavenderroad.control.state.Command.StepMove;
 import io.lavenderroad.control.state.Command.WarnOfMove;
 import io.lavenderroad.control.state.Command.WithdrawMove;
 import io.lavenderroad.control.state.CommandOutcome.Kind;
+import io.lavenderroad.control.state.DeclarationService.DeclarationBase;
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.model.Change;
@@ -246,6 +250,47 @@
 		return read(() -> Optional.ofNullable(this.state.moves.get(id)));
 	}
 
+	/**
+	 * Tells whether a declaration was accepted before.
+	 * @param declaredVersion version that the operator chose
+	 * @param digest digest of the declaration
+	 * @return true if exactly this declaration was accepted
+	 */
+	boolean wasDeclared(long declaredVersion, String digest) {
+		return read(() -> this.state.declared.wasAccepted(declaredVersion, digest));
+	}
+
+	/**
+	 * Reads the declared configuration.
+	 * @return a consistent copy
+	 */
+	DeclarationBase declarationBase() {
+		return read(() -> new DeclarationBase(this.state.declared.version, new TreeMap<>(this.state.declared.parts),
+				this.state.configuration));
+	}
+
+	/**
+	 * Finds the move of a service that started last.
+	 * @param service name of the service
+	 * @return the move
+	 */
+	Optional<MoveState> newestMove(String service) {
+		return read(() -> Declarations.newestMove(this.state, service));
+	}
+
+	/**
+	 * Returns the declared services whose version is not recorded yet.
+	 * @return their names
+	 */
+	public List<String> servicesWithoutVersion() {
+		return read(() -> this.state.configuration.services()
+			.values()
+			.stream()
+			.filter((service) -> service.split().isEmpty())
+			.map(ServiceConfiguration::name)
+			.toList());
+	}
+
 	/**
 	 * Reads what a change is rendered against.
 	 * @return a consistent copy
@@ -287,6 +332,9 @@
 			case WithdrawMove withdraw -> applyWithdrawal(withdraw);
 			case FinishMove finish -> applyFinish(finish);
 			case WarnOfMove warn -> applyWarning(warn);
+			case ReplaceConfiguration replace -> Declarations.replace(this.state, replace);
+			case BeginMove begin -> Declarations.beginMove(this.state, begin);
+			case RecordFirstVersion first -> Declarations.recordFirstVersion(this.state, first);
 		};
 	}
 
@@ -407,6 +455,9 @@
 
 	private CommandOutcome finish(MoveState move, String operator) {
 		this.state.endMove(move);
+		if (move.status() == MoveStatus.DONE && this.state.currentVersions.containsKey(move.service())) {
+			this.state.currentVersions.put(move.service(), move.parameters().to());
+		}
 		changeTraffic(move);
 		recordMove(move, operator, describe(move));
 		return new CommandOutcome(Kind.APPLIED, version(), "");
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -15,13 +15,19 @@
 import io.lavenderroad.control.log.StorageFileSystem;
 import io.lavenderroad.control.raft.ControlMember;
 import io.lavenderroad.control.raft.ControlMessages;
+import io.lavenderroad.control.raft.GroupJoin;
+import io.lavenderroad.control.raft.JoinRequest;
 import io.lavenderroad.control.raft.Member;
 import io.lavenderroad.control.raft.MemberOptions;
 import io.lavenderroad.control.raft.MemberSet;
 import io.lavenderroad.control.state.ChangeService;
+import io.lavenderroad.control.state.DeclarationService;
 import io.lavenderroad.control.state.MeshStateMachine;
+import io.lavenderroad.control.state.MoveOrders;
 import io.lavenderroad.control.state.MoveService;
+import com.sun.net.httpserver.HttpHandler;
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.kernel.Kernel;
 import io.lavenderroad.core.wire.DispatchingHandler;
 import io.lavenderroad.core.wire.FrameServer;
@@ -45,6 +51,14 @@
 
 	private static final long PEERS_MILLIS = 500;
 
+	private static final long JOIN_MILLIS = 500;
+
+	/**
+	 * Time for a joining process to catch up. One that dies meanwhile must not hold up
+	 * the others for long.
+	 */
+	private static final long CATCH_UP_MILLIS = 5_000;
+
 	private static final long SHUTDOWN_MILLIS = 5_000;
 
 	private final DurableLog log;
@@ -65,7 +79,11 @@
 
 	private final PeriodicTask peersTask;
 
-	private final String id;
+	private final MemberIdentity identity;
+
+	private final Optional<PeriodicTask> joinTask;
+
+	private volatile DaemonSettings settings;
 
 	/**
 	 * Addresses that the root links to; only the task of the peers changes it.
@@ -76,13 +94,16 @@
 		Clock clock = Clock.system();
 		RandomGenerator random = new Random();
 		MeshStateMachine mesh = new MeshStateMachine();
-		this.id = settings.id();
+		this.settings = settings;
+		this.identity = MemberIdentity.of(settings, clock);
 		this.linkedPeers = peers(settings);
-		WireOptions options = WireSetup.options(settings, clock, ControlMessages.types(), DistributionMessages.types());
+		WireOptions options = WireSetup.options(settings, this.identity.id(), clock, ControlMessages.types(),
+				DistributionMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
-		MeshCommands commands = new MeshCommands(this.member, settings.ports().http());
+		MeshCommands commands = new MeshCommands(this.member, settings.httpAddress().getPort());
 		MoveService moveService = new MoveService(commands, clock);
+		MoveOrders orders = new MoveOrders(mesh, commands, commands, clock);
 		this.root = RootDistribution.builder()
 			.options(options)
 			.clock(clock)
@@ -105,9 +126,23 @@
 		this.root.publish(mesh.configuration());
 		this.root.start();
 		this.api = api(settings, kernel, clock, mesh, commands, moveService);
+		this.api.addPages(pages(kernel, new DeclarationService(mesh, commands, commands, clock), orders));
+		this.api.start(settings.httpAddress());
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status);
-		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, this.leaderMoves::tick);
+		FirstVersions firstVersions = new FirstVersions(mesh, (service) -> this.root.registry().live(service), orders);
+		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, () -> {
+			if (this.leaderMoves.leads()) {
+				firstVersions.record();
+			}
+			this.leaderMoves.tick();
+		});
 		this.peersTask = PeriodicTask.start("peers", PEERS_MILLIS, this::followMembers);
+		this.joinTask = settings.group().map((group) -> PeriodicTask.start("join", JOIN_MILLIS, join(options, random)));
+	}
+
+	@Override
+	public void reload(DaemonSettings changed) {
+		this.settings = changed;
 	}
 
 	static RunningRole start(DaemonSettings settings, Kernel kernel) throws IOException {
@@ -118,6 +153,7 @@
 	public void shutDown() {
 		this.moveTask.close();
 		this.peersTask.close();
+		this.joinTask.ifPresent(PeriodicTask::close);
 		this.api.close();
 		this.member.shutdown(SHUTDOWN_MILLIS);
 		this.root.close();
@@ -128,14 +164,14 @@
 
 	private ControlMember<MeshCommands.Adapter> member(DaemonSettings settings, Clock clock, RandomGenerator random,
 			MeshStateMachine mesh) {
-		List<Member> voters = settings.members()
-			.stream()
-			.map((member) -> Member.voter(member.id(), member.address()))
-			.toList();
+		List<Member> voters = this.identity.founders(settings);
+		MemberOptions.Builder options = MemberOptions.builder();
+		settings.group()
+			.ifPresent((group) -> options.usualVoters(group.voters()).catchUpTimeoutMillis(CATCH_UP_MILLIS));
 		return ControlMember.<MeshCommands.Adapter>builder()
-			.id(settings.id())
+			.id(this.identity.id())
 			.initialMembers(voters.isEmpty() ? MemberSet.empty() : MemberSet.of(voters))
-			.options(MemberOptions.builder().build())
+			.options(options.build())
 			.clock(clock)
 			.random(random)
 			.log(this.log)
@@ -144,16 +180,29 @@
 	}
 
 	private OperatorApi api(DaemonSettings settings, Kernel kernel, Clock clock, MeshStateMachine mesh,
-			MeshCommands commands, MoveService moveService) throws IOException {
+			MeshCommands commands, MoveService moveService) {
 		Predicate<String> knownPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
 		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock);
 		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
 		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
 				new RaftAdministration(this.member, commands), this::convergence, metrics::text);
-		operatorApi.start(settings.socketAddress(settings.ports().http()));
 		return operatorApi;
 	}
 
+	private GroupJoin join(WireOptions options, RandomGenerator random) {
+		return new GroupJoin(this.member, options, random,
+				() -> this.settings.seeds().stream().map(MemberIdentity::text).toList(),
+				new JoinRequest(this.identity.id(), this.settings.frameAddress()));
+	}
+
+	private Map<String, HttpHandler> pages(Kernel kernel, DeclarationService declarations, MoveOrders orders) {
+		return this.settings.interfaceName()
+			.map((name) -> kernel.find(ControlInterface.POINT, name)
+				.orElseThrow(() -> new LavenderroadException("interface '" + name + "' is not registered")))
+			.map((found) -> found.pages(declarations, orders))
+			.orElse(Map.of());
+	}
+
 	private void addEvidence(Evidence evidence) {
 		this.leaderMoves.add(evidence);
 	}
@@ -181,7 +230,7 @@
 			.members()
 			.members()
 			.stream()
-			.filter((other) -> !other.id().equals(this.id))
+			.filter((other) -> !other.id().equals(this.identity.id()))
 			.map(Member::address)
 			.toList();
 		// A member that waits to be added knows no group yet.
--- a/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 
 import io.lavenderroad.core.LavenderroadException;
+import io.lavenderroad.policy.calls.RetryBudget;
 
 /**
  * Checked settings of one daemon.
@@ -41,6 +42,16 @@
 
 	private final TlsSettings tls;
 
+	private final Listeners listeners;
+
+	private final GroupSettings group;
+
+	private final CallSettings calls;
+
+	private final ShutdownSettings shutdown;
+
+	private final String interfaceName;
+
 	private DaemonSettings(Builder builder) {
 		this.cluster = Objects.requireNonNull(builder.cluster, "cluster");
 		this.id = Objects.requireNonNull(builder.id, "id");
@@ -55,6 +66,11 @@
 		this.backend = builder.backend;
 		this.members = List.copyOf(builder.members);
 		this.tls = builder.tls;
+		this.listeners = builder.listeners;
+		this.group = builder.group;
+		this.calls = builder.calls;
+		this.shutdown = builder.shutdown;
+		this.interfaceName = builder.interfaceName;
 	}
 
 	/**
@@ -184,6 +200,129 @@
 		return Optional.ofNullable(this.tls);
 	}
 
+	/**
+	 * Returns where this process accepts callers of a node, or operators of a control
+	 * member.
+	 * @return the address
+	 */
+	public InetSocketAddress httpAddress() {
+		return this.listeners.http().orElseGet(() -> socketAddress(this.ports.http()));
+	}
+
+	/**
+	 * Returns the listeners that have addresses of their own.
+	 * @return the listeners
+	 */
+	public Listeners listeners() {
+		return this.listeners;
+	}
+
+	/**
+	 * Returns how a control member finds its group when the settings name no members.
+	 * @return the settings, or empty if the members are named or added by an operator
+	 */
+	public Optional<GroupSettings> group() {
+		return Optional.ofNullable(this.group);
+	}
+
+	/**
+	 * Returns the settings for calls.
+	 * @return the settings
+	 */
+	public CallSettings calls() {
+		return this.calls;
+	}
+
+	/**
+	 * Returns how the process stops.
+	 * @return the settings
+	 */
+	public ShutdownSettings shutdown() {
+		return this.shutdown;
+	}
+
+	/**
+	 * Returns the name of the interface that operators, callers and backend servers use.
+	 * @return name of a registered interface, empty for the product's own
+	 */
+	public Optional<String> interfaceName() {
+		return Optional.ofNullable(this.interfaceName);
+	}
+
+	/**
+	 * Addresses of listeners that are not at the address and ports of the process.
+	 *
+	 * @param http callers of a node, or operators of a control member
+	 * @param announcements where the backend server announces itself
+	 * @param readiness where the readiness of a node is asked for
+	 */
+	public record Listeners(Optional<InetSocketAddress> http, Optional<InetSocketAddress> announcements,
+			Optional<InetSocketAddress> readiness) {
+
+		/**
+		 * No addresses of their own.
+		 */
+		public static final Listeners NONE = new Listeners(Optional.empty(), Optional.empty(), Optional.empty());
+
+	}
+
+	/**
+	 * How control members form and keep their group by themselves.
+	 *
+	 * @param founds whether this is the first start of the whole system, at which the
+	 * seeds found the group
+	 * @param voters voters that the group has when all are well
+	 */
+	public record GroupSettings(boolean founds, int voters) {
+
+	}
+
+	/**
+	 * Settings of a node for calls.
+	 *
+	 * @param retryBurst retries that a service may get from this node at once, beyond its
+	 * share of the calls
+	 */
+	public record CallSettings(int retryBurst) {
+
+	}
+
+	/**
+	 * How a process stops after its signal.
+	 *
+	 * @param leaveMillis how long a node still accepts callers, so that they learn that
+	 * it is not ready
+	 * @param limitMillis longest time until the process ends
+	 */
+	public record ShutdownSettings(long leaveMillis, long limitMillis) {
+
+		/**
+		 * Waits for requests in flight as long as the longest time-out of a route.
+		 */
+		public static final ShutdownSettings DEFAULT = new ShutdownSettings(0, 30_000);
+
+		/**
+		 * Part of the time before the process is killed in which callers learn that the
+		 * node is not ready.
+		 */
+		private static final double LEAVE_PART = 0.55;
+
+		/**
+		 * Part of that time after which the process ends whatever is in flight.
+		 */
+		private static final double LIMIT_PART = 0.87;
+
+		/**
+		 * Divides the time between the signal and the end by force.
+		 * @param graceMillis the time
+		 * @return the settings
+		 */
+		public static ShutdownSettings within(long graceMillis) {
+			return new ShutdownSettings((long) (graceMillis * LEAVE_PART), (long) (graceMillis * LIMIT_PART));
+		}
+
+	}
+
 	/**
 	 * Ports of a daemon.
 	 *
@@ -211,15 +350,25 @@
 	 * The backend server beside a node.
 	 *
 	 * @param service service that it serves
-	 * @param version its version
-	 * @param httpPort its port on the address of the node
+	 * @param version its version, empty if it announces it
+	 * @param address where it accepts HTTP
 	 * @param slots requests that it runs at the same time
 	 * @param capacity relative speed of a slot, 100 for the usual VM
 	 * @param healthPath path of its health endpoint
 	 * @param loadPath path of its load endpoint
+	 * @param announceMillis interval at which it announces itself, 0 if it does not and
+	 * its pages are read
 	 */
-	public record BackendSettings(String service, String version, int httpPort, int slots, int capacity,
-			String healthPath, String loadPath) {
+	public record BackendSettings(String service, String version, InetSocketAddress address, int slots, int capacity,
+			String healthPath, String loadPath, int announceMillis) {
+
+		/**
+		 * Tells whether the backend server announces itself.
+		 * @return false if its pages are read
+		 */
+		public boolean announces() {
+			return this.announceMillis > 0;
+		}
 
 	}
 
@@ -275,6 +424,16 @@
 
 		private TlsSettings tls;
 
+		private Listeners listeners = Listeners.NONE;
+
+		private GroupSettings group;
+
+		private CallSettings calls = new CallSettings(RetryBudget.BURST);
+
+		private ShutdownSettings shutdown = ShutdownSettings.DEFAULT;
+
+		private String interfaceName;
+
 		private Builder() {
 		}
 
@@ -368,6 +527,57 @@
 			return this;
 		}
 
+		/**
+		 * Sets the listeners with addresses of their own.
+		 * @param listeners the listeners
+		 * @return this builder
+		 */
+		public Builder listeners(Listeners listeners) {
+			this.listeners = listeners;
+			return this;
+		}
+
+		/**
+		 * Sets how a control member finds its group.
+		 * @param group the settings, or null if the members are named
+		 * @return this builder
+		 */
+		public Builder group(GroupSettings group) {
+			this.group = group;
+			return this;
+		}
+
+		/**
+		 * Sets the settings for calls.
+		 * @param calls the settings
+		 * @return this builder
+		 */
+		public Builder calls(CallSettings calls) {
+			this.calls = calls;
+			return this;
+		}
+
+		/**
+		 * Sets how the process stops.
+		 * @param shutdown the settings
+		 * @return this builder
+		 */
+		public Builder shutdown(ShutdownSettings shutdown) {
+			this.shutdown = shutdown;
+			return this;
+		}
+
+		/**
+		 * Sets the interface.
+		 * @param interfaceName name of a registered interface, or null for the product's
+		 * own
+		 * @return this builder
+		 */
+		public Builder interfaceName(String interfaceName) {
+			this.interfaceName = interfaceName;
+			return this;
+		}
+
 		/**
 		 * Creates the settings.
 		 * @return the settings
--- /dev/null
+++ b/daemon/src/main/java/io/lavenderroad/daemon/FirstVersions.java
@@ -0,0 +1,36 @@
+package io.lavenderroad.daemon;
+
+import java.util.List;
+import java.util.function.Function;
+
+import io.lavenderroad.control.moves.FirstVersion;
+import io.lavenderroad.control.state.MeshStateMachine;
+import io.lavenderroad.control.state.MoveOrders;
+import io.lavenderroad.model.Endpoint;
+
+/**
+ * Records the version of each declared service once its backend servers are known. Run by
+ * the leader.
+ */
+final class FirstVersions {
+
+	private final MeshStateMachine mesh;
+
+	private final Function<String, List<Endpoint>> endpoints;
+
+	private final MoveOrders orders;
+
+	FirstVersions(MeshStateMachine mesh, Function<String, List<Endpoint>> endpoints, MoveOrders orders) {
+		this.mesh = mesh;
+		this.endpoints = endpoints;
+		this.orders = orders;
+	}
+
+	void record() {
+		for (String service : this.mesh.servicesWithoutVersion()) {
+			FirstVersion.choose(this.endpoints.apply(service))
+				.ifPresent((version) -> this.orders.recordFirstVersion(service, version));
+		}
+	}
+
+}
--- a/daemon/src/main/java/io/lavenderroad/daemon/LeaderMoves.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/LeaderMoves.java
@@ -66,6 +66,14 @@
 		}
 	}
 
+	/**
+	 * Tells whether this member decides on moves.
+	 * @return true while it leads
+	 */
+	boolean leads() {
+		return this.controller != null;
+	}
+
 	/**
 	 * Takes evidence; a member that does not lead drops it.
 	 * @param evidence observations that were not given before
--- a/daemon/src/main/java/io/lavenderroad/daemon/Main.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 
 import com.beust.jcommander.JCommander;
@@ -89,17 +90,18 @@
 
 	private int runDaemon(String file) {
 		Kernel kernel = Kernel.load();
-		return read(file, kernel).fold(this::report, (settings) -> start(settings, kernel));
+		return read(file, kernel).fold(this::report, (settings) -> start(Path.of(file), settings, kernel));
 	}
 
-	private int start(DaemonSettings settings, Kernel kernel) {
+	private int start(Path file, DaemonSettings settings, Kernel kernel) {
 		LogConfiguration.apply(settings.log());
 		try {
 			Role role = kernel.find(Role.POINT, settings.role()).orElseThrow();
 			RunningRole running = role.start(settings, kernel);
 			Logger.info("daemon: Started {} {} of cluster {} at {}.", settings.role(), settings.id(),
 					settings.cluster(), settings.frameAddress());
-			awaitTermination(running);
+			SettingsWatch.start(file, kernel, running);
+			awaitTermination(running, settings);
 			return SUCCESS;
 		}
 		catch (IOException | LavenderroadException ex) {
@@ -109,12 +111,12 @@
 		}
 	}
 
-	private static void awaitTermination(RunningRole running) {
+	private static void awaitTermination(RunningRole running, DaemonSettings settings) {
 		CountDownLatch done = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(() -> {
-			Logger.info("daemon: Shutting down.");
-			running.shutDown();
-			Logger.info("daemon: Stopped.");
+			Logger.info("daemon: Shutting down {}.", settings.id());
+			shutDown(running, settings.shutdown().limitMillis());
+			Logger.info("daemon: Stopped {}.", settings.id());
 			done.countDown();
 		}));
 		try {
@@ -125,6 +127,18 @@
 		}
 	}
 
+	private static void shutDown(RunningRole running, long limitMillis) {
+		Thread work = Thread.ofPlatform().daemon().start(running::shutDown);
+		try {
+			if (!work.join(Duration.ofMillis(limitMillis))) {
+				Logger.warn("daemon: Stopping with work left after {} ms.", limitMillis);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private Either<Seq<Problem>, DaemonSettings> read(String file, Kernel kernel) {
 		return SettingsBinding.readFile(Path.of(file), kernel.names(Role.POINT));
 	}
--- a/daemon/src/main/java/io/lavenderroad/daemon/MeshCommands.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/MeshCommands.java
@@ -5,6 +5,7 @@
 
 import io.lavenderroad.control.raft.ControlMember;
 import io.lavenderroad.control.raft.Member;
+import io.lavenderroad.control.raft.MemberStatus;
 import io.lavenderroad.control.raft.ProposalOutcome;
 import io.lavenderroad.control.raft.StateMachine;
 import io.lavenderroad.control.state.CommandFailure;
@@ -58,7 +59,8 @@
 	 * @return {@code ip:port}, if another member is known to lead
 	 */
 	Optional<String> leaderAddress() {
-		return this.member.status().leader().map(this::httpAddress);
+		MemberStatus status = this.member.status();
+		return status.leader().filter((leader) -> !leader.id().equals(status.id())).map(this::httpAddress);
 	}
 
 	Either<CommandFailure, byte[]> toResult(ProposalOutcome outcome) {
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.kernel.Kernel;
 import io.lavenderroad.core.wire.DispatchingHandler;
 import io.lavenderroad.core.wire.FrameServer;
@@ -26,6 +28,7 @@
 import io.lavenderroad.model.ObservationKey;
 import io.lavenderroad.model.Observations;
 import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.node.BackendRegistration;
 import io.lavenderroad.node.NodeMessages;
 import io.lavenderroad.node.NodeProxy;
 import io.lavenderroad.policy.calls.BalancingPolicy;
@@ -39,10 +42,14 @@
 	private static final long EVIDENCE_MILLIS = 1_000;
 
 	/**
-	 * Longest wait for requests in flight at shutdown. Routes may not have longer
-	 * time-outs.
+	 * Announcements that may be missing before a backend server counts as silent. They
+	 * may arrive seconds late.
 	 */
-	private static final long DRAIN_MILLIS = 30_000;
+	private static final int MISSED_ANNOUNCEMENTS = 4;
+
+	private final Clock clock = Clock.system();
+
+	private final DaemonSettings settings;
 
 	private final NodeDistribution distribution;
 
@@ -52,42 +59,59 @@
 
 	private final PeriodicTask evidenceTask;
 
+	private final List<PageServer> pages = new ArrayList<>();
+
+	private volatile boolean leaving;
+
 	private NodeRole(DaemonSettings settings, Kernel kernel) throws IOException {
-		Clock clock = Clock.system();
+		this.settings = settings;
 		RandomGenerator random = new Random();
-		WireOptions options = WireSetup.options(settings, clock, DistributionMessages.types(), NodeMessages.types());
+		WireOptions options = WireSetup.options(settings, this.clock, DistributionMessages.types(),
+				NodeMessages.types());
 		Endpoint self = endpoint(settings, options.hello().incarnation());
 		this.distribution = NodeDistribution.builder()
 			.options(options)
-			.clock(clock)
+			.clock(this.clock)
 			.random(random)
 			.seeds(settings.seeds().stream().map(NodeRole::text).toList())
 			.endpoint(self)
 			.dataFolder(settings.dataFolder().orElse(null))
 			.build();
-		this.proxy = NodeProxy.builder()
+		BackendSettings backend = settings.backend().orElseThrow();
+		Optional<BackendRegistration> registration = backend.announces() ? Optional.of(registration(backend))
+				: Optional.empty();
+		NodeProxy.Builder builder = NodeProxy.builder()
 			.view(this.distribution)
 			.self(self)
-			.callerAddress(settings.socketAddress(settings.ports().http()))
+			.callerAddress(settings.httpAddress())
 			.wireOptions(options)
-			.backendAddress(backendAddress(settings))
+			.backendAddress(text(backend.address()))
 			.adminAddress(settings.socketAddress(settings.ports().admin()))
 			.adminPage("/status", AdminServer.page(this::status))
-			.healthPath(settings.backend().orElseThrow().healthPath())
-			.loadPath(settings.backend().orElseThrow().loadPath())
-			.drainTimeoutMillis(DRAIN_MILLIS)
-			.clock(clock)
+			.healthPath(backend.healthPath())
+			.loadPath(backend.loadPath())
+			.registration(registration.orElse(null))
+			.retryBurst(settings.calls().retryBurst())
+			.drainTimeoutMillis(Math.max(0, settings.shutdown().limitMillis() - settings.shutdown().leaveMillis()))
+			.clock(this.clock)
 			.random(random)
 			.announcer(this.distribution::announce)
 			.balancing(kernel.find(BalancingPolicy.POINT, TwoChoices.NAME).orElseThrow())
-			.withdrawal(new MoveWatch())
-			.start();
+			.withdrawal(new MoveWatch());
+		Optional<NodeInterface> nodeInterface = settings.interfaceName()
+			.map((name) -> kernel.find(NodeInterface.POINT, name)
+				.orElseThrow(() -> new LavenderroadException("interface '" + name + "' is not registered")));
+		nodeInterface.map(NodeInterface::dialect).ifPresent(builder::dialect);
+		this.proxy = builder.start();
 		DispatchingHandler handler = DispatchingHandler.builder()
 			.add(DistributionMessages.types(), this.distribution.handler())
 			.add(NodeMessages.types(), this.proxy.handler())
 			.build();
 		this.server = FrameServer.start(settings.socketAddress(settings.ports().framesBind()), options, handler);
 		this.distribution.start();
+		if (nodeInterface.isPresent()) {
+			startPages(nodeInterface.get(), registration);
+		}
 		this.evidenceTask = PeriodicTask.start("evidence", EVIDENCE_MILLIS, this::reportEvidence);
 	}
 
@@ -97,13 +121,53 @@
 
 	@Override
 	public void shutDown() {
+		this.leaving = true;
+		this.proxy.leave();
 		this.proxy.drain();
+		this.distribution.leaveChildren();
+		awaitCallersLeaving();
 		this.evidenceTask.close();
 		reportEvidence();
 		// The proxy still answers other nodes through the frame server while it drains.
 		this.proxy.close();
 		this.distribution.close();
 		this.server.close();
+		this.pages.forEach(PageServer::close);
+	}
+
+	@Override
+	public void reload(DaemonSettings changed) {
+		this.distribution.seeds(changed.seeds().stream().map(NodeRole::text).toList());
+	}
+
+	private void awaitCallersLeaving() {
+		try {
+			Thread.sleep(this.settings.shutdown().leaveMillis());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private BackendRegistration registration(BackendSettings backend) {
+		long silenceMillis = (long) MISSED_ANNOUNCEMENTS * backend.announceMillis();
+		return new BackendRegistration(this.clock, backend.service(), silenceMillis, this.distribution::announce);
+	}
+
+	private void startPages(NodeInterface nodeInterface, Optional<BackendRegistration> registration)
+			throws IOException {
+		DaemonSettings.Listeners listeners = this.settings.listeners();
+		if (listeners.readiness().isPresent()) {
+			this.pages.add(PageServer.start(listeners.readiness().get(), nodeInterface.readinessPages(this::isReady)));
+		}
+		if (listeners.announcements().isPresent() && registration.isPresent()) {
+			this.pages.add(PageServer.start(listeners.announcements().get(),
+					nodeInterface.announcementPages(registration.get())));
+		}
+	}
+
+	private boolean isReady() {
+		return !this.leaving && this.distribution.configuration().isPresent();
 	}
 
 	private void reportEvidence() {
@@ -148,15 +212,12 @@
 
 	private static Endpoint endpoint(DaemonSettings settings, long incarnation) {
 		BackendSettings backend = settings.backend().orElseThrow();
-		return new Endpoint(settings.id(), incarnation, 0, EndpointState.COLD, backend.service(), backend.version(),
+		EndpointState state = backend.announces() ? EndpointState.DRAINING : EndpointState.COLD;
+		return new Endpoint(settings.id(), incarnation, 0, state, backend.service(), backend.version(),
 				settings.region(), settings.failureDomain(), settings.frameAddress(), backend.slots(),
 				backend.capacity(), "");
 	}
 
-	private static String backendAddress(DaemonSettings settings) {
-		return text(settings.socketAddress(settings.backend().orElseThrow().httpPort()));
-	}
-
 	private static String text(InetSocketAddress address) {
 		return address.getAddress().getHostAddress() + ":" + address.getPort();
 	}
--- a/daemon/src/main/java/io/lavenderroad/daemon/RunningRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/RunningRole.java
@@ -11,4 +11,11 @@
 	 */
 	void shutDown();
 
+	/**
+	 * Takes changed settings. What cannot change while the process runs is ignored.
+	 * @param settings the checked settings
+	 */
+	default void reload(DaemonSettings settings) {
+	}
+
 }
--- a/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
@@ -17,10 +17,15 @@
 import io.lavenderroad.core.settings.YamlDocument;
 import io.lavenderroad.core.settings.YamlNode;
 import io.lavenderroad.daemon.DaemonSettings.BackendSettings;
+import io.lavenderroad.daemon.DaemonSettings.CallSettings;
+import io.lavenderroad.daemon.DaemonSettings.GroupSettings;
+import io.lavenderroad.daemon.DaemonSettings.Listeners;
+import io.lavenderroad.daemon.DaemonSettings.ShutdownSettings;
 import io.lavenderroad.daemon.DaemonSettings.LogSettings;
 import io.lavenderroad.daemon.DaemonSettings.MemberSettings;
 import io.lavenderroad.daemon.DaemonSettings.Ports;
 import io.lavenderroad.daemon.DaemonSettings.TlsSettings;
+import io.lavenderroad.policy.calls.RetryBudget;
 import io.vavr.collection.Seq;
 import io.vavr.control.Either;
 
@@ -61,6 +66,10 @@
 
 	private static final int MOST_MEMBERS = 7;
 
+	private static final int USUAL_CAPACITY = 100;
+
+	private static final int MILLIS_PER_SECOND = 1_000;
+
 	private SettingsBinding() {
 	}
 
@@ -89,13 +98,20 @@
 		DaemonSettings.Builder builder = DaemonSettings.builder();
 		String role = root.child("role").word(roles, null);
 		builder.identity(name(root.child("cluster")), name(root.child("id")), role);
-		builder.place(name(root.child("region")), name(root.child("failure-domain")), address(root.child("address")),
-				ports(root.child("ports")));
-		builder.seeds(seeds(root.child("seeds"), role));
+		String address = address(root.child("address"));
+		Ports ports = ports(root.child("ports"), root.child("listeners").child("http").present());
+		builder.place(name(root.child("region")), name(root.child("failure-domain")), address, ports);
+		Listeners listeners = listeners(root.child("listeners"));
+		builder.listeners(listeners);
+		builder.seeds(seeds(root, role));
 		builder.dataFolder(dataFolder(root.child("data-folder"), role));
 		builder.log(log(root.child("log")));
-		builder.backend(backend(root.child("backend"), role));
+		builder.backend(backend(root.child("backend"), role, address));
 		builder.members(members(root.child("control"), role));
+		builder.group(group(root.child("group"), role));
+		builder.calls(calls(root.child("calls")));
+		builder.shutdown(shutdown(root.child("shutdown")));
+		builder.interfaceName(root.child("interface").text().orElse(null));
 		builder.tls(tls(root.child("tls")));
 		root.rejectUnknownKeys();
 		return builder.build();
@@ -109,10 +125,10 @@
 		return node.requiredText("an IP address such as 127.0.0.1", ADDRESS);
 	}
 
-	private static Ports ports(YamlNode node) {
+	private static Ports ports(YamlNode node, boolean httpElsewhere) {
 		int frames = port(node.child("frames"));
 		int framesBind = node.child("frames-bind").integer(1, LARGEST_PORT, OptionalInt.of(frames));
-		int http = port(node.child("http"));
+		int http = httpElsewhere ? 0 : port(node.child("http"));
 		int admin = port(node.child("admin"));
 		if (frames == http || http == admin || frames == admin) {
 			node.problem(frames + ", " + http + " and " + admin, "three different ports");
@@ -125,12 +141,17 @@
 		return node.integer(1, LARGEST_PORT, OptionalInt.empty());
 	}
 
-	private static List<InetSocketAddress> seeds(YamlNode node, String role) {
+	private static List<InetSocketAddress> seeds(YamlNode root, String role) {
+		YamlNode node = root.child("seeds");
+		// A list of addresses of another service on the same VMs can serve as seeds.
+		YamlNode framesPort = root.child("seed-port");
+		OptionalInt otherPort = framesPort.present() ? OptionalInt.of(port(framesPort)) : OptionalInt.empty();
 		List<InetSocketAddress> seeds = new ArrayList<>();
 		for (YamlNode item : node.items()) {
 			String text = item.requiredText(SOCKET_ADDRESS_ALLOWED, SOCKET_ADDRESS);
 			if (!text.isEmpty()) {
-				seeds.add(parse(text));
+				InetSocketAddress seed = parse(text);
+				seeds.add(new InetSocketAddress(seed.getAddress(), otherPort.orElse(seed.getPort())));
 			}
 		}
 		if (role.equals(NODE_ROLE) && node.items().isEmpty()) {
@@ -155,18 +176,73 @@
 		return new LogSettings(level, file);
 	}
 
-	private static BackendSettings backend(YamlNode node, String role) {
+	private static Listeners listeners(YamlNode node) {
+		Listeners listeners = new Listeners(listener(node.child("http")), listener(node.child("announcements")),
+				listener(node.child("readiness")));
+		node.rejectUnknownKeys();
+		return listeners;
+	}
+
+	private static Optional<InetSocketAddress> listener(YamlNode node) {
+		return node.present() ? Optional.of(node.requiredText(SOCKET_ADDRESS_ALLOWED, SOCKET_ADDRESS))
+			.filter((text) -> !text.isEmpty())
+			.map(SettingsBinding::parse) : Optional.empty();
+	}
+
+	private static GroupSettings group(YamlNode node, String role) {
+		if (!node.present()) {
+			return null;
+		}
+		if (!role.equals(CONTROL_ROLE)) {
+			node.problem("a control group", "no such key for this role");
+		}
+		int losses = node.child("tolerated-losses").integer(0, MOST_MEMBERS / 2, OptionalInt.of(0));
+		GroupSettings group = new GroupSettings(node.child("founds").truth(false),
+				(losses > 0) ? 2 * losses + 1 : MOST_MEMBERS);
+		node.rejectUnknownKeys();
+		return group;
+	}
+
+	private static CallSettings calls(YamlNode node) {
+		CallSettings calls = new CallSettings(
+				node.child("retry-burst").integer(0, 1_000, OptionalInt.of(RetryBudget.BURST)));
+		node.rejectUnknownKeys();
+		return calls;
+	}
+
+	private static ShutdownSettings shutdown(YamlNode node) {
+		if (!node.present()) {
+			return ShutdownSettings.DEFAULT;
+		}
+		int graceMillis = MILLIS_PER_SECOND * node.child("grace-seconds").integer(1, 600, OptionalInt.empty());
+		node.rejectUnknownKeys();
+		return ShutdownSettings.within(graceMillis);
+	}
+
+	private static BackendSettings backend(YamlNode node, String role, String address) {
 		if (!node.present()) {
 			if (role.equals(NODE_ROLE)) {
 				node.problem("nothing", "the backend server beside this node");
 			}
 			return null;
 		}
-		BackendSettings backend = new BackendSettings(name(node.child("service")),
-				node.child("version").requiredText("a version of letters, digits, dots and hyphens", VERSION),
-				port(node.child("http-port")), node.child("slots").integer(1, 10_000, OptionalInt.empty()),
-				node.child("capacity").integer(1, 10_000, OptionalInt.of(100)),
-				path(node.child("health-path"), "/health"), path(node.child("load-path"), "/load"));
+		String service = name(node.child("service"));
+		int announceMillis = node.child("announces-every-millis").integer(0, 600_000, OptionalInt.of(0));
+		if (announceMillis > 0) {
+			Optional<InetSocketAddress> listener = listener(node.child("address"));
+			if (listener.isEmpty()) {
+				node.child("address").problem("nothing", SOCKET_ADDRESS_ALLOWED);
+			}
+			node.rejectUnknownKeys();
+			return new BackendSettings(service, "", listener.orElse(null), 1, USUAL_CAPACITY, "", "", announceMillis);
+		}
+		String version = node.child("version").requiredText("a version of letters, digits, dots and hyphens", VERSION);
+		int port = port(node.child("http-port"));
+		InetSocketAddress backendAddress = (address.isEmpty() || port < 1) ? null : parse(address + ":" + port);
+		BackendSettings backend = new BackendSettings(service, version, backendAddress,
+				node.child("slots").integer(1, 10_000, OptionalInt.empty()),
+				node.child("capacity").integer(1, 10_000, OptionalInt.of(USUAL_CAPACITY)),
+				path(node.child("health-path"), "/health"), path(node.child("load-path"), "/load"), 0);
 		node.rejectUnknownKeys();
 		return backend;
 	}
--- a/daemon/src/main/java/io/lavenderroad/daemon/WireSetup.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/WireSetup.java
@@ -19,13 +19,17 @@
 
 	@SafeVarargs
 	static WireOptions options(DaemonSettings settings, Clock clock, List<MessageType<?>>... types) {
+		return options(settings, settings.id(), clock, types);
+	}
+
+	@SafeVarargs
+	static WireOptions options(DaemonSettings settings, String id, Clock clock, List<MessageType<?>>... types) {
 		MessageCatalog.Builder catalog = MessageCatalog.builder();
 		for (List<MessageType<?>> part : types) {
 			catalog.addAll(part);
 		}
 		WireOptions.Builder options = WireOptions.builder()
-			.hello(new Hello(settings.cluster(), settings.id(), settings.role(), clock.millis(),
-					settings.frameAddress()))
+			.hello(new Hello(settings.cluster(), id, settings.role(), clock.millis(), settings.frameAddress()))
 			.catalog(catalog.build())
 			.clock(clock)
 			.localAddress(settings.socketAddress(settings.ports().frames()).getAddress());
--- a/daemon/src/test/java/io/lavenderroad/daemon/ControlRoleTests.java
+++ b/daemon/src/test/java/io/lavenderroad/daemon/ControlRoleTests.java
@@ -44,7 +44,7 @@
 				.members(List.of(new MemberSettings("control-1", firstFrames)));
 			running.add(ControlRole.start(settings.build(), kernel));
 			running.add(NodeRole.start(builder("node-1", "node", ports()).seeds(List.of(address(first.frames())))
-				.backend(new BackendSettings("catalogue", "v1", first.admin(), 1, 100, "", ""))
+				.backend(new BackendSettings("catalogue", "v1", address(first.admin()), 1, 100, "", "", 0))
 				.build(), kernel));
 			await(first, "/v1/nodes", "\"nodes\" : 1");
 			await(first, "/metrics", "lavenderroad_control_nodes 1\n");
--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -24,6 +24,7 @@
 import io.lavenderroad.distribution.DistributionMessages.Subscribe;
 import io.lavenderroad.distribution.DistributionMessages.SubscribeAgain;
 import io.lavenderroad.distribution.DistributionMessages.WholeSlice;
+import io.lavenderroad.model.CallerLimits;
 import io.lavenderroad.model.ConfigurationDelta;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.MeshConfiguration;
@@ -57,6 +58,8 @@
 
 	private Set<String> sentNames = Set.of();
 
+	private Optional<CallerLimits> sentLimits = Optional.empty();
+
 	private boolean whole;
 
 	private SubtreeStatus status;
@@ -365,13 +368,17 @@
 	private DistributionMessage wholeSlice(MeshConfiguration current) {
 		MeshConfiguration slice = current.slice(this.scope);
 		this.whole = false;
-		sent(current.version(), slice.services().keySet());
+		sent(current, slice.services().keySet());
 		return new WholeSlice(this.scope.all(), slice.digest(), slice);
 	}
 
 	private DistributionMessage change(MeshConfiguration current) {
-		ConfigurationDelta delta = current.deltaFrom(this.sentVersion, this.sentNames, this.scope).orElseThrow();
-		if (delta.changed().isEmpty() && delta.removed().isEmpty()) {
+		Optional<ConfigurationDelta> known = current.deltaFrom(this.sentVersion, this.sentNames, this.scope);
+		if (known.isEmpty()) {
+			return wholeSlice(current);
+		}
+		ConfigurationDelta delta = known.get();
+		if (delta.changesNothing(this.sentLimits)) {
 			long fromVersion = this.sentVersion;
 			this.sentVersion = current.version();
 			return new Advance(fromVersion, current.version());
@@ -379,14 +386,15 @@
 		Set<String> names = new HashSet<>(this.sentNames);
 		delta.removed().forEach(names::remove);
 		delta.changed().forEach((service) -> names.add(service.name()));
-		sent(current.version(), names);
+		sent(current, names);
 		return new Delta(delta);
 	}
 
-	private void sent(long newVersion, Collection<String> names) {
+	private void sent(MeshConfiguration current, Collection<String> names) {
 		List<String> entered = new ArrayList<>(names);
 		entered.removeAll(this.sentNames);
-		this.sentVersion = newVersion;
+		this.sentVersion = current.version();
+		this.sentLimits = Optional.of(current.limits());
 		this.sentNames = new HashSet<>(names);
 		if (!this.scope.all() && !entered.isEmpty()) {
 			this.outbox.offer(this.owner.registry().select(new HashSet<>(entered)::contains, false));
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -90,7 +90,7 @@
 
 	private final RandomGenerator random;
 
-	private final List<String> seeds;
+	private volatile List<String> seeds;
 
 	private final long drainMillis;
 
@@ -210,11 +210,29 @@
 	 * @param state its state
 	 */
 	public void announce(EndpointState state) {
+		announce((endpoint) -> endpoint.withState(state), true);
+	}
+
+	/**
+	 * Announces a change of the backend server beside this node. Nothing is sent if
+	 * nothing changes.
+	 * @param change returns the endpoint as it is now
+	 */
+	public void announce(UnaryOperator<Endpoint> change) {
+		announce(change, false);
+	}
+
+	private void announce(UnaryOperator<Endpoint> change, boolean always) {
 		Endpoint next;
 		this.lock.lock();
 		try {
+			Endpoint changed = change.apply(this.own);
+			if (!always && changed.equals(this.own)) {
+				return;
+			}
 			// An expired entry with a parent is one whose lease ran out; this one left.
-			this.own = this.own.next(state, (state != EndpointState.EXPIRED) ? parentId() : "");
+			String parent = (changed.state() != EndpointState.EXPIRED) ? parentId() : "";
+			this.own = changed.next(changed.state(), parent);
 			next = this.own;
 		}
 		finally {
@@ -244,6 +262,22 @@
 				this.evidence.lost(), bytesSent(), bytesReceived());
 	}
 
+	/**
+	 * Sets the addresses to try beside those that the parent names.
+	 * @param addresses {@code ip:port} of control members, or of any node
+	 */
+	public void seeds(List<String> addresses) {
+		addresses.forEach(Uplink::address);
+		this.seeds = List.copyOf(addresses);
+	}
+
+	/**
+	 * Asks the children to attach elsewhere and takes no new ones.
+	 */
+	public void leaveChildren() {
+		this.children.leave("node " + this.self.id() + " is stopping");
+	}
+
 	/**
 	 * Leaves the tree: asks the children to attach elsewhere and waits until they have,
 	 * at most for the drain time, then announces that this node is gone.
@@ -255,7 +289,7 @@
 		}
 		this.uplink.session()
 			.ifPresent((session) -> session.outbox().offer(new Leaving("node " + this.self.id() + " is stopping")));
-		this.children.leave("node " + this.self.id() + " is stopping");
+		leaveChildren();
 		long startMillis = this.clock.millis();
 		while (this.children.size() > 0 && this.clock.millis() - startMillis < this.drainMillis) {
 			if (!sleep(10)) {
--- a/model/src/main/java/io/lavenderroad/model/ConfigurationDelta.java
+++ b/model/src/main/java/io/lavenderroad/model/ConfigurationDelta.java
@@ -1,22 +1,62 @@
 package io.lavenderroad.model;
 
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Difference between two versions of a slice.
  *
  * @param fromVersion version that the receiver has in force
  * @param toVersion version after the delta
- * @param changed new and changed services
- * @param removed names of services that leave the slice
+ * @param edit services and routes that changed or left the slice, and the limits
  * @param digest digest of the whole slice after the delta
  */
-public record ConfigurationDelta(long fromVersion, long toVersion, List<ServiceConfiguration> changed,
-		List<String> removed, String digest) {
+public record ConfigurationDelta(long fromVersion, long toVersion, ConfigurationEdit edit, String digest) {
 
 	public ConfigurationDelta {
-		changed = List.copyOf(changed);
-		removed = List.copyOf(removed);
+		Objects.requireNonNull(edit, "edit");
+	}
+
+	/**
+	 * Creates a delta that changes services only.
+	 * @param fromVersion version that the receiver has in force
+	 * @param toVersion version after the delta
+	 * @param changed new and changed services
+	 * @param removed names of services that leave the slice
+	 * @param digest digest of the whole slice after the delta
+	 */
+	public ConfigurationDelta(long fromVersion, long toVersion, List<ServiceConfiguration> changed,
+			List<String> removed, String digest) {
+		this(fromVersion, toVersion, new ConfigurationEdit(changed, removed, List.of(), List.of(), Optional.empty()),
+				digest);
+	}
+
+	/**
+	 * Returns the services that are new or changed.
+	 * @return the services
+	 */
+	public List<ServiceConfiguration> changed() {
+		return this.edit.services();
+	}
+
+	/**
+	 * Returns the services that leave the slice.
+	 * @return their names
+	 */
+	public List<String> removed() {
+		return this.edit.removedServices();
+	}
+
+	/**
+	 * Tells whether only the version differs.
+	 * @param limitsBefore limits that the receiver is known to have
+	 * @return true if the receiver may keep what it has under the new version
+	 */
+	public boolean changesNothing(Optional<CallerLimits> limitsBefore) {
+		boolean sameLimits = this.edit.limits().isEmpty() || this.edit.limits().equals(limitsBefore);
+		return changed().isEmpty() && removed().isEmpty() && this.edit.routes().isEmpty()
+				&& this.edit.removedRoutes().isEmpty() && sameLimits;
 	}
 
 }
--- a/model/src/main/java/io/lavenderroad/model/Endpoint.java
+++ b/model/src/main/java/io/lavenderroad/model/Endpoint.java
@@ -59,6 +59,18 @@
 				this.region, this.failureDomain, this.frameAddress, this.slots, this.capacity, this.attachedTo);
 	}
 
+	/**
+	 * Returns this announcement for another backend server beside the same node.
+	 * @param newService service that it serves
+	 * @param newVersion its version
+	 * @param newSlots requests that it runs at the same time
+	 * @return the copy
+	 */
+	public Endpoint withBackend(String newService, String newVersion, int newSlots) {
+		return new Endpoint(this.nodeId, this.incarnation, this.sequence, this.state, newService, newVersion,
+				this.region, this.failureDomain, this.frameAddress, newSlots, this.capacity, this.attachedTo);
+	}
+
 	/**
 	 * Returns the next announcement of the same node.
 	 * @param newState the state
--- a/model/src/main/java/io/lavenderroad/model/MeshConfiguration.java
+++ b/model/src/main/java/io/lavenderroad/model/MeshConfiguration.java
@@ -21,17 +21,25 @@
 	/**
 	 * The configuration before the first change.
 	 */
-	public static final MeshConfiguration EMPTY = new MeshConfiguration(0, new TreeMap<>());
+	public static final MeshConfiguration EMPTY = new MeshConfiguration(0, new TreeMap<>(), RouteSet.EMPTY,
+			CallerLimits.DEFAULT);
 
 	private final long version;
 
 	private final SortedMap<String, ServiceConfiguration> services;
 
+	private final RouteSet routes;
+
+	private final CallerLimits limits;
+
 	private volatile String digest;
 
-	private MeshConfiguration(long version, SortedMap<String, ServiceConfiguration> services) {
+	private MeshConfiguration(long version, SortedMap<String, ServiceConfiguration> services, RouteSet routes,
+			CallerLimits limits) {
 		this.version = version;
 		this.services = Collections.unmodifiableSortedMap(services);
+		this.routes = routes;
+		this.limits = limits;
 	}
 
 	/**
@@ -41,9 +49,22 @@
 	 * @return the configuration
 	 */
 	public static MeshConfiguration of(long version, Collection<ServiceConfiguration> services) {
+		return of(version, services, RouteSet.EMPTY, CallerLimits.DEFAULT);
+	}
+
+	/**
+	 * Creates a configuration from its parts.
+	 * @param version the version
+	 * @param services all services
+	 * @param routes all routes by host
+	 * @param limits limits for callers
+	 * @return the configuration
+	 */
+	public static MeshConfiguration of(long version, Collection<ServiceConfiguration> services, RouteSet routes,
+			CallerLimits limits) {
 		TreeMap<String, ServiceConfiguration> byName = new TreeMap<>();
 		services.forEach((service) -> byName.put(service.name(), service));
-		return new MeshConfiguration(version, byName);
+		return new MeshConfiguration(version, byName, routes, limits);
 	}
 
 	/**
@@ -72,13 +93,30 @@
 	}
 
 	/**
-	 * Returns the digest of the services: SHA-256 over the sorted names and the digests
-	 * of the encoded services. The version is not part of it.
+	 * Returns the routes that are chosen by host.
+	 * @return the routes
+	 */
+	public RouteSet routes() {
+		return this.routes;
+	}
+
+	/**
+	 * Returns the limits for callers.
+	 * @return the limits
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Returns the digest of the content: SHA-256 over the sorted names and the digests of
+	 * the encoded services, the fingerprint of the routes and the limits. The version is
+	 * not part of it.
 	 * @return lower-case hexadecimal text
 	 */
 	public String digest() {
 		if (this.digest == null) {
-			this.digest = ConfigurationBinding.digest(this.services.values());
+			this.digest = ConfigurationBinding.digest(this);
 		}
 		return this.digest;
 	}
@@ -92,15 +130,26 @@
 	 */
 	public MeshConfiguration next(long nextVersion, Collection<ServiceConfiguration> changed,
 			Collection<String> removed) {
+		return next(nextVersion, ConfigurationEdit.ofServices(changed, removed));
+	}
+
+	/**
+	 * Returns the next version.
+	 * @param nextVersion the version, larger than the present one
+	 * @param edit what changes; the modified versions of services and routes are set
+	 * @return the next configuration
+	 */
+	public MeshConfiguration next(long nextVersion, ConfigurationEdit edit) {
 		if (nextVersion <= this.version) {
 			throw new IllegalArgumentException("version " + nextVersion + " does not follow " + this.version);
 		}
 		TreeMap<String, ServiceConfiguration> nextServices = new TreeMap<>(this.services);
-		removed.forEach(nextServices::remove);
-		for (ServiceConfiguration service : changed) {
+		edit.removedServices().forEach(nextServices::remove);
+		for (ServiceConfiguration service : edit.services()) {
 			nextServices.put(service.name(), service.toBuilder().modifiedVersion(nextVersion).build());
 		}
-		return new MeshConfiguration(nextVersion, nextServices);
+		RouteSet nextRoutes = this.routes.edited(nextVersion, edit.routes(), edit.removedRoutes());
+		return new MeshConfiguration(nextVersion, nextServices, nextRoutes, edit.limits().orElse(this.limits));
 	}
 
 	/**
@@ -116,7 +165,7 @@
 		for (String name : namesInScope(scope)) {
 			selected.put(name, this.services.get(name));
 		}
-		return new MeshConfiguration(this.version, selected);
+		return new MeshConfiguration(this.version, selected, this.routes, this.limits);
 	}
 
 	/**
@@ -127,11 +176,11 @@
 	 * @param fromVersion version in force at the receiver
 	 * @param knownNames names of the services that the receiver holds
 	 * @param scope what the receiver needs
-	 * @return the delta, or empty if the receiver holds no version or one that is newer
-	 * than this
+	 * @return the delta, or empty if the receiver holds no version, one that is newer
+	 * than this, or one older than the removals of routes that are remembered
 	 */
 	public Optional<ConfigurationDelta> deltaFrom(long fromVersion, Set<String> knownNames, Scope scope) {
-		if (fromVersion <= 0 || fromVersion > this.version) {
+		if (fromVersion <= 0 || fromVersion > this.version || fromVersion < this.routes.rememberedFrom()) {
 			return Optional.empty();
 		}
 		MeshConfiguration slice = slice(scope);
@@ -143,7 +192,9 @@
 			.filter((name) -> !slice.services.containsKey(name))
 			.sorted()
 			.toList();
-		return Optional.of(new ConfigurationDelta(fromVersion, this.version, changed, removed, slice.digest()));
+		ConfigurationEdit edit = new ConfigurationEdit(changed, removed, this.routes.changedSince(fromVersion),
+				this.routes.removedSince(fromVersion), Optional.of(this.limits));
+		return Optional.of(new ConfigurationDelta(fromVersion, this.version, edit, slice.digest()));
 	}
 
 	/**
@@ -159,7 +210,10 @@
 		TreeMap<String, ServiceConfiguration> nextServices = new TreeMap<>(this.services);
 		delta.removed().forEach(nextServices::remove);
 		delta.changed().forEach((service) -> nextServices.put(service.name(), service));
-		MeshConfiguration next = new MeshConfiguration(delta.toVersion(), nextServices);
+		RouteSet nextRoutes = this.routes.received(delta.toVersion(), delta.edit().routes(),
+				delta.edit().removedRoutes());
+		MeshConfiguration next = new MeshConfiguration(delta.toVersion(), nextServices, nextRoutes,
+				delta.edit().limits().orElse(this.limits));
 		return next.digest().equals(delta.digest()) ? Optional.of(next) : Optional.empty();
 	}
 
@@ -176,11 +230,21 @@
 				.filter((name) -> !service.versions().contains(name))
 				.forEach((name) -> missing
 					.add("split of service " + service.name() + " names the unknown version " + name));
+			if (service.split().isEmpty() && service.versions().isEmpty()) {
+				// No backend server has announced a version yet.
+				continue;
+			}
 			int sum = service.split().values().stream().mapToInt(Integer::intValue).sum();
 			if (sum != ServiceConfiguration.WHOLE_SHARE) {
 				missing.add("split of service " + service.name() + " sums to " + sum);
 			}
 		}
+		this.routes.all()
+			.forEach((route) -> route.weights()
+				.keySet()
+				.stream()
+				.filter((name) -> !this.services.containsKey(name))
+				.forEach((name) -> missing.add("route " + route.name() + " names the unknown service " + name)));
 		return missing;
 	}
 
--- a/model/src/main/java/io/lavenderroad/model/Route.java
+++ b/model/src/main/java/io/lavenderroad/model/Route.java
@@ -45,4 +45,13 @@
 				|| path.charAt(this.pathPrefix.length()) == '/';
 	}
 
+	/**
+	 * Returns how requests of this route are treated.
+	 * @return the rules
+	 */
+	public CallRules rules() {
+		return new CallRules(this.name, this.idempotent, this.timeoutMillis, this.timeoutMillis,
+				CallRules.USUAL_PRIORITY, CallRules.USUAL_ATTEMPTS, this.largestBodyBytes);
+	}
+
 }
--- a/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
+++ b/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
@@ -2,18 +2,26 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.Collection;
 import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
 
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageEncoder;
+import io.lavenderroad.model.CallRules;
+import io.lavenderroad.model.CallerLimits;
 import io.lavenderroad.model.ConfigurationDelta;
+import io.lavenderroad.model.ConfigurationEdit;
+import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.Route;
+import io.lavenderroad.model.RouteSet;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.ServiceLimits;
 import io.lavenderroad.model.ThinEvidence;
@@ -32,16 +40,18 @@
 	}
 
 	/**
-	 * Returns the digest of services.
-	 * @param services services in the order of their names
+	 * Returns the digest of the content of a configuration.
+	 * @param configuration the configuration
 	 * @return the SHA-256 digest in lower-case hexadecimal
 	 */
-	public static String digest(Collection<ServiceConfiguration> services) {
+	public static String digest(MeshConfiguration configuration) {
 		MessageDigest digest = sha256();
-		for (ServiceConfiguration service : services) {
+		for (ServiceConfiguration service : configuration.services().values()) {
 			digest.update(service.name().getBytes(StandardCharsets.UTF_8));
 			digest.update(service.digest());
 		}
+		digest.update(ByteBuffer.allocate(Long.BYTES).putLong(0, configuration.routes().fingerprint()));
+		digest.update(toBytes(configuration.limits(), ConfigurationBinding::packLimits));
 		return HexFormat.of().formatHex(digest.digest());
 	}
 
@@ -63,6 +73,15 @@
 		return toBytes(service, ConfigurationBinding::packFields);
 	}
 
+	/**
+	 * Encodes a route without use of its cached form.
+	 * @param route the route
+	 * @return the bytes
+	 */
+	public static byte[] encode(HostRoute route) {
+		return toBytes(route, ConfigurationBinding::packRouteFields);
+	}
+
 	/**
 	 * Encodes a value.
 	 * @param <T> type of the value
@@ -89,6 +108,11 @@
 	public static void packConfiguration(MeshConfiguration configuration, MessagePacker packer) throws IOException {
 		packer.packLong(configuration.version());
 		Fields.packList(packer, configuration.services().values(), ConfigurationBinding::packService);
+		RouteSet routes = configuration.routes();
+		Fields.packList(packer, routes.all(), ConfigurationBinding::packHostRoute);
+		packer.packLong(routes.rememberedFrom());
+		Fields.packMap(packer, routes.removals(), (removedIn, target) -> target.packLong(removedIn));
+		packLimits(configuration.limits(), packer);
 	}
 
 	/**
@@ -99,7 +123,12 @@
 	 */
 	public static MeshConfiguration unpackConfiguration(MessageUnpacker unpacker) throws IOException {
 		long version = unpacker.unpackLong();
-		return MeshConfiguration.of(version, Fields.unpackList(unpacker, ConfigurationBinding::unpackService));
+		List<ServiceConfiguration> services = Fields.unpackList(unpacker, ConfigurationBinding::unpackService);
+		List<HostRoute> routes = Fields.unpackList(unpacker, ConfigurationBinding::unpackHostRoute);
+		long rememberedFrom = unpacker.unpackLong();
+		SortedMap<String, Long> removals = Fields.unpackMap(unpacker, MessageUnpacker::unpackLong);
+		return MeshConfiguration.of(version, services, RouteSet.of(routes, removals, rememberedFrom),
+				unpackLimits(unpacker));
 	}
 
 	/**
@@ -111,8 +140,7 @@
 	public static void packDelta(ConfigurationDelta delta, MessagePacker packer) throws IOException {
 		packer.packLong(delta.fromVersion());
 		packer.packLong(delta.toVersion());
-		Fields.packList(packer, delta.changed(), ConfigurationBinding::packService);
-		Fields.packList(packer, delta.removed(), (name, target) -> target.packString(name));
+		packEdit(delta.edit(), packer);
 		packer.packString(delta.digest());
 	}
 
@@ -123,9 +151,79 @@
 	 * @throws IOException if the input is truncated
 	 */
 	public static ConfigurationDelta unpackDelta(MessageUnpacker unpacker) throws IOException {
-		return new ConfigurationDelta(unpacker.unpackLong(), unpacker.unpackLong(),
-				Fields.unpackList(unpacker, ConfigurationBinding::unpackService),
-				Fields.unpackList(unpacker, MessageUnpacker::unpackString), unpacker.unpackString());
+		return new ConfigurationDelta(unpacker.unpackLong(), unpacker.unpackLong(), unpackEdit(unpacker),
+				unpacker.unpackString());
+	}
+
+	/**
+	 * Writes an edit.
+	 * @param edit the edit
+	 * @param packer receives it
+	 * @throws IOException if the packer fails
+	 */
+	public static void packEdit(ConfigurationEdit edit, MessagePacker packer) throws IOException {
+		Fields.packList(packer, edit.services(), ConfigurationBinding::packService);
+		Fields.packList(packer, edit.removedServices(), (name, target) -> target.packString(name));
+		Fields.packList(packer, edit.routes(), ConfigurationBinding::packHostRoute);
+		Fields.packList(packer, edit.removedRoutes(), (name, target) -> target.packString(name));
+		packer.packBoolean(edit.limits().isPresent());
+		if (edit.limits().isPresent()) {
+			packLimits(edit.limits().get(), packer);
+		}
+	}
+
+	/**
+	 * Reads an edit.
+	 * @param unpacker gives it
+	 * @return the edit
+	 * @throws IOException if the input is truncated
+	 */
+	public static ConfigurationEdit unpackEdit(MessageUnpacker unpacker) throws IOException {
+		return new ConfigurationEdit(Fields.unpackList(unpacker, ConfigurationBinding::unpackService),
+				Fields.unpackList(unpacker, MessageUnpacker::unpackString),
+				Fields.unpackList(unpacker, ConfigurationBinding::unpackHostRoute),
+				Fields.unpackList(unpacker, MessageUnpacker::unpackString),
+				unpacker.unpackBoolean() ? Optional.of(unpackLimits(unpacker)) : Optional.empty());
+	}
+
+	private static void packHostRoute(HostRoute route, MessagePacker packer) throws IOException {
+		packer.writePayload(route.encoded());
+	}
+
+	private static void packRouteFields(HostRoute route, MessagePacker packer) throws IOException {
+		packer.packString(route.name());
+		packer.packString(route.host());
+		packer.packString(route.pathPrefix());
+		packer.packBoolean(route.rules().idempotent());
+		packer.packInt(route.rules().timeoutMillis());
+		packer.packInt(route.rules().targetLatencyMillis());
+		packer.packInt(route.rules().priority());
+		packer.packInt(route.rules().mostAttempts());
+		packer.packInt(route.rules().largestBodyBytes());
+		Fields.packMap(packer, route.weights(), (weight, target) -> target.packInt(weight));
+		packer.packLong(route.modifiedVersion());
+	}
+
+	private static HostRoute unpackHostRoute(MessageUnpacker unpacker) throws IOException {
+		String name = unpacker.unpackString();
+		return HostRoute.builder(name)
+			.place(unpacker.unpackString(), unpacker.unpackString())
+			.rules(new CallRules(name, unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt(),
+					unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()))
+			.weights(Fields.unpackMap(unpacker, MessageUnpacker::unpackInt))
+			.modifiedVersion(unpacker.unpackLong())
+			.build();
+	}
+
+	private static void packLimits(CallerLimits limits, MessagePacker packer) throws IOException {
+		packer.packInt(limits.largestHeaderBytes());
+		packer.packInt(limits.largestBodyBytes());
+		packer.packInt(limits.headerTimeoutMillis());
+		packer.packInt(limits.idleTimeoutMillis());
+	}
+
+	private static CallerLimits unpackLimits(MessageUnpacker unpacker) throws IOException {
+		return new CallerLimits(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt());
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/AdminApi.java
+++ b/node/src/main/java/io/lavenderroad/node/AdminApi.java
@@ -31,13 +31,13 @@
 
 	private final NodeMetrics metrics;
 
-	private final BackendMonitor monitor;
+	private final LocalBackend monitor;
 
 	private final EndpointDirectory directory;
 
 	private final Runnable drain;
 
-	AdminApi(Clock clock, MeshView view, NodeMetrics metrics, BackendMonitor monitor, EndpointDirectory directory,
+	AdminApi(Clock clock, MeshView view, NodeMetrics metrics, LocalBackend monitor, EndpointDirectory directory,
 			Runnable drain) {
 		this.clock = clock;
 		this.view = view;
--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -11,6 +11,7 @@
 
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.model.ServiceLimits;
+import io.lavenderroad.node.http.Cancellation;
 import io.lavenderroad.policy.calls.AdmissionDecision;
 import io.lavenderroad.policy.calls.AdmissionQueue;
 import io.vavr.control.Either;
@@ -66,7 +67,21 @@
 	 * @return the slot, or a refusal with the verdict "not run"
 	 */
 	Either<CallAnswer, Slot> acquire(String customer, long deadlineMillis, ServiceLimits limits,
-			CallCancellation cancellation) {
+			Cancellation cancellation) {
+		return acquire(customer, 0, deadlineMillis, limits, cancellation);
+	}
+
+	/**
+	 * Waits for a slot.
+	 * @param customer customer of the call
+	 * @param rank rank of the call, 0 for the most urgent
+	 * @param deadlineMillis when the answer is due
+	 * @param limits limits in force
+	 * @param cancellation ends the wait early
+	 * @return the slot, or a refusal with the verdict "not run"
+	 */
+	Either<CallAnswer, Slot> acquire(String customer, int rank, long deadlineMillis, ServiceLimits limits,
+			Cancellation cancellation) {
 		Waiter waiter = new Waiter();
 		long now = this.clock.millis();
 		this.lock.lock();
@@ -75,9 +90,9 @@
 				return Either.left(drainRefusal());
 			}
 			this.queue.limits(limits.queueLength(), limits.customerShareBasisPoints());
-			AdmissionDecision decision = this.queue.offer(waiter, customer, now, deadlineMillis);
-			if (decision == AdmissionDecision.FULL && displace(customer)) {
-				decision = this.queue.offer(waiter, customer, now, deadlineMillis);
+			AdmissionDecision decision = this.queue.offer(waiter, customer, rank, now, deadlineMillis);
+			if (decision == AdmissionDecision.FULL && (displaceLessUrgent(rank) || displace(customer))) {
+				decision = this.queue.offer(waiter, customer, rank, now, deadlineMillis);
 			}
 			if (decision == AdmissionDecision.RUN) {
 				return Either.right(new Slot(customer));
@@ -94,6 +109,35 @@
 		return await(waiter, customer, deadlineMillis - now);
 	}
 
+	/**
+	 * Refuses the calls that wait.
+	 */
+	void refuseWaiting() {
+		this.lock.lock();
+		try {
+			this.queue.clear().forEach((waiter) -> waiter.result.complete(drainRefusal()));
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Changes the number of slots.
+	 * @param slots calls that may run at the same time
+	 */
+	void slots(int slots) {
+		this.lock.lock();
+		try {
+			if (this.limited) {
+				this.queue.slots(slots, this.clock.millis()).forEach(Admission::grant);
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Refuses new and waiting calls from now on.
 	 * @return true the first time
@@ -191,6 +235,13 @@
 		}
 	}
 
+	private boolean displaceLessUrgent(int rank) {
+		return this.queue.displaceLessUrgent(rank).map((waiter) -> {
+			waiter.result.complete(refusal(AdmissionDecision.FULL));
+			return true;
+		}).orElse(false);
+	}
+
 	private boolean displace(String customer) {
 		return this.queue.displace(customer).map((waiter) -> {
 			waiter.result.complete(refusal(AdmissionDecision.OVER_SHARE));
@@ -199,15 +250,17 @@
 	}
 
 	private void releaseLocked(String customer, double tookMillis) {
-		this.queue.release(customer, tookMillis, this.clock.millis()).ifPresent((next) -> {
-			next.granted = true;
-			next.result.complete(GRANTED);
-		});
+		this.queue.release(customer, tookMillis, this.clock.millis()).ifPresent(Admission::grant);
 		if (this.queue.running() == 0) {
 			this.idle.signalAll();
 		}
 	}
 
+	private static void grant(Waiter next) {
+		next.granted = true;
+		next.result.complete(GRANTED);
+	}
+
 	private CallAnswer refusal(AdmissionDecision decision) {
 		int avoidMillis = AVOID_FULL_MILLIS / 2 + this.random.nextInt(AVOID_FULL_MILLIS);
 		return switch (decision) {
--- a/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
@@ -1,13 +1,14 @@
 package io.lavenderroad.node;
 
 import java.io.IOException;
-import java.net.http.HttpResponse;
 import java.util.Map;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.node.http.BackendResponse;
 import io.lavenderroad.policy.calls.SlowStart;
 import org.tinylog.Logger;
 
@@ -16,7 +17,7 @@
  * mislead, so they are hints for balancing only; the one decision that depends on them is
  * the end of the cold start.
  */
-final class BackendMonitor {
+final class BackendMonitor implements LocalBackend {
 
 	private static final long TIMEOUT_MILLIS = 500;
 
@@ -24,6 +25,8 @@
 
 	private final Clock clock;
 
+	private final Endpoint self;
+
 	private final BackendClient backend;
 
 	private final String healthPath;
@@ -40,20 +43,37 @@
 
 	private long healthySinceMillis = -1;
 
-	BackendMonitor(Clock clock, BackendClient backend, String healthPath, String loadPath, EndpointState state,
+	BackendMonitor(Clock clock, BackendClient backend, String healthPath, String loadPath, Endpoint self,
 			Consumer<EndpointState> announcer) {
+		this.self = self;
 		this.clock = clock;
 		this.backend = backend;
 		this.healthPath = healthPath;
 		this.loadPath = loadPath;
-		this.state = state;
+		this.state = self.state();
 		this.announcer = announcer;
 	}
 
+	@Override
+	public boolean serves(String service, String version) {
+		return service.equals(this.self.service()) && version.equals(this.self.version());
+	}
+
+	@Override
+	public String backendId() {
+		return "";
+	}
+
+	@Override
+	public void unreachable() {
+		// The next reading of the health page shows it.
+	}
+
 	/**
 	 * Reads both pages. Called once a second on one thread.
 	 */
-	void poll() {
+	@Override
+	public void poll() {
 		observe(readHealth(), this.clock.millis());
 		if (!this.loadPath.isEmpty()) {
 			this.reportedRunning = readRunning();
@@ -83,18 +103,18 @@
 		}
 	}
 
-	/**
-	 * Announces that the backend server is leaving.
-	 */
-	void drain() {
+	@Override
+	public void drain() {
 		change(EndpointState.DRAINING);
 	}
 
-	EndpointState state() {
+	@Override
+	public EndpointState state() {
 		return this.state;
 	}
 
-	boolean isHealthy() {
+	@Override
+	public boolean isHealthy() {
 		return this.healthy;
 	}
 
@@ -102,7 +122,8 @@
 	 * Returns the requests that the backend server says it runs.
 	 * @return count, 0 if unknown
 	 */
-	int reportedRunning() {
+	@Override
+	public int reportedRunning() {
 		return this.reportedRunning;
 	}
 
@@ -118,29 +139,22 @@
 		if (this.healthPath.isEmpty()) {
 			return true;
 		}
-		try {
-			return this.backend.get(this.healthPath, TIMEOUT_MILLIS).statusCode() < STATUS_REDIRECT;
-		}
-		catch (IOException ex) {
-			return false;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return this.healthy;
-		}
+		return this.backend.get(this.healthPath, TIMEOUT_MILLIS)
+			.map((response) -> response.status() < STATUS_REDIRECT)
+			.getOrElse(false);
 	}
 
 	private int readRunning() {
+		return this.backend.get(this.loadPath, TIMEOUT_MILLIS).map(BackendMonitor::running).getOrElse(0);
+	}
+
+	private static int running(BackendResponse response) {
 		try {
-			HttpResponse<String> response = this.backend.get(this.loadPath, TIMEOUT_MILLIS);
 			Map<String, Object> load = JSON.std.mapFrom(response.body());
 			return (load.get("running") instanceof Number running) ? Math.max(0, running.intValue()) : 0;
 		}
 		catch (IOException ex) {
-			return 0;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+			Logger.debug("node: The load page of the backend server cannot be read: {}.", ex.getMessage());
 			return 0;
 		}
 	}
--- a/node/src/main/java/io/lavenderroad/node/CallAnswer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallAnswer.java
@@ -15,31 +15,43 @@
  * @param body whole answer body
  * @param load calls running and waiting at the backend server, a hint for balancing
  * @param avoidMillis how long the sender should choose other endpoints, 0 for none
+ * @param arrived whether the backend server received the request, also if it did not run
+ * it
  */
 record CallAnswer(ExecutionVerdict verdict, int status, String reason, List<String> headers, byte[] body, int load,
-		int avoidMillis) {
+		int avoidMillis, boolean arrived) {
 
 	static final byte[] NO_BODY = new byte[0];
 
 	static CallAnswer notRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0);
+		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0, false);
 	}
 
 	static CallAnswer mayHaveRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0);
+		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0, true);
 	}
 
 	static CallAnswer ran(int status, List<String> headers, byte[] body) {
-		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0);
+		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0, true);
+	}
+
+	/**
+	 * Marks a refusal that came from the backend server itself.
+	 * @return the copy
+	 */
+	CallAnswer byBackend() {
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
+				this.avoidMillis, true);
 	}
 
 	CallAnswer avoid(int millis) {
-		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load, millis);
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load, millis,
+				this.arrived);
 	}
 
 	CallAnswer withLoad(int newLoad) {
 		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, newLoad,
-				this.avoidMillis);
+				this.avoidMillis, this.arrived);
 	}
 
 	/**
@@ -48,7 +60,7 @@
 	 */
 	CallAnswer repeated() {
 		return new CallAnswer(this.verdict, this.status, "answered from the first run with this idempotency key",
-				this.headers, this.body, this.load, this.avoidMillis);
+				this.headers, this.body, this.load, this.avoidMillis, this.arrived);
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/CallRequest.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRequest.java
@@ -17,8 +17,10 @@
  * @param key idempotency key, empty if there is none
  * @param remainingMillis time until the answer is due
  * @param attemptBudget retries that the whole remaining chain of calls may spend
+ * @param traits what else the node must know
  */
 record CallRequest(long callId, String service, String version, String route, String method, String target,
-		List<String> headers, byte[] body, String customer, String key, int remainingMillis, int attemptBudget) {
+		List<String> headers, byte[] body, String customer, String key, int remainingMillis, int attemptBudget,
+		CallTraits traits) {
 
 }
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -21,8 +21,10 @@
 import io.lavenderroad.policy.calls.BalancingPolicy;
 import io.lavenderroad.policy.calls.EndpointLoad;
 import io.lavenderroad.policy.calls.RetryBudget;
+import io.lavenderroad.policy.calls.RetryDecision;
 import io.lavenderroad.policy.calls.VersionChoice;
 import io.vavr.control.Either;
+import org.tinylog.Logger;
 
 /**
  * The caller's side of a call: chooses the version by the split and the endpoint by the
@@ -56,11 +58,13 @@
 
 	private final WithdrawnVersions withdrawn;
 
+	private final int retryBurst;
+
 	private final AtomicLong callIds = new AtomicLong();
 
 	private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
 
-	CallRouter(NodeParts parts, BalancingPolicy balancing, CallServer local) {
+	CallRouter(NodeParts parts, BalancingPolicy balancing, CallServer local, int retryBurst) {
 		this.clock = parts.clock();
 		this.random = parts.random();
 		this.self = parts.self();
@@ -70,6 +74,7 @@
 		this.withdrawn = parts.withdrawn();
 		this.balancing = balancing;
 		this.local = local;
+		this.retryBurst = retryBurst;
 	}
 
 	/**
@@ -78,33 +83,50 @@
 	 * @return the outcome
 	 */
 	RoutedAnswer route(RoutedCall call) {
-		RetryBudget budget = this.retryBudgets.computeIfAbsent(call.service().name(), (name) -> new RetryBudget());
+		RetryBudget budget = this.retryBudgets.computeIfAbsent(call.service().name(),
+				(name) -> new RetryBudget(this.retryBurst));
 		budget.call(call.service().limits().retryBudgetBasisPoints());
+		RetryDecision retry = new RetryDecision(call.rules(), call.attemptBudget() + 1, budget);
 		List<EndpointLoad> tried = new ArrayList<>(2);
 		ExecutionVerdict earlier = ExecutionVerdict.NOT_RUN;
 		RoutedAnswer last = null;
-		for (int attempt = 0; attempt <= call.attemptBudget(); attempt++) {
-			if (attempt > 0 && !(isRetryable(call, last.answer()) && budget.tryRetry())) {
-				break;
-			}
-			if (this.clock.millis() >= call.deadlineMillis()) {
-				last = (last != null) ? last : new RoutedAnswer(late(), "");
-				break;
-			}
-			Optional<EndpointLoad> chosen = choose(call.service(), tried);
+		RoutedAnswer answered = null;
+		do {
+			Optional<EndpointLoad> chosen = next(call, tried);
 			if (chosen.isEmpty()) {
-				last = (last != null) ? last : new RoutedAnswer(noEndpoint(call.service()), "");
+				last = (last != null) ? last : RoutedAnswer.untried(unsent(call));
 				break;
 			}
 			tried.add(chosen.get());
-			last = new RoutedAnswer(attempt(call, chosen.get(), (attempt == 0) ? call.attemptBudget() : 0),
-					chosen.get().endpoint().version());
-			if (last.answer().verdict() == ExecutionVerdict.RAN) {
+			CallAnswer answer = attempt(call, chosen.get(), (tried.size() == 1) ? call.attemptBudget() : 0);
+			last = new RoutedAnswer(answer, chosen.get().endpoint().version(), tried.size());
+			if (isFinal(call, answer)) {
 				return last;
 			}
-			earlier = earlier.combine(last.answer().verdict());
+			answered = (answer.verdict() == ExecutionVerdict.RAN) ? last : answered;
+			earlier = earlier.combine(answer.verdict());
+		}
+		while (isRetryable(last.answer()) && retry.mayRetry(last.answer().verdict(), last.answer().arrived()));
+		return (answered != null) ? answered : withEarlier(last, earlier);
+	}
+
+	private Optional<EndpointLoad> next(RoutedCall call, List<EndpointLoad> tried) {
+		boolean worthwhile = this.clock.millis() < call.deadlineMillis() && !call.departure().isCancelled();
+		return worthwhile ? choose(call.service(), tried) : Optional.empty();
+	}
+
+	private CallAnswer unsent(RoutedCall call) {
+		if (call.departure().isCancelled()) {
+			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone");
 		}
-		return withEarlier(last, earlier);
+		return (this.clock.millis() >= call.deadlineMillis()) ? late() : noEndpoint(call.service());
+	}
+
+	// A failure that a backend server answered is passed on unless the request may be run
+	// again.
+	private static boolean isFinal(RoutedCall call, CallAnswer answer) {
+		return answer.verdict() == ExecutionVerdict.RAN
+				&& !(call.rules().idempotent() && answer.status() == HttpStatus.INTERNAL_ERROR);
 	}
 
 	private CallAnswer attempt(RoutedCall call, EndpointLoad target, int attemptBudget) {
@@ -119,21 +141,28 @@
 		double tookMillis = (System.nanoTime() - startNanos) / 1e6;
 		observe(target, answer, tookMillis);
 		if (answer.isObservation()) {
-			this.evidence.record(new ObservationKey(call.service().name(), call.route().name(), endpoint.version()),
+			this.evidence.record(new ObservationKey(call.service().name(), call.rules().route(), endpoint.version()),
 					answer, tookMillis);
 		}
+		if (answer.verdict() != ExecutionVerdict.RAN) {
+			Logger.info("node: Request {} on {} got no answer from {} after {} ms of {} left: {} {}, {}.",
+					call.requestId(), call.rules().route(), endpoint.nodeId(), Math.round(tookMillis), remaining,
+					answer.verdict().label(), answer.status(), answer.reason());
+		}
 		return answer;
 	}
 
 	private CallAnswer send(RoutedCall call, Endpoint endpoint, int attemptBudget, long remaining) {
+		CallTraits traits = new CallTraits(call.requestId(), this.self.service(), call.rules().idempotent(),
+				call.rules().priority());
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
-				call.route().name(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
-				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget);
+				call.rules().route(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
+				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget, traits);
 		if (endpoint.nodeId().equals(this.self.nodeId())) {
-			return this.local.serve(request, call.deadlineMillis(), new CallCancellation());
+			return this.local.serve(request, call.deadlineMillis(), call.departure());
 		}
 		Either<CallFailure, CallAnswer> answer = this.connections.call(endpoint.frameAddress(), request, remaining,
-				CallAnswer.class, new CancelCall(request.callId()));
+				CallAnswer.class, new CancelCall(request.callId()), call.departure());
 		return answer.getOrElseGet((failure) -> failed(call, failure));
 	}
 
@@ -182,12 +211,9 @@
 		return Optional.empty();
 	}
 
-	private static boolean isRetryable(RoutedCall call, CallAnswer answer) {
-		if (answer.status() == HttpStatus.OVER_SHARE || answer.status() == HttpStatus.BAD_REQUEST
-				|| answer.status() == HttpStatus.CONFLICT) {
-			return false;
-		}
-		return answer.verdict() == ExecutionVerdict.NOT_RUN || call.route().idempotent();
+	private static boolean isRetryable(CallAnswer answer) {
+		return answer.status() != HttpStatus.OVER_SHARE && answer.status() != HttpStatus.BAD_REQUEST
+				&& answer.status() != HttpStatus.CONFLICT;
 	}
 
 	// Keeps the uncertainty of an earlier attempt: a refusal of the last attempt does not
@@ -197,7 +223,7 @@
 			return new RoutedAnswer(
 					CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY,
 							"an earlier attempt may have run; the last one was refused: " + last.answer().reason()),
-					last.version());
+					last.version(), last.attempts());
 		}
 		return last;
 	}
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -14,6 +14,7 @@
 import io.lavenderroad.model.MeshView;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.ServiceLimits;
+import io.lavenderroad.node.http.Cancellation;
 import io.vavr.control.Either;
 
 /**
@@ -29,6 +30,12 @@
 
 	private static final int LARGEST_MARGIN_MILLIS = 20;
 
+	/**
+	 * How long an endpoint is passed over that no longer serves what it was asked for;
+	 * its new announcement arrives within that time.
+	 */
+	private static final int AVOID_OTHER_MILLIS = 200;
+
 	private final Clock clock;
 
 	private final MeshView view;
@@ -39,18 +46,18 @@
 
 	private final BackendClient backend;
 
-	private final BackendMonitor monitor;
+	private final LocalBackend monitor;
 
 	private final KeyLedger keys;
 
-	private final Map<RunningCall, CallCancellation> running = new ConcurrentHashMap<>();
+	private final Map<RunningCall, Cancellation> running = new ConcurrentHashMap<>();
 
 	private final AtomicInteger keyed = new AtomicInteger();
 
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
-			BackendMonitor monitor, KeyLedger keys) {
+			LocalBackend monitor, KeyLedger keys) {
 		this.monitor = monitor;
 		this.keys = keys;
 		this.clock = clock;
@@ -68,7 +75,7 @@
 	 */
 	CallAnswer serve(Connection connection, CallRequest request) {
 		RunningCall id = new RunningCall(connection, request.callId());
-		CallCancellation cancellation = new CallCancellation();
+		Cancellation cancellation = new Cancellation();
 		this.running.put(id, cancellation);
 		this.connections.add(connection);
 		try {
@@ -87,12 +94,16 @@
 	 * @param cancellation ends the call early
 	 * @return the outcome
 	 */
-	CallAnswer serve(CallRequest request, long deadlineMillis, CallCancellation cancellation) {
-		if (!request.service().equals(this.self.service()) || !request.version().equals(this.self.version())) {
-			return CallAnswer.notRun(HttpStatus.UNAVAILABLE,
-					"this node serves " + this.self.service() + " " + this.self.version());
+	CallAnswer serve(CallRequest request, long deadlineMillis, Cancellation cancellation) {
+		if (!this.monitor.serves(request.service(), request.version())) {
+			return CallAnswer
+				.notRun(HttpStatus.UNAVAILABLE,
+						"no backend server of " + request.service() + " " + request.version() + " takes work here")
+				.avoid(AVOID_OTHER_MILLIS);
 		}
-		CallAnswer answer = request.key().isEmpty() ? admit(request, deadlineMillis, cancellation, cancellation)
+		// The run of a call that must not run twice goes on when its caller leaves.
+		Cancellation running = request.traits().idempotent() ? cancellation : new Cancellation();
+		CallAnswer answer = request.key().isEmpty() ? admit(request, deadlineMillis, cancellation, running)
 				: serveOnce(request, deadlineMillis, cancellation);
 		return answer.withLoad(load());
 	}
@@ -103,7 +114,7 @@
 	 * @param callId number of the call
 	 */
 	void cancel(Connection connection, long callId) {
-		CallCancellation cancellation = this.running.get(new RunningCall(connection, callId));
+		Cancellation cancellation = this.running.get(new RunningCall(connection, callId));
 		if (cancellation != null) {
 			cancellation.cancel();
 		}
@@ -143,7 +154,7 @@
 	 * @param cancellation ends the wait for a slot early
 	 * @return the outcome
 	 */
-	private CallAnswer serveOnce(CallRequest request, long deadlineMillis, CallCancellation cancellation) {
+	private CallAnswer serveOnce(CallRequest request, long deadlineMillis, Cancellation cancellation) {
 		CompletableFuture<CallAnswer> result = new CompletableFuture<>();
 		this.keyed.incrementAndGet();
 		Thread.ofVirtual().start(() -> {
@@ -168,7 +179,7 @@
 		}
 	}
 
-	private CallAnswer claimAndRun(CallRequest request, long deadlineMillis, CallCancellation cancellation) {
+	private CallAnswer claimAndRun(CallRequest request, long deadlineMillis, Cancellation cancellation) {
 		if (this.admission.isDraining()) {
 			return Admission.drainRefusal();
 		}
@@ -180,7 +191,7 @@
 		try {
 			// Once it runs, the call is not cancelled with its caller: the customer will
 			// ask for its answer with the same key.
-			answer = admit(request, deadlineMillis, cancellation, new CallCancellation());
+			answer = admit(request, deadlineMillis, cancellation, new Cancellation());
 		}
 		finally {
 			claim.get().settle(answer);
@@ -188,10 +199,9 @@
 		return answer;
 	}
 
-	private CallAnswer admit(CallRequest request, long deadlineMillis, CallCancellation waiting,
-			CallCancellation running) {
-		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(), deadlineMillis, limits(),
-				waiting);
+	private CallAnswer admit(CallRequest request, long deadlineMillis, Cancellation waiting, Cancellation running) {
+		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(),
+				request.traits().priority(), deadlineMillis, limits(), waiting);
 		return slot.isLeft() ? slot.getLeft() : run(request, deadlineMillis, running, slot.get());
 	}
 
@@ -201,8 +211,7 @@
 		return this.monitor.isHealthy() ? load : load + this.self.slots();
 	}
 
-	private CallAnswer run(CallRequest request, long deadlineMillis, CallCancellation cancellation,
-			Admission.Slot slot) {
+	private CallAnswer run(CallRequest request, long deadlineMillis, Cancellation cancellation, Admission.Slot slot) {
 		long startNanos = System.nanoTime();
 		double tookMillis = -1;
 		try {
@@ -210,7 +219,13 @@
 			if (remaining <= 0) {
 				return CallAnswer.notRun(HttpStatus.GATEWAY_TIMEOUT, "deadline passed while the call was queued");
 			}
-			CallAnswer answer = this.backend.run(request, remaining, cancellation);
+			if (!this.monitor.serves(request.service(), request.version())) {
+				return Admission.drainRefusal();
+			}
+			CallAnswer answer = this.backend.run(request, this.monitor.backendId(), remaining, cancellation);
+			if (!answer.arrived()) {
+				this.monitor.unreachable();
+			}
 			// A time-out is a lower bound of the service time; other failures tell
 			// nothing.
 			if (answer.status() < HttpStatus.INTERNAL_ERROR || answer.status() == HttpStatus.GATEWAY_TIMEOUT) {
--- /dev/null
+++ b/node/src/main/java/io/lavenderroad/node/CallTraits.java
@@ -0,0 +1,19 @@
+package io.lavenderroad.node;
+
+/**
+ * What the node of a backend server must know of a call besides its content.
+ *
+ * @param requestId id of the request for the logs, empty if it has none
+ * @param callerService service beside the node where the request entered
+ * @param idempotent whether the request may be run again, so that its run may be
+ * cancelled when its caller leaves
+ * @param priority rank of the route, 0 for the most urgent
+ */
+record CallTraits(String requestId, String callerService, boolean idempotent, int priority) {
+
+	/**
+	 * Traits of a call without any statement.
+	 */
+	static final CallTraits NONE = new CallTraits("", "", false, 0);
+
+}
--- a/node/src/main/java/io/lavenderroad/node/MeshHeaders.java
+++ b/node/src/main/java/io/lavenderroad/node/MeshHeaders.java
@@ -1,14 +1,9 @@
 package io.lavenderroad.node;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 
 /**
- * Header names of the mesh and the rules for passing headers on.
+ * Header names of the product's own dialect.
  */
 final class MeshHeaders {
 
@@ -40,35 +35,27 @@
 	static final String RETRY_AFTER = "Retry-After";
 
 	/**
-	 * Hop-by-hop headers of RFC 9110, section 7.6.1, headers that the HTTP client sets
-	 * itself, and headers that each node writes anew.
+	 * Names the request in the logs.
 	 */
-	private static final Set<String> NOT_PASSED = Set.of("connection", "keep-alive", "proxy-connection",
-			"proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
-			"content-length", "expect", "http2-settings", "mesh-service", "mesh-deadline-millis", "mesh-attempt-budget",
-			"mesh-verdict", "mesh-reason", "mesh-version", "mesh-configuration-version", "mesh-backend-verdict");
+	static final String REQUEST_ID = "Mesh-Request-Id";
+
+	/**
+	 * Fields that each node writes anew.
+	 */
+	private static final Set<String> WRITTEN_ANEW = Set.of("mesh-service", "mesh-deadline-millis",
+			"mesh-attempt-budget", "mesh-verdict", "mesh-reason", "mesh-version", "mesh-configuration-version",
+			"mesh-backend-verdict");
 
 	private MeshHeaders() {
 	}
 
 	/**
-	 * Selects the headers that are passed on.
-	 * @param headers all headers of a message
-	 * @return names and values in turn
+	 * Tells whether a field is passed on.
+	 * @param name name of the field in lower case
+	 * @return false if each node writes it anew
 	 */
-	static List<String> endToEnd(Map<String, List<String>> headers) {
-		Set<String> named = namedByConnection(headers);
-		List<String> pairs = new ArrayList<>(2 * headers.size());
-		headers.forEach((name, values) -> {
-			String lower = name.toLowerCase(Locale.ROOT);
-			if (!NOT_PASSED.contains(lower) && !named.contains(lower) && !name.startsWith(":")) {
-				for (String value : values) {
-					pairs.add(name);
-					pairs.add(value);
-				}
-			}
-		});
-		return pairs;
+	static boolean passesOn(String name) {
+		return !WRITTEN_ANEW.contains(name);
 	}
 
 	/**
@@ -85,19 +72,4 @@
 		return printable.toString();
 	}
 
-	private static Set<String> namedByConnection(Map<String, List<String>> headers) {
-		Set<String> named = Set.of();
-		for (Map.Entry<String, List<String>> entry : headers.entrySet()) {
-			if (entry.getKey().equalsIgnoreCase("connection")) {
-				named = new TreeSet<>();
-				for (String value : entry.getValue()) {
-					for (String name : value.split(",")) {
-						named.add(name.strip().toLowerCase(Locale.ROOT));
-					}
-				}
-			}
-		}
-		return named;
-	}
-
 }
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -62,11 +62,13 @@
 		Fields.packBytes(packer, answer.body());
 		packer.packInt(answer.load());
 		packer.packInt(answer.avoidMillis());
+		packer.packBoolean(answer.arrived());
 	}
 
 	static CallAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
 		return new CallAnswer(verdict(unpacker.unpackInt()), unpacker.unpackInt(), unpacker.unpackString(),
-				headers(unpacker), Fields.unpackBytes(unpacker), unpacker.unpackInt(), unpacker.unpackInt());
+				headers(unpacker), Fields.unpackBytes(unpacker), unpacker.unpackInt(), unpacker.unpackInt(),
+				unpacker.unpackBoolean());
 	}
 
 	private static void packRequest(CallRequest request, MessagePacker packer) throws IOException {
@@ -82,13 +84,18 @@
 		packer.packString(request.key());
 		packer.packInt(request.remainingMillis());
 		packer.packInt(request.attemptBudget());
+		packer.packString(request.traits().requestId());
+		packer.packString(request.traits().callerService());
+		packer.packBoolean(request.traits().idempotent());
+		packer.packInt(request.traits().priority());
 	}
 
 	private static CallRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
 		return new CallRequest(unpacker.unpackLong(), unpacker.unpackString(), unpacker.unpackString(),
 				unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(), headers(unpacker),
 				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
-				unpacker.unpackInt());
+				unpacker.unpackInt(), new CallTraits(unpacker.unpackString(), unpacker.unpackString(),
+						unpacker.unpackBoolean(), unpacker.unpackInt()));
 	}
 
 	private static List<String> headers(MessageUnpacker unpacker) throws IOException {
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.node;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Objects;
@@ -8,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -21,11 +24,18 @@
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.WireException;
 import io.lavenderroad.core.wire.WireOptions;
+import io.lavenderroad.model.CallerLimits;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.MeshView;
+import io.lavenderroad.node.http.BackendExchange;
+import io.lavenderroad.node.http.BackendPool;
+import io.lavenderroad.node.http.HttpListener;
+import io.lavenderroad.node.http.KeepAlive;
 import io.lavenderroad.policy.calls.BalancingPolicy;
+import io.lavenderroad.policy.calls.RetryBudget;
 import io.lavenderroad.policy.calls.TwoChoices;
 import org.tinylog.Logger;
 
@@ -36,8 +46,6 @@
  */
 public final class NodeProxy implements AutoCloseable {
 
-	private static final int HTTP_BACKLOG = 1_024;
-
 	private static final long TICK_MILLIS = 1_000;
 
 	private static final long POLL_MILLIS = 5;
@@ -55,7 +63,7 @@
 
 	private final HttpServer adminServer;
 
-	private final BackendMonitor monitor;
+	private final LocalBackend localBackend;
 
 	private final KeyLedger keys;
 
@@ -63,7 +71,11 @@
 
 	private final long drainTimeoutMillis;
 
-	private final HttpServer callerServer;
+	private final HttpListener callerListener;
+
+	private final BackendPool pool;
+
+	private final ScheduledExecutorService timer;
 
 	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
@@ -79,6 +91,8 @@
 
 	private final PeerConnections connections;
 
+	private final CallDialect dialect;
+
 	private final EvidenceRecorder evidence = new EvidenceRecorder();
 
 	private final WithdrawnVersions withdrawn;
@@ -102,27 +116,32 @@
 		this.drainTimeoutMillis = builder.drainTimeoutMillis;
 		Endpoint self = Objects.requireNonNull(builder.self, "self");
 		this.admission = new Admission(this.clock, builder.random, self.slots(), builder.limited);
-		this.backend = new BackendClient(Objects.requireNonNull(builder.backendAddress, "backendAddress"),
-				builder.largestAnswerBytes, this.executor);
-		this.monitor = new BackendMonitor(this.clock, this.backend, builder.healthPath, builder.loadPath, self.state(),
-				builder.announcer);
+		this.dialect = builder.dialect;
+		this.timer = newTimer();
+		this.pool = new BackendPool(parse(Objects.requireNonNull(builder.backendAddress, "backendAddress")),
+				this.clock);
+		BackendExchange exchange = new BackendExchange(this.pool, this.timer, builder.largestAnswerBytes,
+				KeepAlive::millis);
+		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
+		this.localBackend = localBackend(builder, self);
 		this.directory = new EndpointDirectory(this.view, this.clock);
 		this.connections = new PeerConnections(Objects.requireNonNull(builder.wireOptions, "wireOptions"),
 				this.handler);
 		KeyStore store = new KeyStore(builder.keyMemoryBytes, LARGEST_KEPT_ANSWER_BYTES);
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
-		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.monitor,
+		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
 				this.keys);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeParts parts = new NodeParts(this.clock, builder.random, self, this.directory, this.connections,
 				this.evidence, this.withdrawn);
-		this.router = new CallRouter(parts, builder.balancing, this.callServer);
-		this.callerServer = HttpServer.create(Objects.requireNonNull(builder.callerAddress, "callerAddress"),
-				HTTP_BACKLOG);
-		this.callerServer.setExecutor(this.executor);
-		this.callerApi = new CallerApi(this.clock, this.view, self.service(), this.router, this.metrics);
-		this.callerServer.createContext("/", this.callerApi);
+		this.router = new CallRouter(parts, builder.balancing, this.callServer, builder.retryBurst);
+		this.callerApi = new CallerApi(parts, this.view, this.dialect, this.router, this.metrics);
+		this.callerListener = HttpListener.builder()
+			.clock(this.clock)
+			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
+			.handler(this.callerApi)
+			.bind(Objects.requireNonNull(builder.callerAddress, "callerAddress"));
 		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress, builder.adminPages)
 				: null;
 		this.metrics.gauge("load", this.admission::load);
@@ -153,7 +172,7 @@
 	 * @return the bound address
 	 */
 	public InetSocketAddress callerAddress() {
-		return this.callerServer.getAddress();
+		return this.callerListener.address();
 	}
 
 	/**
@@ -169,7 +188,7 @@
 	 * @return the state
 	 */
 	public EndpointState state() {
-		return this.monitor.state();
+		return this.localBackend.state();
 	}
 
 	/**
@@ -198,10 +217,34 @@
 		if (this.admission.drain()) {
 			Logger.info("node: Draining, {} calls in flight.", this.admission.load());
 			this.keys.leave();
-			this.monitor.drain();
+			this.localBackend.drain();
 		}
 	}
 
+	/**
+	 * Asks callers to go elsewhere: each connection ends after its next answer. New
+	 * requests are still served.
+	 */
+	public void leave() {
+		this.callerListener.leave();
+	}
+
+	/**
+	 * Returns the requests of callers that are not answered yet.
+	 * @return count
+	 */
+	public int callersInFlight() {
+		return this.callerApi.inFlight();
+	}
+
+	/**
+	 * Returns the calls of other nodes that are not answered yet.
+	 * @return count
+	 */
+	public int callsInFlight() {
+		return this.callServer.inFlight();
+	}
+
 	/**
 	 * Stops gracefully: drains, waits for the calls in flight at the backend server,
 	 * hands the idempotency keys over, then stops accepting callers and waits for their
@@ -236,30 +279,59 @@
 			return;
 		}
 		this.admission.drain();
-		this.callerServer.stop(0);
+		this.callerListener.close();
 		if (this.adminServer != null) {
 			this.adminServer.stop(0);
 		}
 		this.connections.close();
-		this.backend.close();
+		this.pool.close();
+		this.timer.shutdownNow();
 		this.executor.shutdownNow();
 	}
 
 	private void start() {
-		this.callerServer.start();
+		this.callerListener.start();
 		if (this.adminServer != null) {
 			this.adminServer.start();
 		}
-		Thread.ofVirtual().name("backend monitor").start(() -> repeat(this.monitor::poll));
+		Thread.ofVirtual().name("backend monitor").start(() -> repeat(this::pollBackend));
 		Thread.ofVirtual().name("key ledger").start(() -> repeat(this.keys::maintain));
 		Thread.ofVirtual().name("node tick").start(() -> repeat(this::tick));
 	}
 
+	private void pollBackend() {
+		this.localBackend.poll();
+		this.pool.closeOld();
+	}
+
+	private LocalBackend localBackend(Builder builder, Endpoint self) {
+		if (builder.registration == null) {
+			return new BackendMonitor(this.clock, this.backend, builder.healthPath, builder.loadPath, self,
+					builder.announcer);
+		}
+		builder.registration.whenLeaving(this.admission::refuseWaiting);
+		builder.registration.whenAnnounced(this.admission::slots);
+		return builder.registration;
+	}
+
+	private static ScheduledExecutorService newTimer() {
+		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1,
+				Thread.ofPlatform().name("deadlines").daemon().factory());
+		timer.setRemoveOnCancelPolicy(true);
+		return timer;
+	}
+
+	private static InetSocketAddress parse(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(InetAddress.ofLiteral(address.substring(0, colon)),
+				Integer.parseInt(address.substring(colon + 1)));
+	}
+
 	private HttpServer adminServer(InetSocketAddress address, Map<String, HttpHandler> pages) throws IOException {
 		HttpServer server = HttpServer.create(address, 0);
 		server.setExecutor(this.executor);
 		pages.forEach(server::createContext);
-		server.createContext("/", new AdminApi(this.clock, this.view, this.metrics, this.monitor, this.directory,
+		server.createContext("/", new AdminApi(this.clock, this.view, this.metrics, this.localBackend, this.directory,
 				() -> Thread.ofVirtual().start(this::drain)));
 		return server;
 	}
@@ -349,6 +421,12 @@
 
 		private boolean limited = true;
 
+		private CallDialect dialect = new MeshDialect();
+
+		private BackendRegistration registration;
+
+		private int retryBurst = RetryBudget.BURST;
+
 		private final Map<String, HttpHandler> adminPages = new TreeMap<>();
 
 		private InetSocketAddress adminAddress;
@@ -496,6 +574,37 @@
 			return this;
 		}
 
+		/**
+		 * Sets how callers and the backend server state the terms of a call.
+		 * @param dialect the dialect
+		 * @return this builder
+		 */
+		public Builder dialect(CallDialect dialect) {
+			this.dialect = dialect;
+			return this;
+		}
+
+		/**
+		 * Lets the backend server announce itself in place of being read.
+		 * @param registration takes its announcements, or null to read its pages
+		 * @return this builder
+		 */
+		public Builder registration(BackendRegistration registration) {
+			this.registration = registration;
+			return this;
+		}
+
+		/**
+		 * Sets how many retries a service may get from this node at once, beyond its
+		 * share of the calls.
+		 * @param retries the bound
+		 * @return this builder
+		 */
+		public Builder retryBurst(int retries) {
+			this.retryBurst = retries;
+			return this;
+		}
+
 		/**
 		 * Adds a page to those of the administrator.
 		 * @param path path of the page
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -15,6 +15,7 @@
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.WireOptions;
 import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.node.http.Cancellation;
 import io.vavr.control.Either;
 
 /**
@@ -54,12 +55,13 @@
 	 * @param request the request
 	 * @param timeoutMillis longest wait
 	 * @param answerType class of the answer
-	 * @param afterTimeout one-way message sent if the answer does not arrive in time, or
-	 * null
+	 * @param afterTimeout one-way message sent if the answer does not arrive in time or
+	 * is no longer wanted, or null
+	 * @param cancellation says that the answer is no longer wanted
 	 * @return the answer, or why there is none and whether the request may have run
 	 */
 	<T> Either<CallFailure, T> call(String address, Object request, long timeoutMillis, Class<T> answerType,
-			Object afterTimeout) {
+			Object afterTimeout, Cancellation cancellation) {
 		long start = this.options.clock().millis();
 		Either<CallFailure, Peer> connected = connect(address, timeoutMillis);
 		if (connected.isLeft()) {
@@ -73,6 +75,9 @@
 				return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "deadline passed while connecting"));
 			}
 			Connection connection = peer.connection.join().get();
+			if (afterTimeout != null) {
+				cancellation.onCancel(() -> connection.send(afterTimeout));
+			}
 			Either<CallFailure, T> answer = connection.call(request, remaining, answerType);
 			if (answer.isLeft() && afterTimeout != null && connection.isOpen()) {
 				connection.send(afterTimeout);
@@ -94,7 +99,8 @@
 			@Override
 			public <T> Either<CallFailure, T> call(Endpoint holder, Object request, long timeoutMillis,
 					Class<T> answerType) {
-				return PeerConnections.this.call(holder.frameAddress(), request, timeoutMillis, answerType, null);
+				return PeerConnections.this.call(holder.frameAddress(), request, timeoutMillis, answerType, null,
+						new Cancellation());
 			}
 		};
 	}
--- a/node/src/main/java/io/lavenderroad/node/RoutedCall.java
+++ b/node/src/main/java/io/lavenderroad/node/RoutedCall.java
@@ -2,14 +2,16 @@
 
 import java.util.List;
 
-import io.lavenderroad.model.Route;
+import io.lavenderroad.model.CallRules;
 import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.node.http.Cancellation;
 
 /**
  * A checked call with its route.
  *
+ * @param requestId id of the request, empty if it has none
  * @param service the service
- * @param route the route
+ * @param rules rules of the route
  * @param method HTTP method
  * @param target path with query
  * @param headers end-to-end headers: names and values in turn
@@ -18,8 +20,10 @@
  * @param key idempotency key, empty if there is none
  * @param deadlineMillis when the answer is due, on the clock of this node
  * @param attemptBudget retries that this node and all later ones may spend
+ * @param departure is cancelled when the caller leaves
  */
-record RoutedCall(ServiceConfiguration service, Route route, String method, String target, List<String> headers,
-		byte[] body, String customer, String key, long deadlineMillis, int attemptBudget) {
+record RoutedCall(String requestId, ServiceConfiguration service, CallRules rules, String method, String target,
+		List<String> headers, byte[] body, String customer, String key, long deadlineMillis, int attemptBudget,
+		Cancellation departure) {
 
 }
--- a/node/src/main/java/io/lavenderroad/node/CallCancellation.java
+++ b/node/src/main/java/io/lavenderroad/node/http/Cancellation.java
@@ -1,4 +1,4 @@
-package io.lavenderroad.node;
+package io.lavenderroad.node.http;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +8,7 @@
  * of interrupts, because an interrupt would close a socket that the thread shares with
  * other calls.
  */
-final class CallCancellation {
+public final class Cancellation {
 
 	private final List<Runnable> actions = new ArrayList<>(2);
 
@@ -17,7 +17,7 @@
 	/**
 	 * Cancels the call: runs the actions once.
 	 */
-	void cancel() {
+	public void cancel() {
 		List<Runnable> due;
 		synchronized (this) {
 			if (this.cancelled) {
@@ -33,7 +33,7 @@
 	 * Adds an action, run at once if the call is cancelled already.
 	 * @param action must not block
 	 */
-	void onCancel(Runnable action) {
+	public void onCancel(Runnable action) {
 		synchronized (this) {
 			if (!this.cancelled) {
 				this.actions.add(action);
@@ -43,7 +43,11 @@
 		action.run();
 	}
 
-	synchronized boolean isCancelled() {
+	/**
+	 * Tells whether the call was cancelled.
+	 * @return true from the cancellation on
+	 */
+	public synchronized boolean isCancelled() {
 		return this.cancelled;
 	}
 
--- a/node/src/test/java/io/lavenderroad/node/AdmissionTests.java
+++ b/node/src/test/java/io/lavenderroad/node/AdmissionTests.java
@@ -7,6 +7,7 @@
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.model.ServiceLimits;
+import io.lavenderroad.node.http.Cancellation;
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -25,11 +26,11 @@
 
 	@Test
 	public void waitingCallEndsAsNotRunAndTheSlotIsNotLost() throws Exception {
-		Admission.Slot slot = acquire(60_000, new CallCancellation()).get();
-		CallAnswer late = acquire(20, new CallCancellation()).getLeft();
+		Admission.Slot slot = acquire(60_000, new Cancellation()).get();
+		CallAnswer late = acquire(20, new Cancellation()).getLeft();
 		Assert.assertEquals(late.status(), 504);
 		Assert.assertEquals(late.verdict(), ExecutionVerdict.NOT_RUN);
-		CallCancellation gone = new CallCancellation();
+		Cancellation gone = new Cancellation();
 		CompletableFuture<Either<CallAnswer, Admission.Slot>> waiting = CompletableFuture
 			.supplyAsync(() -> acquire(60_000, gone));
 		awaitLoad(2);
@@ -37,13 +38,13 @@
 		Assert.assertEquals(waiting.get(WAIT_SECONDS, TimeUnit.SECONDS).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
 		awaitLoad(1);
 		slot.release(-1);
-		Admission.Slot next = acquire(60_000, new CallCancellation()).get();
+		Admission.Slot next = acquire(60_000, new Cancellation()).get();
 		CompletableFuture<Either<CallAnswer, Admission.Slot>> drained = CompletableFuture
-			.supplyAsync(() -> acquire(60_000, new CallCancellation()));
+			.supplyAsync(() -> acquire(60_000, new Cancellation()));
 		awaitLoad(2);
 		Assert.assertTrue(this.admission.drain());
 		Assert.assertEquals(drained.get(WAIT_SECONDS, TimeUnit.SECONDS).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
-		Assert.assertEquals(acquire(60_000, new CallCancellation()).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
+		Assert.assertEquals(acquire(60_000, new Cancellation()).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
 		Assert.assertFalse(this.admission.awaitIdle(0));
 		next.release(-1);
 		Assert.assertTrue(this.admission.awaitIdle(0));
@@ -57,7 +58,7 @@
 		}
 	}
 
-	private Either<CallAnswer, Admission.Slot> acquire(long remainingMillis, CallCancellation cancellation) {
+	private Either<CallAnswer, Admission.Slot> acquire(long remainingMillis, Cancellation cancellation) {
 		return this.admission.acquire("shop", this.clock.millis() + remainingMillis, ServiceLimits.DEFAULT,
 				cancellation);
 	}
--- a/node/src/test/java/io/lavenderroad/node/KeyLedgerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/KeyLedgerTests.java
@@ -213,7 +213,7 @@
 
 	private Either<CallAnswer, KeyLedger.Claim> claim(String node, String key, String content) {
 		CallRequest request = new CallRequest(1, "orders", "v1", "orders", "POST", "/orders", List.of(),
-				content.getBytes(StandardCharsets.UTF_8), "shop", key, 1_000, 0);
+				content.getBytes(StandardCharsets.UTF_8), "shop", key, 1_000, 0, CallTraits.NONE);
 		return this.ledgers.get(node).claim(request, this.nowMillis + 1_000);
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
@@ -2,21 +2,27 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
 
 import io.lavenderroad.model.ServiceConfiguration;
 
 /**
- * Slots of one backend server and a short bounded queue before them. Customers take turns
- * in the queue: the next slot goes to the waiting customer that runs the fewest calls,
- * and among equals to the one that has not been served for longest. The owner guards the
- * queue with a lock and passes clock readings in.
+ * Slots of one backend server and a short bounded queue before them. The next slot goes
+ * to a call of the most urgent rank that waits. Within a rank customers take turns: it
+ * goes to the waiting customer that runs the fewest calls, and among equals to the one
+ * that has not been served for longest. A full queue gives up its newest call of the
+ * least urgent rank for a more urgent one. The owner guards the queue with a lock and
+ * passes clock readings in.
  *
  * @param <T> type of the waiting calls
  */
@@ -24,14 +30,15 @@
 
 	private static final double SERVICE_TIME_WEIGHT = 0.1;
 
-	private final int slots;
-
 	private final Map<String, Integer> runningByCustomer = new HashMap<>();
 
 	/**
-	 * Customers with waiting calls, the one that waits longest for a turn first.
+	 * Waiting calls by rank, the most urgent first; in each rank customers with waiting
+	 * calls, the one that waits longest for a turn first.
 	 */
-	private final LinkedHashMap<String, Deque<Waiting<T>>> waitingByCustomer = new LinkedHashMap<>();
+	private final TreeMap<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> ranks = new TreeMap<>();
+
+	private int slots;
 
 	private int queueLength;
 
@@ -66,7 +73,22 @@
 	}
 
 	/**
-	 * Offers a call.
+	 * Changes the number of slots. Calls that hold a slot keep it.
+	 * @param newSlots calls that may run at the same time
+	 * @param nowMillis clock reading in milliseconds
+	 * @return the waiting calls that hold a slot now
+	 */
+	public List<T> slots(int newSlots, long nowMillis) {
+		this.slots = newSlots;
+		List<T> started = new ArrayList<>();
+		while (this.running < this.slots && this.waiting > 0) {
+			next(nowMillis).ifPresent(started::add);
+		}
+		return started;
+	}
+
+	/**
+	 * Offers a call of the most urgent rank.
 	 * @param call the call
 	 * @param customer customer of the call
 	 * @param nowMillis clock reading in milliseconds
@@ -75,6 +97,20 @@
 	 * later or taken back with {@link #remove}
 	 */
 	public AdmissionDecision offer(T call, String customer, long nowMillis, long deadlineMillis) {
+		return offer(call, customer, 0, nowMillis, deadlineMillis);
+	}
+
+	/**
+	 * Offers a call.
+	 * @param call the call
+	 * @param customer customer of the call
+	 * @param rank rank of the call, 0 for the most urgent
+	 * @param nowMillis clock reading in milliseconds
+	 * @param deadlineMillis when the answer is due, on the same clock
+	 * @return the decision; after {@code WAIT} the call is returned by {@link #release}
+	 * later or taken back with {@link #remove}
+	 */
+	public AdmissionDecision offer(T call, String customer, int rank, long nowMillis, long deadlineMillis) {
 		if (nowMillis >= deadlineMillis) {
 			return AdmissionDecision.TOO_LATE;
 		}
@@ -85,18 +121,34 @@
 		if (othersWait(customer) && holding(customer) >= share()) {
 			return AdmissionDecision.OVER_SHARE;
 		}
-		if (nowMillis + expectedMillis(customer) > deadlineMillis) {
+		if (nowMillis + expectedMillis(customer, rank) > deadlineMillis) {
 			return AdmissionDecision.TOO_LATE;
 		}
 		if (this.waiting >= this.queueLength) {
 			return AdmissionDecision.FULL;
 		}
-		this.waitingByCustomer.computeIfAbsent(customer, (name) -> new ArrayDeque<>())
+		this.ranks.computeIfAbsent(rank, (key) -> new LinkedHashMap<>())
+			.computeIfAbsent(customer, (name) -> new ArrayDeque<>())
 			.add(new Waiting<>(call, deadlineMillis));
 		this.waiting++;
 		return AdmissionDecision.WAIT;
 	}
 
+	/**
+	 * Makes room for a call of a more urgent rank, by taking the newest waiting call of
+	 * the least urgent one.
+	 * @param rank rank of the call that was refused with {@code FULL}
+	 * @return the call that lost its place, to be refused, or empty if no waiting call is
+	 * less urgent
+	 */
+	public Optional<T> displaceLessUrgent(int rank) {
+		if (this.ranks.isEmpty() || this.ranks.lastKey() <= rank) {
+			return Optional.empty();
+		}
+		int least = this.ranks.lastKey();
+		return Optional.of(takeNewest(least, this.ranks.get(least).lastEntry().getKey()));
+	}
+
 	/**
 	 * Makes room for a customer that holds less than its share, by taking the newest
 	 * waiting call of the customer that holds the most and more than its share.
@@ -106,7 +158,7 @@
 	 */
 	public Optional<T> displace(String customer) {
 		String largest = null;
-		for (String name : this.waitingByCustomer.keySet()) {
+		for (String name : waitingCustomers()) {
 			if (!name.equals(customer) && (largest == null || holding(name) > holding(largest))) {
 				largest = name;
 			}
@@ -114,13 +166,12 @@
 		if (largest == null || holding(largest) <= share() || holding(customer) + 1 >= holding(largest)) {
 			return Optional.empty();
 		}
-		Deque<Waiting<T>> calls = this.waitingByCustomer.get(largest);
-		Waiting<T> newest = calls.removeLast();
-		this.waiting--;
-		if (calls.isEmpty()) {
-			this.waitingByCustomer.remove(largest);
+		for (Integer rank : this.ranks.descendingKeySet()) {
+			if (this.ranks.get(rank).containsKey(largest)) {
+				return Optional.of(takeNewest(rank, largest));
+			}
 		}
-		return Optional.of(newest.call());
+		return Optional.empty();
 	}
 
 	/**
@@ -148,15 +199,9 @@
 	 * @return true if it was still waiting
 	 */
 	public boolean remove(T call, String customer) {
-		Deque<Waiting<T>> calls = this.waitingByCustomer.get(customer);
-		if (calls == null || !calls.removeIf((entry) -> entry.call() == call)) {
-			return false;
-		}
-		this.waiting--;
-		if (calls.isEmpty()) {
-			this.waitingByCustomer.remove(customer);
-		}
-		return true;
+		int before = this.waiting;
+		removeIf((name, entry) -> name.equals(customer) && entry.call() == call);
+		return this.waiting < before;
 	}
 
 	/**
@@ -165,8 +210,9 @@
 	 */
 	public List<T> clear() {
 		List<T> calls = new ArrayList<>(this.waiting);
-		this.waitingByCustomer.values().forEach((queue) -> queue.forEach((entry) -> calls.add(entry.call())));
-		this.waitingByCustomer.clear();
+		this.ranks.values()
+			.forEach((rank) -> rank.values().forEach((queue) -> queue.forEach((entry) -> calls.add(entry.call()))));
+		this.ranks.clear();
 		this.waiting = 0;
 		return calls;
 	}
@@ -196,46 +242,66 @@
 	}
 
 	private Optional<T> next(long nowMillis) {
-		dropOverdue(nowMillis);
-		String chosen = null;
-		int fewest = Integer.MAX_VALUE;
-		for (String customer : this.waitingByCustomer.keySet()) {
-			int count = this.runningByCustomer.getOrDefault(customer, 0);
-			if (count < fewest) {
-				chosen = customer;
-				fewest = count;
-			}
-		}
-		if (chosen == null) {
+		// Whoever waits for an overdue call sees the deadline itself. So no call waits
+		// while a slot is free.
+		removeIf((name, entry) -> entry.deadlineMillis() <= nowMillis);
+		if (this.ranks.isEmpty()) {
 			return Optional.empty();
 		}
-		Deque<Waiting<T>> calls = this.waitingByCustomer.remove(chosen);
+		int rank = this.ranks.firstKey();
+		LinkedHashMap<String, Deque<Waiting<T>>> byCustomer = this.ranks.get(rank);
+		String chosen = fewestRunning(byCustomer.keySet());
+		Deque<Waiting<T>> calls = byCustomer.remove(chosen);
 		T call = calls.removeFirst().call();
 		this.waiting--;
 		if (!calls.isEmpty()) {
 			// Back to the end, so that other customers get their turn first.
-			this.waitingByCustomer.put(chosen, calls);
+			byCustomer.put(chosen, calls);
+		}
+		else if (byCustomer.isEmpty()) {
+			this.ranks.remove(rank);
 		}
 		start(chosen);
 		return Optional.of(call);
 	}
 
-	/**
-	 * Forgets calls whose deadline has passed; whoever waits for them sees the deadline
-	 * itself. So no call waits while a slot is free.
-	 * @param nowMillis clock reading in milliseconds
-	 */
-	private void dropOverdue(long nowMillis) {
-		Iterator<Deque<Waiting<T>>> queues = this.waitingByCustomer.values().iterator();
-		while (queues.hasNext()) {
-			Deque<Waiting<T>> calls = queues.next();
-			int before = calls.size();
-			calls.removeIf((entry) -> entry.deadlineMillis() <= nowMillis);
-			this.waiting -= before - calls.size();
-			if (calls.isEmpty()) {
-				queues.remove();
+	private String fewestRunning(Collection<String> customers) {
+		String chosen = null;
+		int fewest = Integer.MAX_VALUE;
+		for (String customer : customers) {
+			int count = this.runningByCustomer.getOrDefault(customer, 0);
+			if (count < fewest) {
+				chosen = customer;
+				fewest = count;
 			}
 		}
+		return chosen;
+	}
+
+	private T takeNewest(int rank, String customer) {
+		LinkedHashMap<String, Deque<Waiting<T>>> byCustomer = this.ranks.get(rank);
+		Deque<Waiting<T>> calls = byCustomer.get(customer);
+		T newest = calls.removeLast().call();
+		this.waiting--;
+		if (calls.isEmpty()) {
+			byCustomer.remove(customer);
+		}
+		if (byCustomer.isEmpty()) {
+			this.ranks.remove(rank);
+		}
+		return newest;
+	}
+
+	private void removeIf(BiPredicate<String, Waiting<T>> condition) {
+		this.ranks.values().removeIf((byCustomer) -> {
+			byCustomer.entrySet().removeIf((entry) -> {
+				int before = entry.getValue().size();
+				entry.getValue().removeIf((call) -> condition.test(entry.getKey(), call));
+				this.waiting -= before - entry.getValue().size();
+				return entry.getValue().isEmpty();
+			});
+			return byCustomer.isEmpty();
+		});
 	}
 
 	private void start(String customer) {
@@ -243,13 +309,25 @@
 		this.runningByCustomer.merge(customer, 1, Integer::sum);
 	}
 
+	private Set<String> waitingCustomers() {
+		Set<String> customers = new LinkedHashSet<>();
+		this.ranks.values().forEach((byCustomer) -> customers.addAll(byCustomer.keySet()));
+		return customers;
+	}
+
 	private boolean othersWait(String customer) {
-		return this.waitingByCustomer.size() > (this.waitingByCustomer.containsKey(customer) ? 1 : 0);
+		return this.ranks.values()
+			.stream()
+			.anyMatch((byCustomer) -> byCustomer.size() > (byCustomer.containsKey(customer) ? 1 : 0));
 	}
 
 	private int holding(String customer) {
-		Deque<Waiting<T>> calls = this.waitingByCustomer.get(customer);
-		return this.runningByCustomer.getOrDefault(customer, 0) + ((calls != null) ? calls.size() : 0);
+		int count = this.runningByCustomer.getOrDefault(customer, 0);
+		for (LinkedHashMap<String, Deque<Waiting<T>>> byCustomer : this.ranks.values()) {
+			Deque<Waiting<T>> calls = byCustomer.get(customer);
+			count += (calls != null) ? calls.size() : 0;
+		}
+		return count;
 	}
 
 	private int share() {
@@ -257,12 +335,16 @@
 		return (int) Math.max(1, places * this.customerShareBasisPoints / ServiceConfiguration.WHOLE_SHARE);
 	}
 
-	private double expectedMillis(String customer) {
-		Deque<Waiting<T>> own = this.waitingByCustomer.get(customer);
-		int turn = (own != null) ? own.size() + 1 : 1;
+	private double expectedMillis(String customer, int rank) {
 		int ahead = 0;
-		for (Deque<Waiting<T>> calls : this.waitingByCustomer.values()) {
-			ahead += Math.min(calls.size(), turn);
+		for (Map.Entry<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> entry : this.ranks.headMap(rank, true)
+			.entrySet()) {
+			Deque<Waiting<T>> own = entry.getValue().get(customer);
+			int turn = (own != null) ? own.size() + 1 : 1;
+			boolean sameRank = entry.getKey() == rank;
+			for (Deque<Waiting<T>> calls : entry.getValue().values()) {
+				ahead += sameRank ? Math.min(calls.size(), turn) : calls.size();
+			}
 		}
 		// One service time for the slot to become free among all slots, and one to run.
 		return this.serviceMillis * (ahead + 1) / Math.max(1, this.slots) + this.serviceMillis;
--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/RetryAdvice.java
@@ -0,0 +1,34 @@
+package io.lavenderroad.policy.calls;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Says when a caller whose request was refused should come back. The load it answers is a
+ * shortage of slots, which lasts about as long as the calls that hold them, and the
+ * callers are spread over the time so that they do not return together.
+ */
+public final class RetryAdvice {
+
+	/**
+	 * Earliest return, about the time of a short call.
+	 */
+	static final int LEAST_MILLIS = 100;
+
+	/**
+	 * Width of the time over which callers return.
+	 */
+	static final int SPREAD_MILLIS = 400;
+
+	private RetryAdvice() {
+	}
+
+	/**
+	 * Returns when to come back.
+	 * @param random source of randomness
+	 * @return milliseconds from now
+	 */
+	public static long afterMillis(RandomGenerator random) {
+		return LEAST_MILLIS + random.nextInt(SPREAD_MILLIS);
+	}
+
+}
--- a/policy/src/main/java/io/lavenderroad/policy/calls/RetryBudget.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/RetryBudget.java
@@ -14,15 +14,32 @@
 	 */
 	public static final int BURST = 10;
 
-	private long tokensBasisPoints = (long) BURST * ServiceConfiguration.WHOLE_SHARE;
+	private final long mostBasisPoints;
+
+	private long tokensBasisPoints;
+
+	/**
+	 * Creates a full bucket of the usual size.
+	 */
+	public RetryBudget() {
+		this(BURST);
+	}
+
+	/**
+	 * Creates a full bucket.
+	 * @param burst tokens at the start and at most
+	 */
+	public RetryBudget(int burst) {
+		this.mostBasisPoints = (long) burst * ServiceConfiguration.WHOLE_SHARE;
+		this.tokensBasisPoints = this.mostBasisPoints;
+	}
 
 	/**
 	 * Counts a call.
 	 * @param shareBasisPoints retries allowed per call, in 1/10,000
 	 */
 	public synchronized void call(int shareBasisPoints) {
-		long most = (long) BURST * ServiceConfiguration.WHOLE_SHARE;
-		this.tokensBasisPoints = Math.min(most, this.tokensBasisPoints + Math.max(0, shareBasisPoints));
+		this.tokensBasisPoints = Math.min(this.mostBasisPoints, this.tokensBasisPoints + Math.max(0, shareBasisPoints));
 	}
 
 	/**
