Choose the endpoint where a call is expected to end soonest

Cause: two choices with a strong preference for the own failure domain kept calls on slow servers of the own domain while fast ones were half idle.

--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
+import com.sun.net.httpserver.HttpHandler;
 import io.lavenderroad.control.api.ConvergenceView;
 import io.lavenderroad.control.api.OperatorApi;
 import io.lavenderroad.control.log.DurableLog;
@@ -25,7 +26,6 @@
 import io.lavenderroad.control.state.MeshStateMachine;
 import io.lavenderroad.control.state.MoveOrders;
 import io.lavenderroad.control.state.MoveService;
-import com.sun.net.httpserver.HttpHandler;
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.kernel.Kernel;
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -32,7 +32,7 @@
 import io.lavenderroad.node.NodeMessages;
 import io.lavenderroad.node.NodeProxy;
 import io.lavenderroad.policy.calls.BalancingPolicy;
-import io.lavenderroad.policy.calls.TwoChoices;
+import io.lavenderroad.policy.calls.ShortestTime;
 
 /**
  * A node: distribution and proxy over one frames port.
@@ -96,7 +96,7 @@
 			.clock(this.clock)
 			.random(random)
 			.announcer(this.distribution::announce)
-			.balancing(kernel.find(BalancingPolicy.POINT, TwoChoices.NAME).orElseThrow())
+			.balancing(kernel.find(BalancingPolicy.POINT, ShortestTime.NAME).orElseThrow())
 			.withdrawal(new MoveWatch());
 		Optional<NodeInterface> nodeInterface = settings.interfaceName()
 			.map((name) -> kernel.find(NodeInterface.POINT, name)
--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -1,6 +1,8 @@
 package io.lavenderroad.node;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +36,16 @@
 	 */
 	private static final int AVOID_DRAINING_MILLIS = 3_000;
 
+	/**
+	 * A call that runs for that many times the usual time counts as overdue.
+	 */
+	private static final double OVERDUE_FACTOR = 2;
+
+	/**
+	 * Running calls from which on their mean tells something.
+	 */
+	private static final int LEAST_SAMPLE = 4;
+
 	private static final CallAnswer GRANTED = CallAnswer.ran(0, List.of(), CallAnswer.NO_BODY);
 
 	private final Clock clock;
@@ -48,6 +60,11 @@
 
 	private final boolean limited;
 
+	/**
+	 * Calls that hold a slot.
+	 */
+	private final Set<Slot> held = new HashSet<>();
+
 	private boolean draining;
 
 	Admission(Clock clock, RandomGenerator random, int slots, boolean limited) {
@@ -95,7 +112,7 @@
 				decision = this.queue.offer(waiter, customer, rank, now, deadlineMillis);
 			}
 			if (decision == AdmissionDecision.RUN) {
-				return Either.right(new Slot(customer));
+				return Either.right(hold(customer, now));
 			}
 			if (decision != AdmissionDecision.WAIT) {
 				return Either.left(refusal(decision));
@@ -192,6 +209,27 @@
 		}
 	}
 
+	/**
+	 * Returns how long a call runs at the backend server: the smoothed time of the calls
+	 * that ended, raised by the calls that have run for much longer, which show a server
+	 * that has just become slow.
+	 * @return milliseconds, 0 before the first call
+	 */
+	double serviceMillis() {
+		this.lock.lock();
+		try {
+			double smoothed = this.queue.serviceMillis();
+			long now = this.clock.millis();
+			double excess = this.held.stream()
+				.mapToDouble((slot) -> Math.max(0, now - slot.startMillis - OVERDUE_FACTOR * smoothed))
+				.sum();
+			return smoothed + excess / Math.max(LEAST_SAMPLE, this.held.size());
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	boolean isDraining() {
 		this.lock.lock();
 		try {
@@ -214,7 +252,7 @@
 			result = CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone while the call was queued");
 		}
 		if (result == GRANTED) {
-			return Either.right(new Slot(customer));
+			return Either.right(hold(customer, this.clock.millis()));
 		}
 		withdraw(waiter, customer);
 		return Either.left(result);
@@ -261,6 +299,18 @@
 		next.result.complete(GRANTED);
 	}
 
+	private Slot hold(String customer, long startMillis) {
+		Slot slot = new Slot(customer, startMillis);
+		this.lock.lock();
+		try {
+			this.held.add(slot);
+		}
+		finally {
+			this.lock.unlock();
+		}
+		return slot;
+	}
+
 	private CallAnswer refusal(AdmissionDecision decision) {
 		int avoidMillis = AVOID_FULL_MILLIS / 2 + this.random.nextInt(AVOID_FULL_MILLIS);
 		return switch (decision) {
@@ -284,8 +334,11 @@
 
 		private final String customer;
 
-		private Slot(String customer) {
+		private final long startMillis;
+
+		private Slot(String customer, long startMillis) {
 			this.customer = customer;
+			this.startMillis = startMillis;
 		}
 
 		/**
@@ -296,6 +349,7 @@
 		void release(double tookMillis) {
 			Admission.this.lock.lock();
 			try {
+				Admission.this.held.remove(this);
 				releaseLocked(this.customer, tookMillis);
 			}
 			finally {
--- a/node/src/main/java/io/lavenderroad/node/CallAnswer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallAnswer.java
@@ -14,25 +14,26 @@
  * @param headers end-to-end headers: names and values in turn
  * @param body whole answer body
  * @param load calls running and waiting at the backend server, a hint for balancing
+ * @param serviceMillis how long a call runs at the backend server, 0 if unknown
  * @param avoidMillis how long the sender should choose other endpoints, 0 for none
  * @param arrived whether the backend server received the request, also if it did not run
  * it
  */
 record CallAnswer(ExecutionVerdict verdict, int status, String reason, List<String> headers, byte[] body, int load,
-		int avoidMillis, boolean arrived) {
+		int serviceMillis, int avoidMillis, boolean arrived) {
 
 	static final byte[] NO_BODY = new byte[0];
 
 	static CallAnswer notRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0, false);
+		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0, 0, false);
 	}
 
 	static CallAnswer mayHaveRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0, true);
+		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0, 0, true);
 	}
 
 	static CallAnswer ran(int status, List<String> headers, byte[] body) {
-		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0, true);
+		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0, 0, true);
 	}
 
 	/**
@@ -41,17 +42,21 @@
 	 */
 	CallAnswer byBackend() {
 		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
-				this.avoidMillis, true);
+				this.serviceMillis, this.avoidMillis, true);
 	}
 
 	CallAnswer avoid(int millis) {
-		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load, millis,
-				this.arrived);
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
+				this.serviceMillis, millis, this.arrived);
 	}
 
 	CallAnswer withLoad(int newLoad) {
+		return withLoad(newLoad, 0);
+	}
+
+	CallAnswer withLoad(int newLoad, int newServiceMillis) {
 		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, newLoad,
-				this.avoidMillis, this.arrived);
+				newServiceMillis, this.avoidMillis, this.arrived);
 	}
 
 	/**
@@ -60,7 +65,7 @@
 	 */
 	CallAnswer repeated() {
 		return new CallAnswer(this.verdict, this.status, "answered from the first run with this idempotency key",
-				this.headers, this.body, this.load, this.avoidMillis, this.arrived);
+				this.headers, this.body, this.load, this.serviceMillis, this.avoidMillis, this.arrived);
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -180,7 +180,7 @@
 		long now = this.clock.millis();
 		boolean answered = answer.load() != UNKNOWN_LOAD;
 		if (answered) {
-			target.hint(now, answer.load());
+			target.hint(now, answer.load(), answer.serviceMillis());
 		}
 		if (answer.verdict() != ExecutionVerdict.NOT_RUN && answer.isObservation()) {
 			target.finished(now, tookMillis, answer.isError());
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -105,7 +105,7 @@
 		Cancellation running = request.traits().idempotent() ? cancellation : new Cancellation();
 		CallAnswer answer = request.key().isEmpty() ? admit(request, deadlineMillis, cancellation, running)
 				: serveOnce(request, deadlineMillis, cancellation);
-		return answer.withLoad(load());
+		return answer.withLoad(load(), (int) this.admission.serviceMillis());
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -61,6 +61,7 @@
 		Fields.packList(packer, answer.headers(), (text, target) -> target.packString(text));
 		Fields.packBytes(packer, answer.body());
 		packer.packInt(answer.load());
+		packer.packInt(answer.serviceMillis());
 		packer.packInt(answer.avoidMillis());
 		packer.packBoolean(answer.arrived());
 	}
@@ -68,7 +69,7 @@
 	static CallAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
 		return new CallAnswer(verdict(unpacker.unpackInt()), unpacker.unpackInt(), unpacker.unpackString(),
 				headers(unpacker), Fields.unpackBytes(unpacker), unpacker.unpackInt(), unpacker.unpackInt(),
-				unpacker.unpackBoolean());
+				unpacker.unpackInt(), unpacker.unpackBoolean());
 	}
 
 	private static void packRequest(CallRequest request, MessagePacker packer) throws IOException {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/CallPoliciesPlugin.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/CallPoliciesPlugin.java
@@ -11,6 +11,7 @@
 	@Override
 	public void register(Kernel kernel) {
 		kernel.register(BalancingPolicy.POINT, TwoChoices.NAME, new TwoChoices());
+		kernel.register(BalancingPolicy.POINT, ShortestTime.NAME, new ShortestTime());
 		kernel.register(BalancingPolicy.POINT, RoundRobin.NAME, new RoundRobin());
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -47,6 +47,8 @@
 
 	private volatile long hintedMillis = Long.MIN_VALUE / 2;
 
+	private volatile double reportedServiceMillis;
+
 	/**
 	 * Creates the record of an endpoint without observations.
 	 * @param endpoint the announcement
@@ -131,7 +133,19 @@
 	 * @param load calls running and waiting there
 	 */
 	public void hint(long nowMillis, int load) {
+		hint(nowMillis, load, 0);
+	}
+
+	/**
+	 * Records what the endpoint reported with an answer.
+	 * @param nowMillis clock reading in milliseconds
+	 * @param load calls running and waiting there
+	 * @param serviceMillis how long a call runs there, seen over the calls of all
+	 * callers; 0 if not reported
+	 */
+	public void hint(long nowMillis, int load, double serviceMillis) {
 		this.failedConnections.set(0);
+		this.reportedServiceMillis = serviceMillis;
 		this.hintedLoad = load;
 		this.hintedMillis = nowMillis;
 	}
@@ -177,6 +191,22 @@
 		return this.latencyMillis * Math.pow(0.5, age / LATENCY_HALF_LIFE_MILLIS);
 	}
 
+	/**
+	 * Returns how long a call runs at the endpoint, as reported by its node, or else as
+	 * observed; halved for each half-life without an answer, so that an endpoint that was
+	 * slow once is tried again.
+	 * @param nowMillis clock reading in milliseconds
+	 * @return milliseconds, 0 if nothing is known
+	 */
+	public double serviceMillis(long nowMillis) {
+		double reported = this.reportedServiceMillis;
+		if (reported <= 0) {
+			return latencyMillis(nowMillis);
+		}
+		double age = Math.max(0, nowMillis - this.hintedMillis - LATENCY_HALF_LIFE_MILLIS / 2);
+		return (age > 0) ? reported * Math.pow(0.5, age / LATENCY_HALF_LIFE_MILLIS) : reported;
+	}
+
 	/**
 	 * Returns the smoothed share of failed calls.
 	 * @return 0 to 1
--- /dev/null
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/PlacementPlay.java
@@ -0,0 +1,161 @@
+package io.lavenderroad.policy.calls;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+
+/**
+ * A stream of calls from several nodes against servers of differing speed, played on a
+ * clock of its own. Each node knows only its own calls and what answers report.
+ */
+final class PlacementPlay {
+
+	private static final int NODES = 10;
+
+	private static final double LINK_MILLIS = 1.4;
+
+	private static final double SMOOTHING = 0.1;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingDouble(Event::millis));
+
+	private final List<Server> servers = new ArrayList<>();
+
+	private final Random random;
+
+	private final BalancingPolicy policy;
+
+	private final double meanMillis;
+
+	private final List<Double> latencies = new ArrayList<>();
+
+	private double now;
+
+	PlacementPlay(BalancingPolicy policy, double[] speeds, int slots, double meanMillis, long seed) {
+		this.policy = policy;
+		this.meanMillis = meanMillis;
+		this.random = new Random(seed);
+		for (int index = 0; index < speeds.length; index++) {
+			this.servers.add(new Server(index, speeds[index], slots));
+		}
+	}
+
+	/**
+	 * Changes the speed of a server later.
+	 * @param millis when
+	 * @param server number of the server
+	 * @param speed factor on the time of each call
+	 */
+	void slowDown(double millis, int server, double speed) {
+		this.events.add(new Event(millis, () -> this.servers.get(server).speed = speed));
+	}
+
+	/**
+	 * Plays calls that arrive at random.
+	 * @param callsPerSecond rate over all nodes
+	 * @param millis length of the play
+	 * @return the latencies of all calls in milliseconds
+	 */
+	List<Double> play(double callsPerSecond, double millis) {
+		List<List<EndpointLoad>> views = new ArrayList<>();
+		for (int node = 0; node < NODES; node++) {
+			views.add(this.servers.stream().map((server) -> new EndpointLoad(server.endpoint, 0)).toList());
+		}
+		double arrival = 0;
+		while (arrival < millis) {
+			arrival += -Math.log(1 - this.random.nextDouble()) * 1_000 / callsPerSecond;
+			List<EndpointLoad> view = views.get(this.random.nextInt(NODES));
+			this.events.add(new Event(arrival, () -> call(view)));
+		}
+		while (!this.events.isEmpty()) {
+			Event next = this.events.poll();
+			this.now = next.millis();
+			next.action().run();
+		}
+		return this.latencies;
+	}
+
+	private void call(List<EndpointLoad> view) {
+		BalancingContext context = new BalancingContext("soweto", (long) this.now, List.of(), this.random);
+		EndpointLoad target = this.policy.choose(view, context).orElseThrow();
+		target.started();
+		double start = this.now;
+		Server server = this.servers.get(view.indexOf(target));
+		later(LINK_MILLIS, () -> server.arrive(() -> later(LINK_MILLIS, () -> {
+			double took = this.now - start;
+			target.hint((long) this.now, server.load(), server.serviceMillis);
+			target.finished((long) this.now, took, false);
+			this.latencies.add(took);
+		})));
+	}
+
+	private void later(double millis, Runnable action) {
+		this.events.add(new Event(this.now + millis, action));
+	}
+
+	// Log-normal with a standard deviation of 0.8 of the logarithm.
+	private double work() {
+		double spread = 0.8;
+		return this.meanMillis * Math.exp(spread * this.random.nextGaussian() - spread * spread / 2);
+	}
+
+	private record Event(double millis, Runnable action) {
+
+	}
+
+	private final class Server {
+
+		private final Endpoint endpoint;
+
+		private final int slots;
+
+		private final Deque<Runnable> waiting = new ArrayDeque<>();
+
+		private double speed;
+
+		private int running;
+
+		private double serviceMillis;
+
+		private Server(int index, double speed, int slots) {
+			this.speed = speed;
+			this.slots = slots;
+			this.endpoint = new Endpoint("node-" + index, 1, 1, EndpointState.READY, "catalogue", "v1", "gauteng",
+					"soweto", "127.0.0.1:" + (7_000 + index), slots, 100, "");
+		}
+
+		private int load() {
+			return this.running + this.waiting.size();
+		}
+
+		private void arrive(Runnable answer) {
+			if (this.running < this.slots) {
+				run(answer);
+			}
+			else {
+				this.waiting.add(answer);
+			}
+		}
+
+		private void run(Runnable answer) {
+			this.running++;
+			double took = work() * this.speed;
+			later(took, () -> {
+				this.running--;
+				this.serviceMillis += SMOOTHING * (took - this.serviceMillis);
+				answer.run();
+				if (!this.waiting.isEmpty()) {
+					run(this.waiting.poll());
+				}
+			});
+		}
+
+	}
+
+}
