Reject heads that break off and take bad versions of short moves back early

Change: HeadStream ends a head that breaks off with an error, the largest header line is limited; EarlyWithdrawal judges moves under a minute on plain counts; evidence is reported four times a second while there is any. Ruled out: the cap of the sequential comparison (it keeps the loss of one VM from condemning a version of a long move).

--- /dev/null
+++ b/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
@@ -0,0 +1,172 @@
+package io.lavenderroad.control.state;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.lavenderroad.control.state.CommandOutcome.Kind;
+import io.lavenderroad.control.state.DeclarationService.DeclarationBase;
+import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.model.CallRules;
+import io.lavenderroad.model.CallerLimits;
+import io.lavenderroad.model.ConfigurationEdit;
+import io.lavenderroad.model.HostRoute;
+import io.lavenderroad.model.MoveState;
+import io.lavenderroad.model.MoveStatus;
+import io.vavr.control.Either;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against two operators who both win, a change that is refused when it is sent
+ * again, an invalid configuration in force, a read of something older than what was
+ * accepted, and moves that begin twice.
+ */
+public class DeclarationServiceTests {
+
+	private long nowMillis = 1_000;
+
+	private long index;
+
+	private MeshStateMachine mesh;
+
+	private boolean leads;
+
+	private final CommandLog log = (command) -> Either.right(this.mesh.apply(++this.index, command));
+
+	private final ReadConfirmation confirmation = () -> this.leads ? Either.right(this.index) : Either
+		.left(new CommandFailure(ExecutionVerdict.NOT_RUN, "this member does not lead", Optional.of("10.0.0.1:80")));
+
+	private DeclarationService service;
+
+	@BeforeMethod
+	void start() {
+		this.nowMillis = 1_000;
+		this.index = 0;
+		this.leads = true;
+		this.mesh = new MeshStateMachine();
+		this.service = new DeclarationService(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
+	}
+
+	@Test
+	public void oneOfTwoOperatorsWinsAndItsChangeMayBeSentAgain() {
+		DeclaredConfiguration first = declared(2, 0, "first", route("a", "/a/", "catalogue"));
+		DeclaredConfiguration rival = declared(2, 0, "rival", route("a", "/b/", "catalogue"));
+		Assert.assertTrue(this.service.replace(first).get().applied());
+		Assert.assertEquals(this.service.replace(rival).get().kind(), Kind.REFUSED);
+		Assert.assertTrue(this.service.replace(first).get().applied());
+		Assert.assertTrue(this.service.replace(declared(5, 2, "next", route("a", "/a/", "catalogue"))).get().applied());
+		Assert.assertTrue(this.service.replace(first).get().applied(), "accepted before, so acknowledged again");
+		Assert.assertEquals(this.service.read().get().declaredVersion(), 5);
+	}
+
+	@Test
+	public void stateMachineRefusesTheLoserOfARaceItself() {
+		// Both leaders' checks passed before either command was applied.
+		CommandLog slow = (command) -> {
+			byte[] rival = CommandBinding.toBytes(new Command.ReplaceConfiguration(1, 3, 0, "rival",
+					ConfigurationEdit.ofServices(List.of(), List.of()), new TreeMap<>(), List.of()));
+			this.mesh.apply(++this.index, rival);
+			return Either.right(this.mesh.apply(++this.index, command));
+		};
+		DeclarationService late = new DeclarationService(this.mesh, slow, this.confirmation, () -> this.nowMillis);
+		CommandOutcome outcome = late.replace(declared(4, 0, "late", route("a", "/a/", "catalogue"))).get();
+		Assert.assertEquals(outcome.kind(), Kind.REFUSED);
+		Assert.assertEquals(this.service.read().get().declaredVersion(), 3);
+		Assert.assertTrue(this.mesh.configuration().routes().all().isEmpty());
+	}
+
+	@Test
+	public void invalidConfigurationIsNeverInForce() {
+		List<DeclaredConfiguration> invalid = List.of(declared(1, 0, "1", route("a", "/a/", "nobody")),
+				declared(1, 0, "2", route("a", "/a/", "catalogue"), route("b", "/a/", "catalogue")),
+				declared(1, 0, "3", weighted("a", Map.of("catalogue", 0))),
+				declared(1, 0, "4", weighted("a", Map.of("catalogue", 2, "counter", -1))),
+				declared(1, 0, "5", route("a", "a/", "catalogue")),
+				declared(0, 0, "6", route("a", "/a/", "catalogue")));
+		for (DeclaredConfiguration declared : invalid) {
+			Either<ChangeRefusal, CommandOutcome> outcome = this.service.replace(declared);
+			Assert.assertTrue(outcome.isLeft() && !outcome.getLeft().problems().isEmpty(), declared.digest());
+		}
+		Assert.assertEquals(this.mesh.configuration().version(), 0);
+	}
+
+	@Test
+	public void partsAreReadBackAsSentAndSurviveASnapshot() {
+		this.service.replace(declared(1, 0, "1", route("a", "/a/", "catalogue"), route("b", "/b/", "counter")));
+		this.service.replace(declared(4, 1, "2", route("b", "/c/", "counter")));
+		MeshStateMachine restored = new MeshStateMachine();
+		restored.restore(this.mesh.snapshot());
+		DeclarationBase base = restored.declarationBase();
+		Assert.assertEquals(base.declaredVersion(), 4);
+		Assert.assertEquals(base.parts(), Map.of("routes/b", "/c/"));
+		Assert.assertEquals(base.configuration().digest(), this.mesh.configuration().digest());
+		Assert.assertTrue(restored.wasDeclared(1, "1"));
+	}
+
+	@Test
+	public void memberThatDoesNotLeadNamesTheLeader() {
+		this.leads = false;
+		Assert.assertEquals(this.service.read().getLeft().leaderAddress(), Optional.of("10.0.0.1:80"));
+		Assert.assertEquals(this.service.replace(declared(1, 0, "1")).getLeft().verdict(), ExecutionVerdict.NOT_RUN);
+	}
+
+	@Test
+	public void orderSentAgainBeginsNothingAndANewOneWaitsForTheFirst() {
+		MoveOrders orders = new MoveOrders(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
+		this.service.replace(declared(1, 0, "1", route("a", "/a/", "catalogue")));
+		Assert.assertEquals(orders.begin("catalogue", "v2", 15_000).get().kind(), Kind.STALE);
+		orders.recordFirstVersion("catalogue", "v1");
+		Assert.assertFalse(orders.recordFirstVersion("catalogue", "v9").get().applied());
+		Assert.assertTrue(orders.begin("catalogue", "v2", 15_000).get().applied());
+		MoveState move = orders.newest("catalogue").get().orElseThrow();
+		this.nowMillis += 3_000;
+		Assert.assertTrue(orders.begin("catalogue", "v2", 15_000).get().applied());
+		Assert.assertEquals(orders.newest("catalogue").get().orElseThrow().id(), move.id());
+		Assert.assertEquals(orders.begin("catalogue", "v3", 15_000).get().kind(), Kind.REFUSED);
+		Assert.assertEquals(orders.begin("unknown", "v3", 15_000).get().kind(), Kind.REFUSED);
+		new MoveService(this.log, () -> this.nowMillis).withdraw(move, "errors", "", "");
+		Assert.assertTrue(orders.begin("catalogue", "v2", 15_000).get().applied());
+		Assert.assertEquals(orders.newest("catalogue").get().orElseThrow().status(), MoveStatus.TAKEN_BACK,
+				"an order that was only sent again must not try a version that was taken back");
+	}
+
+	@Test
+	public void serviceThatComesBackKeepsItsVersion() {
+		MoveOrders orders = new MoveOrders(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
+		this.service.replace(declared(1, 0, "1", route("a", "/a/", "catalogue")));
+		orders.recordFirstVersion("catalogue", "v1");
+		DeclaredConfiguration without = new DeclaredConfiguration(2, 1, "2", List.of(),
+				new TreeSet<>(Set.of("counter")), CallerLimits.DEFAULT, new TreeMap<>());
+		this.service.replace(without);
+		Assert.assertTrue(this.mesh.configuration().service("catalogue").isEmpty());
+		this.service.replace(declared(3, 2, "3", route("a", "/a/", "catalogue")));
+		Assert.assertEquals(this.mesh.configuration().service("catalogue").orElseThrow().split(), Map.of("v1", 10_000));
+	}
+
+	private static DeclaredConfiguration declared(long version, long base, String digest, HostRoute... routes) {
+		TreeMap<String, String> parts = new TreeMap<>();
+		for (HostRoute route : routes) {
+			parts.put("routes/" + route.name(), route.pathPrefix());
+		}
+		return new DeclaredConfiguration(version, base, digest, List.of(routes),
+				new TreeSet<>(Set.of("catalogue", "counter")), CallerLimits.DEFAULT, parts);
+	}
+
+	private static HostRoute route(String name, String prefix, String service) {
+		return HostRoute.builder(name).place("shop.example", prefix).rules(rules(name)).service(service).build();
+	}
+
+	private static HostRoute weighted(String name, Map<String, Integer> weights) {
+		return HostRoute.builder(name).place("shop.example", "/").rules(rules(name)).weights(weights).build();
+	}
+
+	private static CallRules rules(String name) {
+		return new CallRules(name, true, 1_000, 500, 0, 2, 1_000);
+	}
+
+}
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -47,7 +47,7 @@
 
 	private static final long SEGMENT_BYTES = 16 * 1024 * 1024;
 
-	private static final long MOVE_TICK_MILLIS = 500;
+	private static final long MOVE_TICK_MILLIS = 250;
 
 	private static final long PEERS_MILLIS = 500;
 
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -39,7 +39,7 @@
  */
 final class NodeRole implements RunningRole {
 
-	private static final long EVIDENCE_MILLIS = 1_000;
+	private static final long EVIDENCE_MILLIS = 250;
 
 	/**
 	 * Announcements that may be missing before a backend server counts as silent. They
--- a/distribution/src/main/java/io/lavenderroad/distribution/EvidenceSender.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/EvidenceSender.java
@@ -83,6 +83,20 @@
 		}
 	}
 
+	/**
+	 * Tells whether evidence waits to be sent.
+	 * @return true if there is any
+	 */
+	boolean hasEvidence() {
+		this.lock.lock();
+		try {
+			return !this.pending.isEmpty();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Forgets the last status, so that a new receiver gets the next one in any case.
 	 */
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -421,10 +421,14 @@
 	private void reportAll() {
 		// A random start spreads the reports of nodes that started together.
 		boolean running = sleep(this.random.nextLong(TreeTimes.REPORT_MILLIS) + 1);
+		long lastMillis = 0;
 		while (running && !this.closed) {
-			this.uplink.session()
-				.ifPresentOrElse(this::sendReport, () -> this.evidence.noReceiver(this.clock.millis()));
-			running = sleep(TreeTimes.REPORT_MILLIS);
+			long now = this.clock.millis();
+			if (this.evidence.hasEvidence() || now - lastMillis >= TreeTimes.REPORT_MILLIS) {
+				lastMillis = now;
+				this.uplink.session().ifPresentOrElse(this::sendReport, () -> this.evidence.noReceiver(now));
+			}
+			running = sleep(TreeTimes.EVIDENCE_REPORT_MILLIS);
 		}
 	}
 
--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -184,7 +184,11 @@
 	}
 
 	void evidence(Evidence evidence) {
-		this.links.forEach((link) -> link.evidence.add(evidence));
+		for (Link link : this.links) {
+			link.evidence.add(evidence);
+			link.reportDue = true;
+			link.outbox.wake();
+		}
 	}
 
 	void report(SubtreeStatus status) {
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -43,6 +43,12 @@
 	 */
 	static final long REPORT_MILLIS = 1_000;
 
+	/**
+	 * Interval of reports while there is evidence. A bad version is taken back only after
+	 * its evidence has come to the leader.
+	 */
+	static final long EVIDENCE_REPORT_MILLIS = 250;
+
 	/**
 	 * Byte counts change all the time and are reported at this interval if nothing else
 	 * is new.
--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -156,12 +156,10 @@
 	}
 
 	private ClassicHttpResponse readHead() throws IOException, HttpException {
-		ClassicHttpResponse head = new DefaultHttpResponseParser().parse(this.input, this.inputStream);
-		while (head != null && head.getCode() < LOWEST_FINAL_STATUS) {
-			head = new DefaultHttpResponseParser().parse(this.input, this.inputStream);
-		}
-		if (head == null) {
-			throw new ProtocolException("the connection ended before an answer");
+		HeadStream stream = new HeadStream(this.inputStream);
+		ClassicHttpResponse head = new DefaultHttpResponseParser().parse(this.input, stream);
+		while (head.getCode() < LOWEST_FINAL_STATUS) {
+			head = new DefaultHttpResponseParser().parse(this.input, stream);
 		}
 		return head;
 	}
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -21,7 +21,9 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseWriter;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
@@ -91,7 +93,8 @@
 	HttpConnection(HttpListener listener, Socket socket) {
 		this.listener = listener;
 		this.socket = socket;
-		this.input = new SessionInputBufferImpl(BUFFER_BYTES, StandardCharsets.ISO_8859_1.newDecoder());
+		this.input = new SessionInputBufferImpl(new BasicHttpTransportMetrics(), BUFFER_BYTES, BUFFER_BYTES,
+				listener.limits().largestHeaderBytes(), StandardCharsets.ISO_8859_1.newDecoder());
 		this.lastUsedMillis = listener.clock().millis();
 	}
 
@@ -168,18 +171,15 @@
 	private boolean readOne(InputStream stream) throws IOException, InterruptedException {
 		CallerLimits limits = this.listener.limits();
 		this.socket.setSoTimeout(limits.headerTimeoutMillis());
-		Http1Config config = Http1Config.custom()
-			.setMaxLineLength(limits.largestHeaderBytes())
-			.setMaxHeaderCount(limits.largestHeaderBytes() / 4)
-			.build();
+		Http1Config config = Http1Config.custom().setMaxHeaderCount(limits.largestHeaderBytes() / 4).build();
 		try {
-			ClassicHttpRequest head = new DefaultHttpRequestParser(config).parse(this.input, stream);
-			return head != null && accept(head, stream, limits);
+			ClassicHttpRequest head = new DefaultHttpRequestParser(config).parse(this.input, new HeadStream(stream));
+			return accept(head, stream, limits);
 		}
 		catch (SocketTimeoutException ex) {
 			return reject(REQUEST_TIMEOUT, "the request did not arrive in time");
 		}
-		catch (MessageConstraintException ex) {
+		catch (MessageConstraintException | RequestHeaderFieldsTooLargeException ex) {
 			return reject(HEADERS_TOO_LARGE, "the headers are over " + limits.largestHeaderBytes() + " bytes");
 		}
 		catch (HttpException ex) {
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
@@ -0,0 +1,90 @@
+package io.lavenderroad.node;
+
+import java.util.OptionalLong;
+
+import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.EndpointState;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against work for a backend server that has not announced itself, that said it
+ * leaves, or that is another one at the same address, whatever order announcements arrive
+ * in.
+ */
+public class BackendRegistrationTests {
+
+	private long nowMillis;
+
+	private Endpoint shown;
+
+	private BackendRegistration registration;
+
+	@BeforeMethod
+	void start() {
+		this.nowMillis = 50_000;
+		this.shown = new Endpoint("node-1", 1, 0, EndpointState.DRAINING, "catalogue", "", "gauteng", "germiston",
+				"127.0.0.1:1", 1, 100, "");
+		this.registration = new BackendRegistration(() -> this.nowMillis, "catalogue", 6_000,
+				(change) -> this.shown = change.apply(this.shown));
+	}
+
+	@Test
+	public void nothingIsServedBeforeTheFirstAnnouncement() {
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		this.registration.announce(announcement("i-1", 10, 1, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+		Assert.assertFalse(this.registration.serves("catalogue", "v2"));
+		Assert.assertEquals(this.shown.state(), EndpointState.READY);
+		Assert.assertEquals(this.shown.slots(), 12);
+	}
+
+	@Test
+	public void leavingBindsForTheRestOfTheStart() {
+		this.registration.announce(announcement("i-1", 10, 1, false));
+		this.registration.announce(announcement("i-1", 10, 3, true));
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		this.registration.announce(announcement("i-1", 10, 2, false));
+		this.registration.announce(announcement("i-1", 10, 4, false));
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"), "ready again within one start");
+		Assert.assertEquals(this.shown.state(), EndpointState.DRAINING);
+		this.registration.announce(announcement("i-1", 20, 1, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"), "a new start under the same id");
+	}
+
+	@Test
+	public void announcementsOfAnEarlierStartChangeNothing() {
+		this.registration.announce(announcement("i-2", 20, 1, false));
+		this.registration.announce(announcement("i-1", 10, 9, true));
+		this.registration.deregister("i-1", OptionalLong.of(10));
+		this.registration.deregister("i-2", OptionalLong.of(10));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+		Assert.assertEquals(this.registration.backendId(), "i-2");
+		this.registration.deregister("i-2", OptionalLong.empty());
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+	}
+
+	@Test
+	public void backendServerOfAnotherServiceIsNotUsed() {
+		this.registration.announce(new BackendAnnouncement("i-1", 10, 1, "counter", "v1", 12, false, 0));
+		Assert.assertFalse(this.registration.serves("counter", "v1"));
+	}
+
+	@Test
+	public void silentBackendServerGetsNoWorkUntilItIsHeardAgain() {
+		this.registration.announce(announcement("i-1", 10, 1, false));
+		this.nowMillis += 6_001;
+		this.registration.poll();
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		this.registration.announce(announcement("i-1", 10, 2, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+		this.registration.unreachable();
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+	}
+
+	private static BackendAnnouncement announcement(String id, long born, long sequence, boolean leaving) {
+		return new BackendAnnouncement(id, born, sequence, "catalogue", "v1", 12, leaving, 0);
+	}
+
+}
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
@@ -0,0 +1,188 @@
+package io.lavenderroad.node.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vavr.control.Either;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against answers of other requests, answers that break off and look whole, kept
+ * connections that are used after a doubt, and requests that are sent twice.
+ */
+public class BackendExchangeTests {
+
+	private static final long LATER_MILLIS = 30_000;
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private final AtomicLong nowMillis = new AtomicLong();
+
+	private ScheduledExecutorService timer;
+
+	private ServerSocket server;
+
+	private BackendPool pool;
+
+	private BackendExchange exchange;
+
+	private volatile String answer;
+
+	@BeforeMethod
+	void start() throws IOException {
+		this.connections.set(0);
+		this.requests.set(0);
+		this.timer = Executors.newSingleThreadScheduledExecutor();
+		this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+		this.pool = new BackendPool(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.server.getLocalPort()),
+				this.nowMillis::get);
+		this.exchange = new BackendExchange(this.pool, this.timer, 1_000, KeepAlive::millis);
+		Thread.ofVirtual().start(this::accept);
+	}
+
+	@AfterMethod
+	void stop() throws IOException {
+		this.server.close();
+		this.pool.close();
+		this.timer.shutdownNow();
+	}
+
+	@Test
+	public void keptConnectionIsUsedAgainUntilItsKeepAliveTimeRunsOut() {
+		this.answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok";
+		Assert.assertEquals(text(run("r1")), "ok");
+		Assert.assertEquals(text(run("r1")), "ok");
+		Assert.assertEquals(this.connections.get(), 1);
+		this.nowMillis.addAndGet(1_500);
+		Assert.assertEquals(text(run("r1")), "ok");
+		Assert.assertEquals(this.connections.get(), 2);
+	}
+
+	@Test
+	public void answerOfAnotherRequestIsDropped() {
+		this.answer = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+				+ "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 3\r\n\r\nnew";
+		Assert.assertEquals(text(run("r1")), "new");
+	}
+
+	@Test
+	public void connectionWithBytesBehindTheAnswerIsNotUsedAgain() {
+		this.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+		Assert.assertEquals(text(run("r1")), "ok");
+		this.answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+		Assert.assertEquals(text(run("r2")), "ok");
+		Assert.assertEquals(this.connections.get(), 2);
+	}
+
+	@Test
+	public void answerThatBreaksOffIsNoAnswerAndNothingIsSentAgain() {
+		for (String broken : List.of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel", "HTTP/1.1 200", "",
+				"nonsense\r\n\r\n")) {
+			this.answer = broken + "<close>";
+			int before = this.requests.get();
+			Assert.assertEquals(run("r1").getLeft().kind(), BackendFailure.Kind.BROKEN, broken);
+			Assert.assertEquals(this.requests.get(), before + 1, broken);
+		}
+	}
+
+	@Test
+	public void answerWithoutLengthEndsWithItsConnection() {
+		this.answer = "HTTP/1.1 200 OK\r\n\r\nall of it<close>";
+		BackendResponse response = run("r1").get();
+		Assert.assertEquals(text(Either.right(response)), "all of it");
+		Assert.assertFalse(response.framed());
+	}
+
+	@Test
+	public void overdueAndCancelledRequestsEndWithTheirCause() {
+		this.answer = "HTTP/1.1 100 Continue\r\n\r\n";
+		Assert.assertEquals(this.exchange.run(request("r1"), 20, new Cancellation()).getLeft().kind(),
+				BackendFailure.Kind.OVERDUE);
+		Cancellation cancellation = new Cancellation();
+		this.timer.execute(cancellation::cancel);
+		Assert.assertEquals(this.exchange.run(request("r1"), LATER_MILLIS, cancellation).getLeft().kind(),
+				BackendFailure.Kind.CANCELLED);
+	}
+
+	@Test
+	public void refusedConnectionIsUnreachable() throws IOException {
+		ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+		InetSocketAddress address = new InetSocketAddress(unused.getInetAddress(), unused.getLocalPort());
+		unused.close();
+		BackendExchange nowhere = new BackendExchange(new BackendPool(address, this.nowMillis::get), this.timer, 1_000,
+				KeepAlive::millis);
+		Assert.assertEquals(nowhere.run(request("r1"), LATER_MILLIS, new Cancellation()).getLeft().kind(),
+				BackendFailure.Kind.UNREACHABLE);
+	}
+
+	private Either<BackendFailure, BackendResponse> run(String id) {
+		return this.exchange.run(request(id), LATER_MILLIS, new Cancellation());
+	}
+
+	private static BackendRequest request(String id) {
+		return new BackendRequest("GET", "/", HeaderFields.of(List.of("Host", "h")), new byte[0],
+				(answer) -> answer.text("Id").isEmpty() || answer.text("Id").equals(id));
+	}
+
+	private static String text(Either<BackendFailure, BackendResponse> response) {
+		return new String(response.get().body(), StandardCharsets.ISO_8859_1);
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try {
+				Socket socket = this.server.accept();
+				this.connections.incrementAndGet();
+				Thread.ofVirtual().start(() -> serve(socket));
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			while (readHead(socket)) {
+				this.requests.incrementAndGet();
+				String text = this.answer;
+				boolean close = text.endsWith("<close>");
+				socket.getOutputStream().write(text.replace("<close>", "").getBytes(StandardCharsets.ISO_8859_1));
+				if (close) {
+					return;
+				}
+			}
+		}
+		catch (IOException ex) {
+			// The other side has closed the connection.
+		}
+	}
+
+	private static boolean readHead(Socket socket) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = socket.getInputStream().read();
+			if (next < 0) {
+				return false;
+			}
+			head.append((char) next);
+		}
+		return true;
+	}
+
+}
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -0,0 +1,156 @@
+package io.lavenderroad.node.http;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.lavenderroad.model.CallerLimits;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against answers out of order, callers whose leaving is not noticed, bodies that
+ * break off and look whole, and callers that send too much or too slowly.
+ */
+public class HttpListenerTests {
+
+	private static final int WAIT_SECONDS = 30;
+
+	private static final CallerLimits LIMITS = new CallerLimits(2_000, 1_000, 300, 60_000);
+
+	private final List<String> bodies = new CopyOnWriteArrayList<>();
+
+	private CountDownLatch release;
+
+	private CountDownLatch departed;
+
+	private HttpListener listener;
+
+	@BeforeMethod
+	void start() throws IOException {
+		this.bodies.clear();
+		this.release = new CountDownLatch(1);
+		this.departed = new CountDownLatch(1);
+		this.listener = HttpListener.builder()
+			.limits(() -> LIMITS)
+			.handler(this::answer)
+			.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		this.listener.start();
+	}
+
+	@AfterMethod
+	void stop() {
+		this.listener.close();
+	}
+
+	@Test
+	public void pipelinedRequestsRunBesideEachOtherAndAreAnsweredInOrder() throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGET /release HTTP/1.1\r\nHost: h\r\n\r\n"
+					+ "POST /last HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nConnection: close\r\n\r\nab");
+			String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			Assert.assertTrue(answers.indexOf("/wait") < answers.indexOf("/release"), answers);
+			Assert.assertTrue(answers.indexOf("/release") < answers.indexOf("/last"), answers);
+			Assert.assertTrue(answers.endsWith("/last ab"), answers);
+		}
+	}
+
+	@Test
+	public void callerThatLeavesIsNoticedWhileItsRequestRuns() throws Exception {
+		Socket socket = connect();
+		send(socket, "GET /depart HTTP/1.1\r\nHost: h\r\n\r\n");
+		socket.close();
+		Assert.assertTrue(this.departed.await(WAIT_SECONDS, TimeUnit.SECONDS));
+	}
+
+	@Test
+	public void chunkedBodyIsWholeOrNotHandled() throws IOException {
+		try (Socket socket = connect()) {
+			send(socket,
+					"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+							+ "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc");
+			socket.shutdownOutput();
+			String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			Assert.assertTrue(answers.contains("/a abcde"), answers);
+		}
+		Assert.assertEquals(this.bodies, List.of("abcde"));
+	}
+
+	@Test
+	public void callersOverTheLimitsGetAStatusAndTheConnectionEnds() throws IOException {
+		Assert.assertEquals(status("GET / HTTP/1.1\r\nLarge: " + "x".repeat(3_000) + "\r\n\r\n"), "431");
+		Assert.assertEquals(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n"), "413");
+		Assert.assertEquals(status("GET / HTTP/1.1\r\nHost"), "408");
+		Assert.assertEquals(status("no request\r\n\r\n"), "400");
+		Assert.assertEquals(this.bodies, List.of());
+	}
+
+	@Test
+	public void leavingListenerEndsEachConnectionAfterItsNextAnswer() throws IOException {
+		try (Socket socket = connect()) {
+			this.listener.leave();
+			send(socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+			String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			Assert.assertTrue(answer.contains("Connection: close"), answer);
+			Assert.assertTrue(answer.endsWith("/a "), answer);
+		}
+	}
+
+	private OutgoingResponse answer(IncomingRequest request) {
+		switch (request.path()) {
+			case "/wait" -> await(this.release);
+			case "/release" -> this.release.countDown();
+			case "/depart" -> {
+				request.departure().onCancel(this.departed::countDown);
+				await(this.departed);
+			}
+			default -> this.bodies.add(new String(request.body(), StandardCharsets.ISO_8859_1));
+		}
+		String text = request.path() + " " + new String(request.body(), StandardCharsets.ISO_8859_1);
+		return new OutgoingResponse(200, HeaderFields.NONE, text.getBytes(StandardCharsets.ISO_8859_1), false);
+	}
+
+	private String status(String request) throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, request);
+			BufferedReader reader = new BufferedReader(
+					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+			String status = reader.readLine().split(" ")[1];
+			while (reader.readLine() != null) {
+				Assert.assertFalse(socket.isClosed());
+			}
+			return status;
+		}
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket();
+		socket.connect(this.listener.address());
+		socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+		return socket;
+	}
+
+	private static void send(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			Assert.assertTrue(latch.await(WAIT_SECONDS, TimeUnit.SECONDS));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/policy/src/main/java/io/lavenderroad/policy/moves/SequentialMovePolicy.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/SequentialMovePolicy.java
@@ -47,6 +47,10 @@
 		if (situation.move().shareBasisPoints() > 0 && situation.evidence().comparison().isBad()) {
 			return takeBack(situation);
 		}
+		Optional<String> early = EarlyWithdrawal.reason(situation);
+		if (situation.move().shareBasisPoints() > 0 && early.isPresent()) {
+			return new MoveDecision.Withdraw(early.get(), "", "");
+		}
 		if (situation.evidence().notCarriedMillis() >= LOST_SERVERS_MILLIS) {
 			return new MoveDecision.Withdraw("the servers of the new version no longer carry its share", "",
 					"ready servers new " + situation.newServers().readyServers() + " old "
