Recover sooner after a loss of all processes

An order whose first acknowledgement was lost counted its time from the second one. Ruled out: serving before the version floor is confirmed.

--- a/control/src/main/java/io/lavenderroad/control/log/IdentityFile.java
+++ b/control/src/main/java/io/lavenderroad/control/log/IdentityFile.java
@@ -33,12 +33,13 @@
 	}
 
 	/**
-	 * Reads the identity.
+	 * Reads the identity. Creates the folder if it is missing.
 	 * @return the identity, empty if there is none
 	 * @throws StorageException if the file cannot be read
 	 */
 	public Optional<Identity> load() {
 		try {
+			this.files.createFolder(this.file.getParent());
 			if (!this.files.list(this.file.getParent()).contains(NAME)) {
 				return Optional.empty();
 			}
@@ -57,12 +58,6 @@
 	 * @throws StorageException if it cannot be written
 	 */
 	public void save(Identity identity) {
-		try {
-			this.files.createFolder(this.file.getParent());
-		}
-		catch (IOException ex) {
-			throw new StorageException("cannot create " + this.file.getParent() + ": " + ex.getMessage(), ex, true);
-		}
 		String text = identity.id() + SEPARATOR + String.join(SEPARATOR, identity.founders());
 		AtomicFile.write(this.files, this.file, text.getBytes(StandardCharsets.UTF_8));
 	}
--- a/control/src/main/java/io/lavenderroad/control/raft/Elections.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/Elections.java
@@ -30,6 +30,14 @@
 
 	private final Set<String> votes = new HashSet<>();
 
+	/**
+	 * Part of the election time-out that a member waits while it has heard no leader
+	 * since its start.
+	 */
+	private static final long STARTING_DIVISOR = 4;
+
+	private boolean heardLeader;
+
 	private long leaderContactMillis;
 
 	private long electionMillis;
@@ -151,6 +159,7 @@
 	}
 
 	private void lead() {
+		this.heardLeader = true;
 		this.state.role = MemberRole.LEADER;
 		this.state.leaderId = this.state.id;
 		this.state.transferTarget = null;
@@ -268,14 +277,18 @@
 		if (!known && !follow(leaderTerm, leader)) {
 			return false;
 		}
+		this.heardLeader = true;
 		this.leaderContactMillis = this.state.now();
 		resetElectionTimeout();
 		return true;
 	}
 
 	void resetElectionTimeout() {
-		this.electionMillis = this.state.now() + this.state.options.electionTimeoutMillis()
-				+ this.random.nextLong(this.state.options.electionTimeoutMillis());
+		long least = this.state.options.electionTimeoutMillis();
+		// A member that has just started asks soon: after a loss of all members nobody
+		// leads, and where somebody does the pre-vote harms nothing.
+		long shortest = this.heardLeader ? least : least / STARTING_DIVISOR;
+		this.electionMillis = this.state.now() + shortest + this.random.nextLong(shortest);
 	}
 
 	private boolean save(TermAndVote value) {
--- a/control/src/main/java/io/lavenderroad/control/state/Declarations.java
+++ b/control/src/main/java/io/lavenderroad/control/state/Declarations.java
@@ -28,6 +28,14 @@
 	 */
 	private static final long RESEND_MILLIS = 10_000;
 
+	/**
+	 * Part of the duration of an ordered move, and at most how much, by which it is
+	 * planned to end early.
+	 */
+	private static final long RESERVE_DIVISOR = 6;
+
+	private static final long MOST_RESERVE_MILLIS = 3_000;
+
 	private static final String DECLARATION = "declaration";
 
 	private Declarations() {
@@ -104,7 +112,8 @@
 		long version = state.configuration.version() + 1;
 		String id = service.name() + "-" + command.target() + "-" + version;
 		MoveParameters parameters = new MoveParameters(id, from, command.target(),
-				command.atMillis() + command.durationMillis(), ThinEvidence.PROCEED, MoveParameters.DEFAULT_POLICY);
+				command.atMillis() + command.durationMillis() - reserveMillis(command), ThinEvidence.PROCEED,
+				MoveParameters.DEFAULT_POLICY);
 		ServiceConfiguration next = service.toBuilder()
 			.versions(List.of(from, command.target()))
 			.split(Map.of(from, ServiceConfiguration.WHOLE_SHARE))
@@ -114,6 +123,13 @@
 		state.moves.put(id, MoveState.started(service.name(), parameters, command.atMillis()));
 	}
 
+	// The order may have been on its way for a while, to a member that was lost or with
+	// an
+	// answer that was.
+	private static long reserveMillis(BeginMove command) {
+		return Math.min(MOST_RESERVE_MILLIS, command.durationMillis() / RESERVE_DIVISOR);
+	}
+
 	private static ConfigurationEdit withVersions(MeshState state, ConfigurationEdit edit) {
 		List<ServiceConfiguration> services = new ArrayList<>();
 		for (ServiceConfiguration service : edit.services()) {
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -452,7 +452,7 @@
 			if (confirmed.isPresent()) {
 				this.floor = confirmed.get();
 				this.floorConfirmed = true;
-				Logger.debug("distribution: Node {} may serve from version {}.", this.self.id(), this.floor);
+				Logger.info("distribution: Node {} may serve from version {}.", this.self.id(), this.floor);
 				changed();
 				return;
 			}
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -235,9 +235,11 @@
 					request.method(), request.path(), answer.verdict().label(), answer.status(), routed.attempts(),
 					version, answer.reason());
 		}
+		long retryAfterMillis = (version == 0) ? RetryAdvice.afterStartMillis(this.random)
+				: RetryAdvice.afterMillis(this.random);
 		return this.dialect.response(new FinalAnswer(requestId, answer.verdict(), answer.status(), answer.reason(),
 				HeaderFields.of(answer.headers()), answer.body(), routed.version(), version,
-				unavailable ? RetryAdvice.afterMillis(this.random) : 0));
+				unavailable ? retryAfterMillis : 0));
 	}
 
 	private static String firstLabel(String host) {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/RetryAdvice.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/RetryAdvice.java
@@ -19,6 +19,12 @@
 	 */
 	static final int SPREAD_MILLIS = 400;
 
+	/**
+	 * Earliest return to a node that has no configuration yet: the control group elects a
+	 * leader and confirms the version within about a second.
+	 */
+	static final int LEAST_START_MILLIS = 800;
+
 	private RetryAdvice() {
 	}
 
@@ -31,4 +37,13 @@
 		return LEAST_MILLIS + random.nextInt(SPREAD_MILLIS);
 	}
 
+	/**
+	 * Returns when to come back to a node that has just started.
+	 * @param random source of randomness
+	 * @return milliseconds from now
+	 */
+	public static long afterStartMillis(RandomGenerator random) {
+		return LEAST_START_MILLIS + random.nextInt(SPREAD_MILLIS);
+	}
+
 }
--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -28,7 +28,7 @@
 	 * An endpoint in another failure domain counts as that much slower, since traffic
 	 * between failure domains is dear.
 	 */
-	private static final double REMOTE_PENALTY = 1.2;
+	private static final double REMOTE_PENALTY = 1.8;
 
 	/**
 	 * Endpoints up to that many times slower than the best share the calls.
