Refuse calls that would wait past their target latency

Ruled out: waiting up to the deadline (all late), refusing at the entry (the least loaded worker is not known well enough there).

--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -85,20 +85,22 @@
 	 */
 	Either<CallAnswer, Slot> acquire(String customer, long deadlineMillis, ServiceLimits limits,
 			Cancellation cancellation) {
-		return acquire(customer, 0, deadlineMillis, limits, cancellation);
+		return acquire(customer, 0, deadlineMillis, deadlineMillis, limits, cancellation);
 	}
 
 	/**
 	 * Waits for a slot.
 	 * @param customer customer of the call
 	 * @param rank rank of the call, 0 for the most urgent
+	 * @param goalMillis when the answer should be there; the call waits only if it is
+	 * expected to end before that
 	 * @param deadlineMillis when the answer is due
 	 * @param limits limits in force
 	 * @param cancellation ends the wait early
 	 * @return the slot, or a refusal with the verdict "not run"
 	 */
-	Either<CallAnswer, Slot> acquire(String customer, int rank, long deadlineMillis, ServiceLimits limits,
-			Cancellation cancellation) {
+	Either<CallAnswer, Slot> acquire(String customer, int rank, long goalMillis, long deadlineMillis,
+			ServiceLimits limits, Cancellation cancellation) {
 		Waiter waiter = new Waiter();
 		long now = this.clock.millis();
 		this.lock.lock();
@@ -107,9 +109,9 @@
 				return Either.left(drainRefusal());
 			}
 			this.queue.limits(limits.queueLength(), limits.customerShareBasisPoints());
-			AdmissionDecision decision = this.queue.offer(waiter, customer, rank, now, deadlineMillis);
+			AdmissionDecision decision = this.queue.offer(waiter, customer, rank, now, goalMillis, deadlineMillis);
 			if (decision == AdmissionDecision.FULL && (displaceLessUrgent(rank) || displace(customer))) {
-				decision = this.queue.offer(waiter, customer, rank, now, deadlineMillis);
+				decision = this.queue.offer(waiter, customer, rank, now, goalMillis, deadlineMillis);
 			}
 			if (decision == AdmissionDecision.RUN) {
 				return Either.right(hold(customer, now));
@@ -316,8 +318,7 @@
 		return switch (decision) {
 			case OVER_SHARE ->
 				CallAnswer.notRun(HttpStatus.OVER_SHARE, "customer holds its share of the backend server");
-			case TOO_LATE ->
-				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "expected wait exceeds the deadline").avoid(avoidMillis);
+			case TOO_LATE -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, "expected wait is too long").avoid(avoidMillis);
 			default ->
 				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "queue of the backend server is full").avoid(avoidMillis);
 		};
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -153,8 +153,9 @@
 	}
 
 	private CallAnswer send(RoutedCall call, Endpoint endpoint, int attemptBudget, long remaining) {
+		long goal = Math.clamp(call.goalMillis() - this.clock.millis(), 0, Integer.MAX_VALUE);
 		CallTraits traits = new CallTraits(call.requestId(), this.self.service(), call.rules().idempotent(),
-				call.rules().priority());
+				call.rules().priority(), (int) goal);
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
 				call.rules().route(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
 				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget, traits);
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -200,8 +200,10 @@
 	}
 
 	private CallAnswer admit(CallRequest request, long deadlineMillis, Cancellation waiting, Cancellation running) {
+		long goal = request.traits().goalMillis();
+		long goalMillis = (goal > 0) ? Math.min(deadlineMillis, this.clock.millis() + goal) : deadlineMillis;
 		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(),
-				request.traits().priority(), deadlineMillis, limits(), waiting);
+				request.traits().priority(), goalMillis, deadlineMillis, limits(), waiting);
 		return slot.isLeft() ? slot.getLeft() : run(request, deadlineMillis, running, slot.get());
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -205,12 +205,13 @@
 			return Either.left(
 					refusal(HttpStatus.BODY_TOO_LARGE, "request body is over " + rules.largestBodyBytes() + " bytes"));
 		}
-		long deadline = this.clock.millis()
-				+ Math.min(terms.deadlineMillis().orElse(rules.timeoutMillis()), rules.timeoutMillis());
+		long now = this.clock.millis();
+		long deadline = now + Math.min(terms.deadlineMillis().orElse(rules.timeoutMillis()), rules.timeoutMillis());
 		int budget = Math.min(terms.attemptBudget().orElse(DEFAULT_ATTEMPT_BUDGET), rules.mostAttempts() - 1);
 		return Either.right(new RoutedCall(terms.requestId(), target.service(), rules, request.method(),
 				request.target(), request.headers().endToEnd(this.dialect::passesOn).pairs(), request.body(),
-				terms.customer(), rules.idempotent() ? "" : terms.key(), deadline, budget, request.departure()));
+				terms.customer(), rules.idempotent() ? "" : terms.key(), now + rules.targetLatencyMillis(), deadline,
+				budget, request.departure()));
 	}
 
 	// Services that are not open may be called by the backend server beside this node
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -89,6 +89,7 @@
 		packer.packString(request.traits().callerService());
 		packer.packBoolean(request.traits().idempotent());
 		packer.packInt(request.traits().priority());
+		packer.packInt(request.traits().goalMillis());
 	}
 
 	private static CallRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
@@ -96,7 +97,7 @@
 				unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(), headers(unpacker),
 				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
 				unpacker.unpackInt(), new CallTraits(unpacker.unpackString(), unpacker.unpackString(),
-						unpacker.unpackBoolean(), unpacker.unpackInt()));
+						unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt()));
 	}
 
 	private static List<String> headers(MessageUnpacker unpacker) throws IOException {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
@@ -100,6 +100,26 @@
 		return offer(call, customer, 0, nowMillis, deadlineMillis);
 	}
 
+	/**
+	 * Offers a call that is worth most before its deadline.
+	 * @param call the call
+	 * @param customer customer of the call
+	 * @param rank rank of the call, 0 for the most urgent
+	 * @param nowMillis clock reading in milliseconds
+	 * @param goalMillis when the answer should be there; the call waits only if it is
+	 * expected to end before that
+	 * @param deadlineMillis when the answer is due, on the same clock
+	 * @return the decision
+	 */
+	public AdmissionDecision offer(T call, String customer, int rank, long nowMillis, long goalMillis,
+			long deadlineMillis) {
+		boolean free = this.running < this.slots && this.waiting == 0;
+		if (!free && nowMillis < deadlineMillis && nowMillis + expectedMillis(customer, rank) > goalMillis) {
+			return AdmissionDecision.TOO_LATE;
+		}
+		return offer(call, customer, rank, nowMillis, deadlineMillis);
+	}
+
 	/**
 	 * Offers a call.
 	 * @param call the call
--- a/policy/src/test/java/io/lavenderroad/policy/calls/RankedAdmissionTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/RankedAdmissionTests.java
@@ -48,6 +48,16 @@
 		Assert.assertEquals(queue.offer("order", "", 0, 100, 400), AdmissionDecision.WAIT);
 	}
 
+	@Test
+	public void callThatWouldEndAfterItsGoalIsRefusedAlthoughItsDeadlineIsFar() {
+		AdmissionQueue<String> queue = new AdmissionQueue<>(1, 10, 10_000);
+		queue.offer("first", "", 0, 0, LATER);
+		queue.release("", 100, 100);
+		Assert.assertEquals(queue.offer("free slot", "", 0, 100, 100, LATER), AdmissionDecision.RUN);
+		Assert.assertEquals(queue.offer("too late", "", 0, 100, 250, LATER), AdmissionDecision.TOO_LATE);
+		Assert.assertEquals(queue.offer("in time", "", 0, 100, 300, LATER), AdmissionDecision.WAIT);
+	}
+
 	@Test
 	public void waitingCallsStartWhenSlotsAreAdded() {
 		AdmissionQueue<String> queue = new AdmissionQueue<>(1, 10, 10_000);
