--- a/daemon/src/main/java/io/lavenderroad/daemon/AdminServer.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/AdminServer.java
@@ -14,7 +14,8 @@
 import com.sun.net.httpserver.HttpServer;
 
 /**
- * HTTP on the admin port of a control member: {@code GET /status}.
+ * HTTP on the admin port of a control member: {@code GET /status} and
+ * {@code GET /metrics}.
  */
 final class AdminServer implements AutoCloseable {
 
@@ -30,10 +31,16 @@
 		this.server = server;
 	}
 
-	static AdminServer start(InetSocketAddress address, Supplier<Map<String, Object>> status) throws IOException {
+	static AdminServer start(InetSocketAddress address, Supplier<Map<String, Object>> status, Supplier<String> metrics)
+			throws IOException {
 		HttpServer server = HttpServer.create(address, 0);
 		server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
 		server.createContext("/status", page(status));
+		server.createContext("/metrics", (exchange) -> {
+			try (exchange) {
+				write(exchange, OK, "text/plain; version=0.0.4", metrics.get());
+			}
+		});
 		server.start();
 		return new AdminServer(server);
 	}
@@ -67,8 +74,12 @@
 	}
 
 	private static void send(HttpExchange exchange, int status, Map<String, Object> body) throws IOException {
-		byte[] bytes = JSON.std.asString(body).getBytes(StandardCharsets.UTF_8);
-		exchange.getResponseHeaders().set("Content-Type", "application/json");
+		write(exchange, status, "application/json", JSON.std.asString(body));
+	}
+
+	private static void write(HttpExchange exchange, int status, String type, String text) throws IOException {
+		byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Content-Type", type);
 		exchange.sendResponseHeaders(status, bytes.length);
 		try (OutputStream output = exchange.getResponseBody()) {
 			output.write(bytes);
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -125,10 +125,11 @@
 		this.member.start(options);
 		this.root.publish(mesh.configuration());
 		this.root.start();
-		this.api = api(settings, kernel, clock, mesh, commands, moveService);
+		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
+		this.api = api(kernel, clock, mesh, commands, moveService, metrics);
 		this.api.addPages(pages(kernel, new DeclarationService(mesh, commands, commands, clock), orders));
 		this.api.start(settings.httpAddress());
-		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status);
+		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, metrics::text);
 		FirstVersions firstVersions = new FirstVersions(mesh, (service) -> this.root.registry().live(service), orders);
 		this.moveTask = PeriodicTask.start("moves", MOVE_TICK_MILLIS, () -> {
 			if (this.leaderMoves.leads()) {
@@ -179,11 +180,10 @@
 			.build();
 	}
 
-	private OperatorApi api(DaemonSettings settings, Kernel kernel, Clock clock, MeshStateMachine mesh,
-			MeshCommands commands, MoveService moveService) {
+	private OperatorApi api(Kernel kernel, Clock clock, MeshStateMachine mesh, MeshCommands commands,
+			MoveService moveService, ControlMetrics metrics) {
 		Predicate<String> knownPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
 		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock);
-		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
 		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
 				new RaftAdministration(this.member, commands), this::convergence, metrics::text);
 		return operatorApi;
--- a/daemon/src/main/java/io/lavenderroad/daemon/LogConfiguration.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/LogConfiguration.java
@@ -22,7 +22,7 @@
 			Configuration.set("writer.append", "true");
 		}
 		else {
-			Configuration.set("writer", "console");
+			Configuration.set("writer", BoundedConsoleWriter.NAME);
 		}
 	}
 
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -41,6 +41,12 @@
 
 	private static final long EVIDENCE_MILLIS = 250;
 
+	/**
+	 * Longest wait of a call for a connection to another node, many times the delay
+	 * between failure domains. A call to a lost node then still has time for another one.
+	 */
+	private static final long CONNECT_WAIT_MILLIS = 150;
+
 	/**
 	 * Announcements that may be missing before a backend server counts as silent. They
 	 * may arrive seconds late.
@@ -92,6 +98,7 @@
 			.loadPath(backend.loadPath())
 			.registration(registration.orElse(null))
 			.retryBurst(settings.calls().retryBurst())
+			.connectWaitMillis(CONNECT_WAIT_MILLIS)
 			.drainTimeoutMillis(Math.max(0, settings.shutdown().limitMillis() - settings.shutdown().leaveMillis()))
 			.clock(this.clock)
 			.random(random)
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -635,13 +635,7 @@
 	/**
 	 * Builds {@link NodeDistribution}.
 	 */
-	public static final class Builder {
-
-		private WireOptions options;
-
-		private Clock clock = Clock.system();
-
-		private RandomGenerator random = RandomGenerator.getDefault();
+	public static final class Builder extends DistributionBuilder<Builder> {
 
 		private List<String> seeds = List.of();
 
@@ -651,42 +645,16 @@
 
 		private Function<MeshConfiguration, List<String>> validator = MeshConfiguration::missingResources;
 
-		private int attachesPerSecond = TreeTimes.RELAY_ATTACHES_PER_SECOND;
-
 		private long drainMillis = 5_000;
 
 		private UnaryOperator<ConnectionHandler> outgoing = UnaryOperator.identity();
 
 		private Builder() {
+			super(TreeTimes.RELAY_ATTACHES_PER_SECOND);
 		}
 
-		/**
-		 * Sets the limits and the identity of the process for outgoing connections.
-		 * @param options the options; their catalog holds the types of this module
-		 * @return this builder
-		 */
-		public Builder options(WireOptions options) {
-			this.options = options;
-			return this;
-		}
-
-		/**
-		 * Sets the clock.
-		 * @param clock the clock
-		 * @return this builder
-		 */
-		public Builder clock(Clock clock) {
-			this.clock = clock;
-			return this;
-		}
-
-		/**
-		 * Sets the source of randomness.
-		 * @param random a source that several threads may use
-		 * @return this builder
-		 */
-		public Builder random(RandomGenerator random) {
-			this.random = random;
+		@Override
+		Builder self() {
 			return this;
 		}
 
@@ -733,16 +701,6 @@
 			return this;
 		}
 
-		/**
-		 * Sets how many attach requests are served per second.
-		 * @param count the rate
-		 * @return this builder
-		 */
-		public Builder attachesPerSecond(int count) {
-			this.attachesPerSecond = count;
-			return this;
-		}
-
 		/**
 		 * Sets how long {@link NodeDistribution#close()} waits for children.
 		 * @param millis the time
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.LavenderroadException;
@@ -279,13 +278,7 @@
 	/**
 	 * Builds {@link RootDistribution}.
 	 */
-	public static final class Builder {
-
-		private WireOptions options;
-
-		private Clock clock = Clock.system();
-
-		private RandomGenerator random = RandomGenerator.getDefault();
+	public static final class Builder extends DistributionBuilder<Builder> {
 
 		private List<String> peers = List.of();
 
@@ -296,39 +289,12 @@
 
 		private LongSupplier quorumAgeMillis = () -> 0;
 
-		private int attachesPerSecond = TreeTimes.ROOT_ATTACHES_PER_SECOND;
-
 		private Builder() {
+			super(TreeTimes.ROOT_ATTACHES_PER_SECOND);
 		}
 
-		/**
-		 * Sets the limits and the identity of the process. The id and the frame address
-		 * of this root are those of the hello.
-		 * @param options the options; their catalog holds the types of this module
-		 * @return this builder
-		 */
-		public Builder options(WireOptions options) {
-			this.options = options;
-			return this;
-		}
-
-		/**
-		 * Sets the clock.
-		 * @param clock the clock
-		 * @return this builder
-		 */
-		public Builder clock(Clock clock) {
-			this.clock = clock;
-			return this;
-		}
-
-		/**
-		 * Sets the source of randomness.
-		 * @param random a source that several threads may use
-		 * @return this builder
-		 */
-		public Builder random(RandomGenerator random) {
-			this.random = random;
+		@Override
+		Builder self() {
 			return this;
 		}
 
@@ -376,16 +342,6 @@
 			return this;
 		}
 
-		/**
-		 * Sets how many attach requests are served per second.
-		 * @param count the rate
-		 * @return this builder
-		 */
-		public Builder attachesPerSecond(int count) {
-			this.attachesPerSecond = count;
-			return this;
-		}
-
 		/**
 		 * Creates the distribution, which does nothing before it is started.
 		 * @return the distribution
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -125,8 +125,9 @@
 		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
 		this.localBackend = localBackend(builder, self);
 		this.directory = new EndpointDirectory(this.view, this.clock);
-		this.connections = new PeerConnections(Objects.requireNonNull(builder.wireOptions, "wireOptions"),
-				this.handler);
+		WireOptions wireOptions = Objects.requireNonNull(builder.wireOptions, "wireOptions");
+		long connectWaitMillis = Math.min(builder.connectWaitMillis, wireOptions.connectTimeoutMillis());
+		this.connections = new PeerConnections(wireOptions, connectWaitMillis, this.handler);
 		KeyStore store = new KeyStore(builder.keyMemoryBytes, LARGEST_KEPT_ANSWER_BYTES);
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
@@ -427,6 +428,8 @@
 
 		private int retryBurst = RetryBudget.BURST;
 
+		private long connectWaitMillis = Long.MAX_VALUE;
+
 		private final Map<String, HttpHandler> adminPages = new TreeMap<>();
 
 		private InetSocketAddress adminAddress;
@@ -594,6 +597,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets how long a call waits for a new connection to another node. The default is
+		 * the connect time-out of the wire options.
+		 * @param millis the wait
+		 * @return this builder
+		 */
+		public Builder connectWaitMillis(long millis) {
+			this.connectWaitMillis = millis;
+			return this;
+		}
+
 		/**
 		 * Sets how many retries a service may get from this node at once, beyond its
 		 * share of the calls.
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -37,14 +37,24 @@
 
 	private final WireOptions options;
 
+	private final long connectWaitMillis;
+
 	private final ConnectionHandler handler;
 
 	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
 
 	private volatile boolean closed;
 
-	PeerConnections(WireOptions options, ConnectionHandler handler) {
+	/**
+	 * Creates it without connections.
+	 * @param options identity and limits
+	 * @param connectWaitMillis how long a call waits for a new connection before it is
+	 * given back as not run; the connection is still used if it comes later
+	 * @param handler receives what other nodes send
+	 */
+	PeerConnections(WireOptions options, long connectWaitMillis, ConnectionHandler handler) {
 		this.options = options;
+		this.connectWaitMillis = connectWaitMillis;
 		this.handler = handler;
 	}
 
@@ -131,7 +141,8 @@
 		long now = this.options.clock().millis();
 		Peer peer = this.peers.compute(address, (key, known) -> isUsable(known, now) ? known : open(address, now));
 		try {
-			Either<CallFailure, Connection> result = peer.connection.get(timeoutMillis, TimeUnit.MILLISECONDS);
+			long waitMillis = Math.min(timeoutMillis, this.connectWaitMillis);
+			Either<CallFailure, Connection> result = peer.connection.get(waitMillis, TimeUnit.MILLISECONDS);
 			if (result.isLeft()) {
 				this.peers.remove(address, peer);
 				return Either.left(result.getLeft());
@@ -139,7 +150,7 @@
 			return Either.right(peer);
 		}
 		catch (TimeoutException ex) {
-			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "deadline passed while connecting"));
+			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "no connection in time"));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
