--- a/model/src/main/java/io/lavenderroad/model/CallRules.java
+++ b/model/src/main/java/io/lavenderroad/model/CallRules.java
@@ -31,4 +31,14 @@
 		Objects.requireNonNull(route, "route");
 	}
 
+	/**
+	 * Returns within which time a call must be expected to end to wait for a slot: the
+	 * target latency, or half of the time-out where the target leaves no room for a short
+	 * wait.
+	 * @return milliseconds
+	 */
+	public int goalMillis() {
+		return Math.max(this.targetLatencyMillis, this.timeoutMillis / 2);
+	}
+
 }
