Put the goal of half of the time-out in force

Cause: added CallRules.goalMillis, but CallerApi still took the target latency, so nodes refused short calls as before. Change: CallerApi takes goalMillis. Ruled out: another place that computes the goal; CallRouter and CallServer only hand the remaining time on. Measurement: NodeProxyTests.callWaitsForHalfOfItsTimeoutThoughItsTargetIsShorter failed before ("expected wait is too long", 503) and passes.

--- a/bench/src/main/java/io/lavenderroad/bench/backend/LocalMesh.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/LocalMesh.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 
 import io.lavenderroad.core.Clock;
@@ -18,8 +19,10 @@
 import io.lavenderroad.core.wire.WireOptions;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.Route;
+import io.lavenderroad.model.RouteSet;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.node.NodeMessages;
 import io.lavenderroad.node.NodeProxy;
@@ -66,6 +69,16 @@
 		this.view.configure(configuration(version, change));
 	}
 
+	/**
+	 * Adds a route by host to the configuration in force.
+	 * @param route the route
+	 */
+	public void route(HostRoute route) {
+		MeshConfiguration base = this.view.configuration().orElseThrow();
+		RouteSet routes = RouteSet.of(List.of(route), new TreeMap<>(), base.version());
+		this.view.configure(MeshConfiguration.of(base.version() + 1, base.services().values(), routes, base.limits()));
+	}
+
 	static MeshConfiguration configuration(long version, UnaryOperator<ServiceConfiguration.Builder> change) {
 		ServiceConfiguration.Builder service = ServiceConfiguration.builder(SERVICE)
 			.team("gauteng")
--- a/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
+++ b/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
@@ -19,8 +19,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
+import io.lavenderroad.model.CallRules;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.ObservationKey;
 import io.lavenderroad.model.Route;
@@ -178,6 +180,26 @@
 		await(() -> this.mesh.member("small").backend().record().cancelled() == 1);
 	}
 
+	@Test
+	public void callWaitsForHalfOfItsTimeoutThoughItsTargetIsShorter() throws Exception {
+		this.mesh.configure((service) -> service.versions(List.of("small")).split(Map.of("small", 10_000)));
+		this.mesh.start("small", "small", "soweto", Behaviour.USUAL, 1, UnaryOperator.identity());
+		CallRules rules = new CallRules("short", false, LocalMesh.TIMEOUT_MILLIS, 200, 0, 1, 64 * 1024);
+		this.mesh.route(HostRoute.builder("short")
+			.place("127.0.0.1", "/")
+			.rules(rules)
+			.weights(Map.of(LocalMesh.SERVICE, 1))
+			.build());
+		Map<String, String> byHost = Map.of("Mesh-Service", "", "Stand-In", "sleep=300");
+		Assert.assertEquals(send("POST", "/orders", "", byHost).statusCode(), 200);
+		CompletableFuture<HttpResponse<String>> running = sendLater("POST", "/orders",
+				Map.of("Mesh-Service", "", "Stand-In", "sleep=1000", "Request-Id", "running"));
+		await(() -> starts("running") == 1);
+		HttpResponse<String> waited = send("POST", "/orders", "", byHost);
+		Assert.assertEquals(waited.statusCode(), 200, header(waited, "Mesh-Reason"));
+		Assert.assertEquals(running.get(WAIT_SECONDS, TimeUnit.SECONDS).statusCode(), 200);
+	}
+
 	@Test
 	public void workOfACallerNodeThatHasGoneIsCancelled() throws Exception {
 		CompletableFuture<HttpResponse<String>> running = sendLater("GET", "/items",
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -210,8 +210,8 @@
 		int budget = Math.min(terms.attemptBudget().orElse(DEFAULT_ATTEMPT_BUDGET), rules.mostAttempts() - 1);
 		return Either.right(new RoutedCall(terms.requestId(), target.service(), rules, request.method(),
 				request.target(), request.headers().endToEnd(this.dialect::passesOn).pairs(), request.body(),
-				terms.customer(), rules.idempotent() ? "" : terms.key(), now + rules.targetLatencyMillis(), deadline,
-				budget, request.departure()));
+				terms.customer(), rules.idempotent() ? "" : terms.key(), now + rules.goalMillis(), deadline, budget,
+				request.departure()));
 	}
 
 	// Services that are not open may be called by the backend server beside this node
