Remove unused code and take HTTP status codes from the library

HttpConnection and BackendConnection each wrote down status codes that httpcore5 has, and each decided by itself which answers have no body; Admission.drain repeated refuseWaiting; seven members had no caller (NodeMessages.owns, NodeProxy.callersInFlight and callsInFlight, HttpListener.connectionCount, YamlNode.decimal, VersionKind.isLate, HttpStatus.UNPROCESSABLE). Change: MessageBody.isForbidden serves both sides; the rest is removed. Behaviour, checks and tests are unchanged. Ruled out: one Backoff for distribution and policy, because their pauses begin at 1 and 0 ms and a test fixes the sequence.

--- a/bench/src/main/java/io/lavenderroad/bench/moves/VersionKind.java
+++ b/bench/src/main/java/io/lavenderroad/bench/moves/VersionKind.java
@@ -63,10 +63,6 @@
 		return this == SLOW_AT_ONCE || this == SLOW_LATE;
 	}
 
-	boolean isLate() {
-		return this == FAILING_LATE || this == SLOW_LATE;
-	}
-
 	boolean hasColdStart() {
 		return this == GOOD_COLD || this == BAD_COLD;
 	}
--- a/core/src/main/java/io/lavenderroad/core/settings/YamlNode.java
+++ b/core/src/main/java/io/lavenderroad/core/settings/YamlNode.java
@@ -1,6 +1,5 @@
 package io.lavenderroad.core.settings;
 
-import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -229,27 +228,6 @@
 		return fallback.orElse(minimum);
 	}
 
-	/**
-	 * Reads a decimal number in a range.
-	 * @param minimum smallest allowed value
-	 * @param maximum largest allowed value
-	 * @param fallback the value if absent
-	 * @return the number or the fallback
-	 */
-	public double decimal(double minimum, double maximum, double fallback) {
-		if (!present()) {
-			return fallback;
-		}
-		if (this.node instanceof ScalarNode scalar && scalar.getValue().matches("[+-]?[0-9]{1,12}([.][0-9]{1,12})?")) {
-			double value = new BigDecimal(scalar.getValue()).doubleValue();
-			if (value >= minimum && value <= maximum) {
-				return value;
-			}
-		}
-		problem(describe(), "a number from " + minimum + " to " + maximum);
-		return fallback;
-	}
-
 	/**
 	 * Reads a truth value.
 	 * @param fallback the value if absent
--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -166,7 +166,7 @@
 		try {
 			boolean first = !this.draining;
 			this.draining = true;
-			this.queue.clear().forEach((waiter) -> waiter.result.complete(drainRefusal()));
+			refuseWaiting();
 			return first;
 		}
 		finally {
--- a/node/src/main/java/io/lavenderroad/node/HttpStatus.java
+++ b/node/src/main/java/io/lavenderroad/node/HttpStatus.java
@@ -17,8 +17,6 @@
 
 	static final int BODY_TOO_LARGE = 413;
 
-	static final int UNPROCESSABLE = 422;
-
 	static final int OVER_SHARE = 429;
 
 	static final int INTERNAL_ERROR = 500;
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -44,16 +44,6 @@
 		return TYPES;
 	}
 
-	/**
-	 * Tells whether a message belongs to the node, for a daemon that shares one frame
-	 * server among its parts.
-	 * @param message a message
-	 * @return true if {@link NodeProxy#handler()} takes it
-	 */
-	public static boolean owns(Object message) {
-		return TYPES.stream().anyMatch((type) -> type.type().isInstance(message));
-	}
-
 	static void packAnswer(CallAnswer answer, MessagePacker packer) throws IOException {
 		packer.packInt(answer.verdict().ordinal());
 		packer.packInt(answer.status());
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -230,22 +230,6 @@
 		this.callerListener.leave();
 	}
 
-	/**
-	 * Returns the requests of callers that are not answered yet.
-	 * @return count
-	 */
-	public int callersInFlight() {
-		return this.callerApi.inFlight();
-	}
-
-	/**
-	 * Returns the calls of other nodes that are not answered yet.
-	 * @return count
-	 */
-	public int callsInFlight() {
-		return this.callServer.inFlight();
-	}
-
 	/**
 	 * Stops gracefully: drains, waits for the calls in flight at the backend server,
 	 * hands the idempotency keys over, then stops accepting callers and waits for their
--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -11,6 +11,7 @@
 
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
@@ -32,12 +33,6 @@
 	 */
 	private static final int MOST_FOREIGN_ANSWERS = 3;
 
-	private static final int LOWEST_FINAL_STATUS = 200;
-
-	private static final int NO_CONTENT = 204;
-
-	private static final int NOT_MODIFIED = 304;
-
 	private final SocketChannel channel;
 
 	private final InputStream inputStream;
@@ -158,7 +153,7 @@
 	private ClassicHttpResponse readHead() throws IOException, HttpException {
 		HeadStream stream = new HeadStream(this.inputStream);
 		ClassicHttpResponse head = new DefaultHttpResponseParser().parse(this.input, stream);
-		while (head.getCode() < LOWEST_FINAL_STATUS) {
+		while (head.getCode() < HttpStatus.SC_SUCCESS) {
 			head = new DefaultHttpResponseParser().parse(this.input, stream);
 		}
 		return head;
@@ -167,7 +162,7 @@
 	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int mostBytes)
 			throws IOException, HttpException {
 		int status = head.getCode();
-		if (method.equals("HEAD") || status == NO_CONTENT || status == NOT_MODIFIED) {
+		if (method.equals("HEAD") || MessageBody.isForbidden(status)) {
 			return new BackendResponse(status, headers, new byte[0], true);
 		}
 		byte[] body = MessageBody.readAnswer(head, this.input, this.inputStream, mostBytes);
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -19,6 +19,7 @@
 import io.lavenderroad.model.CallerLimits;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
@@ -48,22 +49,6 @@
 
 	private static final int BUFFER_BYTES = 4 * 1024;
 
-	private static final int BAD_REQUEST = 400;
-
-	private static final int REQUEST_TIMEOUT = 408;
-
-	private static final int BODY_TOO_LARGE = 413;
-
-	private static final int HEADERS_TOO_LARGE = 431;
-
-	private static final int INTERNAL_ERROR = 500;
-
-	private static final int LOWEST_SUCCESS = 200;
-
-	private static final int NO_CONTENT = 204;
-
-	private static final int NOT_MODIFIED = 304;
-
 	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
 	private static final CompletableFuture<OutgoingResponse> DONE = CompletableFuture.completedFuture(null);
@@ -177,13 +162,14 @@
 			return accept(head, stream, limits);
 		}
 		catch (SocketTimeoutException ex) {
-			return reject(REQUEST_TIMEOUT, "the request did not arrive in time");
+			return reject(HttpStatus.SC_REQUEST_TIMEOUT, "the request did not arrive in time");
 		}
 		catch (MessageConstraintException | RequestHeaderFieldsTooLargeException ex) {
-			return reject(HEADERS_TOO_LARGE, "the headers are over " + limits.largestHeaderBytes() + " bytes");
+			return reject(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE,
+					"the headers are over " + limits.largestHeaderBytes() + " bytes");
 		}
 		catch (HttpException ex) {
-			return reject(BAD_REQUEST, "the request cannot be read: " + ex.getMessage());
+			return reject(HttpStatus.SC_BAD_REQUEST, "the request cannot be read: " + ex.getMessage());
 		}
 	}
 
@@ -191,7 +177,7 @@
 			throws IOException, HttpException, InterruptedException {
 		byte[] body = MessageBody.read(head, this.input, stream, limits.largestBodyBytes());
 		if (body == null) {
-			return reject(BODY_TOO_LARGE, "the body is over " + limits.largestBodyBytes() + " bytes");
+			return reject(HttpStatus.SC_REQUEST_TOO_LONG, "the body is over " + limits.largestBodyBytes() + " bytes");
 		}
 		HeaderFields headers = HeaderFields.ofFields(head.getHeaders());
 		IncomingRequest request = new IncomingRequest(head.getMethod(), head.getRequestUri(), withHost(head, headers),
@@ -289,7 +275,7 @@
 		}
 		catch (RuntimeException ex) {
 			Logger.error(ex, "node: Answering {} {} failed.", request.method(), request.target());
-			return new OutgoingResponse(INTERNAL_ERROR, HeaderFields.NONE, new byte[0], true);
+			return new OutgoingResponse(HttpStatus.SC_INTERNAL_SERVER_ERROR, HeaderFields.NONE, new byte[0], true);
 		}
 	}
 
@@ -299,8 +285,7 @@
 		if (last) {
 			head.addHeader("Connection", "close");
 		}
-		boolean bodiless = response.status() < LOWEST_SUCCESS || response.status() == NO_CONTENT
-				|| response.status() == NOT_MODIFIED;
+		boolean bodiless = MessageBody.isForbidden(response.status());
 		if (!bodiless) {
 			head.addHeader("Content-Length", response.body().length);
 		}
--- a/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
@@ -72,14 +72,6 @@
 		return (InetSocketAddress) this.server.getLocalSocketAddress();
 	}
 
-	/**
-	 * Returns the open connections.
-	 * @return count
-	 */
-	public int connectionCount() {
-		return this.connections.size();
-	}
-
 	/**
 	 * Ends each connection after its next answer, so that callers move elsewhere. New
 	 * ones are still accepted.
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -6,6 +6,7 @@
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
@@ -66,6 +67,16 @@
 		return DefaultContentLengthStrategy.INSTANCE.determineLength(head) != ContentLengthStrategy.UNDEFINED;
 	}
 
+	/**
+	 * Tells whether answers with a status have no body (RFC 9110, section 6.4.1).
+	 * @param status the status
+	 * @return true for interim answers, 204 and 304
+	 */
+	static boolean isForbidden(int status) {
+		return status < HttpStatus.SC_SUCCESS || status == HttpStatus.SC_NO_CONTENT
+				|| status == HttpStatus.SC_NOT_MODIFIED;
+	}
+
 	private static byte[] bounded(long length, SessionInputBuffer buffer, InputStream stream, int mostBytes)
 			throws IOException {
 		if (length > mostBytes) {
