Notice dead parents within 1.2 s and ask for the floor again sooner

Ruled out: a slow change (36 of 36 changes were acknowledged in time) and the control group (it had a leader all the while). Change: heartbeats of the tree every 500 ms, a peer counts as dead after 1.2 s; reports keep their interval. Test: TreeDecisionTests, failed before.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Backoff.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Backoff.java
@@ -15,20 +15,31 @@
 
 	private final RandomGenerator random;
 
-	private long boundMillis = START_MILLIS;
+	private final long startMillis;
+
+	private final long limitMillis;
+
+	private long boundMillis;
 
 	Backoff(RandomGenerator random) {
+		this(random, START_MILLIS, LIMIT_MILLIS);
+	}
+
+	Backoff(RandomGenerator random, long startMillis, long limitMillis) {
 		this.random = random;
+		this.startMillis = startMillis;
+		this.limitMillis = limitMillis;
+		this.boundMillis = startMillis;
 	}
 
 	long nextMillis() {
 		long waitMillis = this.random.nextLong(this.boundMillis) + 1;
-		this.boundMillis = Math.min(LIMIT_MILLIS, this.boundMillis * 2);
+		this.boundMillis = Math.min(this.limitMillis, this.boundMillis * 2);
 		return waitMillis;
 	}
 
 	void reset() {
-		this.boundMillis = START_MILLIS;
+		this.boundMillis = this.startMillis;
 	}
 
 }
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -446,8 +446,8 @@
 	}
 
 	private void confirmFloor() {
-		Backoff backoff = new Backoff(this.random);
-		while (!this.closed) {
+		Backoff backoff = new Backoff(this.random, TreeTimes.FLOOR_RETRY_MILLIS, TreeTimes.FLOOR_RETRY_LIMIT_MILLIS);
+		while (!this.closed && awaitParent()) {
 			Optional<Long> confirmed = this.floorRequests.request(2 * TreeTimes.CALL_TIMEOUT_MILLIS);
 			if (confirmed.isPresent()) {
 				this.floor = confirmed.get();
@@ -462,6 +462,23 @@
 		}
 	}
 
+	private boolean awaitParent() {
+		this.lock.lock();
+		try {
+			while (this.uplink.session().isEmpty() && !this.closed) {
+				this.changed.await(TreeTimes.CHECK_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			return !this.closed;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	private Optional<Long> askParentForFloor() {
 		Optional<ParentSession> session = this.uplink.session();
 		if (session.isEmpty()) {
@@ -896,6 +913,7 @@
 			session.start(() -> NodeDistribution.this.active.current().version());
 			NodeDistribution.this.children.pathChanged(path());
 			NodeDistribution.this.children.heartbeat();
+			changed();
 		}
 
 		@Override
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -193,15 +193,18 @@
 
 	private void tick() {
 		long lastHeartbeatMillis = 0;
+		long lastReportMillis = 0;
 		long lastCleanupMillis = this.clock.millis();
 		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
 			long now = this.clock.millis();
 			boolean heartbeatDue = now - lastHeartbeatMillis >= TreeTimes.HEARTBEAT_MILLIS;
+			boolean reportDue = now - lastReportMillis >= TreeTimes.REPORT_MILLIS;
 			boolean cleanupDue = now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS;
 			lastHeartbeatMillis = heartbeatDue ? now : lastHeartbeatMillis;
+			lastReportMillis = reportDue ? now : lastReportMillis;
 			lastCleanupMillis = cleanupDue ? now : lastCleanupMillis;
 			try {
-				check(now, heartbeatDue, cleanupDue);
+				check(now, heartbeatDue, reportDue, cleanupDue);
 			}
 			catch (RuntimeException ex) {
 				Logger.error(ex, "distribution: A periodic check of {} failed.", this.self.id());
@@ -209,10 +212,12 @@
 		}
 	}
 
-	private void check(long now, boolean heartbeatDue, boolean cleanupDue) {
+	private void check(long now, boolean heartbeatDue, boolean reportDue, boolean cleanupDue) {
 		this.children.expireLeases();
 		if (heartbeatDue) {
 			this.children.heartbeat();
+		}
+		if (reportDue) {
 			this.peers.report(subtreeStatus());
 			expireOrphans(now);
 		}
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -8,19 +8,21 @@
 	/**
 	 * Interval of heartbeats in each direction.
 	 */
-	static final long HEARTBEAT_MILLIS = 1_000;
+	static final long HEARTBEAT_MILLIS = 500;
 
 	/**
 	 * A relay passes on a heartbeat when one arrives from above, so that the stated age
 	 * of the root does not grow by one interval per hop. It sends one of its own only if
 	 * none arrived for this time.
 	 */
-	static final long OWN_HEARTBEAT_MILLIS = 1_200;
+	static final long OWN_HEARTBEAT_MILLIS = 600;
 
 	/**
-	 * Silence after which a peer is considered dead.
+	 * Silence after which a peer is considered dead. A child has to notice the death of
+	 * its parent, attach elsewhere and catch up within 2 s, so that a change that was
+	 * accepted meanwhile is in force in time.
 	 */
-	static final long SILENCE_LIMIT_MILLIS = 2_500;
+	static final long SILENCE_LIMIT_MILLIS = 1_200;
 
 	/**
 	 * Age of the last contact with a root above which a parent is left.
@@ -62,6 +64,14 @@
 	 */
 	static final long ATTACH_TIMEOUT_MILLIS = 1_500;
 
+	/**
+	 * Shortest and longest wait before a node that has just started asks for the version
+	 * floor again. Relays combine the requests of their children.
+	 */
+	static final long FLOOR_RETRY_MILLIS = 50;
+
+	static final long FLOOR_RETRY_LIMIT_MILLIS = 400;
+
 	/**
 	 * Longest wait of a new relay for the services that its children need.
 	 */
--- a/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
@@ -98,8 +98,9 @@
 
 	@Test
 	public void silentParentIsLostAndOneWithoutRootIsLeft() {
-		Assert.assertEquals(ParentHealth.of(true, true, false, 2_500, 3_000, 1), ParentHealth.GOOD);
-		Assert.assertEquals(ParentHealth.of(true, true, false, 2_501, 0, 1), ParentHealth.LOST);
+		Assert.assertEquals(ParentHealth.of(true, true, false, 1_200, 3_000, 1), ParentHealth.GOOD);
+		Assert.assertEquals(ParentHealth.of(true, true, false, 1_201, 0, 1), ParentHealth.LOST,
+				"a change is in force within 2 s also below a parent that has died");
 		Assert.assertEquals(ParentHealth.of(true, true, false, 0, 3_001, 1), ParentHealth.MOVE);
 		Assert.assertEquals(ParentHealth.of(true, true, false, 0, 3_001, 2), ParentHealth.GOOD,
 				"the relay above moves first");
@@ -146,6 +147,15 @@
 		Assert.assertTrue(attempts <= 24, attempts + " attempts");
 	}
 
+	@Test
+	public void versionFloorIsAskedForAgainSoonHoweverOftenItWasNotConfirmed() {
+		Backoff backoff = new Backoff(new Random(7), TreeTimes.FLOOR_RETRY_MILLIS, TreeTimes.FLOOR_RETRY_LIMIT_MILLIS);
+		for (int attempt = 0; attempt < 20; attempt++) {
+			long waitMillis = backoff.nextMillis();
+			Assert.assertTrue(waitMillis <= 400, "wait of " + waitMillis + " ms after attempt " + attempt);
+		}
+	}
+
 	@Test
 	public void backoffStaysBetweenZeroAndFiveSeconds() {
 		Backoff backoff = new Backoff(new Random(7));
