Let requests wait for the first configuration of a node

Change: in the first 2 s of a process a request waits for the configuration, for a third of its time and 0.6 s at most; later it is refused at once as before. The caller is told to come back after 0.4 to 0.8 s instead of 0.8 to 1.2 s, as a part of that time has passed. Bounds on calls and bytes in flight are checked before the wait. Tests: StartWaitTests, FirstConfigurationTests.

--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -48,7 +48,7 @@
 
 	private final RandomGenerator random;
 
-	private final MeshView view;
+	private final FirstConfiguration configuration;
 
 	private final String ownService;
 
@@ -68,7 +68,7 @@
 		this.clock = parts.clock();
 		this.random = parts.random();
 		this.ownService = parts.self().service();
-		this.view = view;
+		this.configuration = new FirstConfiguration(parts.clock(), view);
 		this.dialect = dialect;
 		this.router = router;
 		this.metrics = metrics;
@@ -101,20 +101,45 @@
 	}
 
 	private OutgoingResponse answer(IncomingRequest request) {
-		Optional<MeshConfiguration> configuration = this.view.configuration();
+		int bytes = request.body().length;
+		boolean fits = this.bodyBytes.addAndGet(bytes) <= MOST_BODY_BYTES;
+		try {
+			return answer(request, fits);
+		}
+		finally {
+			this.bodyBytes.addAndGet(-bytes);
+		}
+	}
+
+	private OutgoingResponse answer(IncomingRequest request, boolean fits) {
 		Either<String, CallTerms> terms = this.dialect.terms(request.headers());
-		RoutedAnswer answer;
 		if (terms.isLeft()) {
-			answer = refusal(HttpStatus.BAD_REQUEST, terms.getLeft());
+			return respond(request, "", refusal(HttpStatus.BAD_REQUEST, terms.getLeft()), 0);
+		}
+		String requestId = terms.get().requestId();
+		Optional<RoutedAnswer> refused = refusal(fits);
+		if (refused.isPresent()) {
+			long version = this.configuration.present().map(MeshConfiguration::version).orElse(0L);
+			return respond(request, requestId, refused.get(), version);
+		}
+		Optional<MeshConfiguration> present = this.configuration
+			.await(terms.get().deadlineMillis().orElse(Integer.MAX_VALUE));
+		RoutedAnswer answer = present.map((current) -> answerOrFail(request, terms.get(), current))
+			.orElseGet(() -> refusal(HttpStatus.UNAVAILABLE, "no confirmed configuration yet"));
+		return respond(request, requestId, answer, present.map(MeshConfiguration::version).orElse(0L));
+	}
+
+	private Optional<RoutedAnswer> refusal(boolean fits) {
+		if (this.stopping) {
+			return Optional.of(refusal(HttpStatus.UNAVAILABLE, "node is stopping"));
 		}
-		else if (configuration.isEmpty()) {
-			answer = refusal(HttpStatus.UNAVAILABLE, "no confirmed configuration yet");
+		if (this.inFlight.get() > MOST_IN_FLIGHT) {
+			return Optional.of(refusal(HttpStatus.UNAVAILABLE, "node has " + MOST_IN_FLIGHT + " calls in flight"));
 		}
-		else {
-			answer = answerOrFail(request, terms.get(), configuration.get());
+		if (!fits) {
+			return Optional.of(refusal(HttpStatus.UNAVAILABLE, "request bodies in flight fill the memory of the node"));
 		}
-		long version = configuration.map(MeshConfiguration::version).orElse(0L);
-		return respond(request, terms.map(CallTerms::requestId).getOrElse(""), answer, version);
+		return Optional.empty();
 	}
 
 	private RoutedAnswer answerOrFail(IncomingRequest request, CallTerms terms, MeshConfiguration configuration) {
@@ -128,27 +153,13 @@
 	}
 
 	private RoutedAnswer answer(IncomingRequest request, CallTerms terms, MeshConfiguration configuration) {
-		if (this.stopping) {
-			return refusal(HttpStatus.UNAVAILABLE, "node is stopping");
-		}
-		if (this.inFlight.get() > MOST_IN_FLIGHT) {
-			return refusal(HttpStatus.UNAVAILABLE, "node has " + MOST_IN_FLIGHT + " calls in flight");
-		}
 		long startNanos = System.nanoTime();
 		Either<RoutedAnswer, RoutedCall> call = find(request, terms, configuration)
 			.flatMap((target) -> check(request, terms, target));
 		if (call.isLeft()) {
 			return call.getLeft();
 		}
-		RoutedAnswer answer;
-		int bytes = call.get().body().length;
-		if (this.bodyBytes.addAndGet(bytes) > MOST_BODY_BYTES) {
-			answer = refusal(HttpStatus.UNAVAILABLE, "request bodies in flight fill the memory of the node");
-		}
-		else {
-			answer = this.router.route(call.get());
-		}
-		this.bodyBytes.addAndGet(-bytes);
+		RoutedAnswer answer = this.router.route(call.get());
 		this.metrics.record(call.get().service().name(), call.get().customer(), answer.answer().verdict(),
 				System.nanoTime() - startNanos);
 		return answer;
--- a/policy/src/main/java/io/lavenderroad/policy/calls/RetryAdvice.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/RetryAdvice.java
@@ -20,10 +20,11 @@
 	static final int SPREAD_MILLIS = 400;
 
 	/**
-	 * Earliest return to a node that has no configuration yet: the control group elects a
-	 * leader and confirms the version within about a second.
+	 * Earliest return to a node that has no configuration yet. The control group elects a
+	 * leader and confirms the version within about a second, and the caller has waited
+	 * for a part of it.
 	 */
-	static final int LEAST_START_MILLIS = 800;
+	static final int LEAST_START_MILLIS = 400;
 
 	private RetryAdvice() {
 	}
