Take the last step of a move in an overload

In the burst the ready slots of the new version carried 66% of the measured demand, and the ramp held there; the old version has no more slots than the new one. Change: from the planned end of the ramp on, a new version with at least as many ready slots as the old one carries everything.

--- a/policy/src/main/java/io/lavenderroad/policy/moves/RampPlan.java
+++ b/policy/src/main/java/io/lavenderroad/policy/moves/RampPlan.java
@@ -188,11 +188,17 @@
 	}
 
 	/**
-	 * Returns the largest share that the ready slots of the new version carry.
+	 * Returns the largest share that the ready slots of the new version carry. Before the
+	 * deadline a new version with as many slots as the old one carries everything: in an
+	 * overload neither has enough, and the old servers go in any case.
 	 * @return share in 1/10,000
 	 */
 	int slotLimit() {
 		double slots = this.situation.newServers().readySlots();
+		boolean replacesOld = slots > 0 && slots >= this.situation.oldServers().readySlots();
+		if (replacesOld && this.situation.nowMillis() >= latestFullShiftMillis()) {
+			return ServiceConfiguration.WHOLE_SHARE;
+		}
 		double demand = this.situation.evidence().recent().demandSlots();
 		if (demand <= 0) {
 			double all = Math.max(this.situation.oldServers().readySlots(), slots);
