Send heartbeats on connections in use only, probe idle ones before a call

Change: one task looks at all connections of a process four times a second. A connection on which no answer is due sends a heartbeat every 10 s; a call over a connection without a frame for 1.8 s is preceded by a probe, whose failure proves that the call was not sent. The silence limit of 2.5 s holds from the moment at which an answer is due. Ruled out: longer heartbeats without a probe, as calls would go to VMs that have died.

--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -50,11 +50,9 @@
 
 	private static final int KIND_REFUSAL = 6;
 
-	/**
-	 * Shortest pause between two looks at the connection, while a blocked writer keeps a
-	 * heartbeat from being sent.
-	 */
-	private static final long LEAST_CHECK_MILLIS = 50;
+	private static final int KIND_PROBE = 7;
+
+	private static final int KIND_PROBE_ANSWER = 8;
 
 	private static final int FRAME_HEADER_BYTES = 4;
 
@@ -95,6 +93,11 @@
 
 	private volatile long lastSentMillis;
 
+	/**
+	 * Only the watch writes it.
+	 */
+	private volatile long waitingSinceMillis;
+
 	private Connection(Socket socket, WireOptions options) throws IOException {
 		this.socket = socket;
 		this.options = options;
@@ -257,6 +260,31 @@
 		}
 	}
 
+	/**
+	 * Asks the peer for a sign of life.
+	 * @param timeoutMillis longest wait
+	 * @return true if it came in time
+	 */
+	public boolean probe(long timeoutMillis) {
+		long correlation = this.nextCorrelation.incrementAndGet();
+		CompletableFuture<Either<CallFailure, Object>> future = new CompletableFuture<>();
+		this.calls.put(correlation, future);
+		try {
+			return isOpen() && tryWrite(KIND_PROBE, correlation, null)
+					&& future.get(timeoutMillis, TimeUnit.MILLISECONDS).isRight();
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			return false;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+		finally {
+			this.calls.remove(correlation);
+		}
+	}
+
 	@Override
 	public void close() {
 		close("closed by this process");
@@ -297,38 +325,32 @@
 	private void start() throws IOException {
 		this.socket.setSoTimeout(0);
 		Thread.ofVirtual().name("read " + this).start(this::readFrames);
-		Thread.ofVirtual().name("heartbeat " + this).start(this::watch);
+		this.options.watch().add(this);
 	}
 
-	private void watch() {
-		while (isOpen()) {
-			long now = this.options.clock().millis();
-			if (now - this.lastReceivedMillis > this.options.silenceLimitMillis()) {
-				close("peer was silent for " + (now - this.lastReceivedMillis) + " ms");
-				return;
-			}
-			if (now - this.lastSentMillis >= this.options.heartbeatMillis() && !this.writeLock.isLocked()) {
-				tryWrite(KIND_HEARTBEAT, 0, null);
-			}
-			if (!pause(nextCheckMillis(now) - now)) {
-				return;
-			}
+	/**
+	 * Sends a heartbeat or closes the connection if either is due. Called again and again
+	 * by the watch; does not block.
+	 */
+	void check() {
+		long now = this.options.clock().millis();
+		if (this.calls.isEmpty()) {
+			this.waitingSinceMillis = 0;
 		}
-	}
-
-	private long nextCheckMillis(long now) {
-		long heartbeatDue = this.lastSentMillis + this.options.heartbeatMillis();
-		long silenceDue = this.lastReceivedMillis + this.options.silenceLimitMillis() + 1;
-		return Math.max(now + LEAST_CHECK_MILLIS, Math.min(heartbeatDue, silenceDue));
-	}
-
-	private static boolean pause(long millis) {
-		try {
-			Thread.sleep(millis);
-			return true;
+		else if (this.waitingSinceMillis == 0) {
+			this.waitingSinceMillis = now;
 		}
-		catch (InterruptedException ex) {
-			return false;
+		switch (ConnectionHealth.of(now, this.lastSentMillis, this.lastReceivedMillis, this.waitingSinceMillis,
+				!this.answering.isEmpty(), this.options)) {
+			case GOOD -> {
+			}
+			case HEARTBEAT_DUE -> {
+				if (!this.writeLock.isLocked()) {
+					Thread.ofVirtual().start(() -> tryWrite(KIND_HEARTBEAT, 0, null));
+				}
+			}
+			case SILENT ->
+				Thread.ofVirtual().start(() -> close("peer was silent for " + (now - this.lastReceivedMillis) + " ms"));
 		}
 	}
 
@@ -376,6 +398,8 @@
 			}
 			case KIND_ONE_WAY -> this.handler.received(this, decode(unpacker));
 			case KIND_REQUEST -> startAnswer(correlation, decode(unpacker));
+			case KIND_PROBE -> Thread.ofVirtual().start(() -> tryWrite(KIND_PROBE_ANSWER, correlation, null));
+			case KIND_PROBE_ANSWER -> complete(correlation, Either.right(true));
 			case KIND_ANSWER -> complete(correlation, Either.right(decode(unpacker)));
 			case KIND_FAILURE -> complete(correlation,
 					Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, unpacker.unpackString())));
@@ -456,7 +480,7 @@
 			packer.packInt(kind);
 			packer.packLong(correlation);
 			switch (kind) {
-				case KIND_HEARTBEAT -> {
+				case KIND_HEARTBEAT, KIND_PROBE, KIND_PROBE_ANSWER -> {
 				}
 				case KIND_HELLO -> this.options.hello().encode(packer);
 				case KIND_FAILURE, KIND_REFUSAL -> packer.packString((String) message);
--- a/core/src/main/java/io/lavenderroad/core/wire/WireOptions.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/WireOptions.java
@@ -33,6 +33,8 @@
 
 	private final InetAddress localAddress;
 
+	private final ConnectionWatch watch = new ConnectionWatch();
+
 	private WireOptions(Builder builder) {
 		this.hello = Objects.requireNonNull(builder.hello, "hello");
 		this.catalog = Objects.requireNonNull(builder.catalog, "catalog");
@@ -94,8 +96,12 @@
 		return this.connectTimeoutMillis;
 	}
 
+	ConnectionWatch watch() {
+		return this.watch;
+	}
+
 	/**
-	 * Returns after how much own silence a heartbeat is sent.
+	 * Returns after how much own silence a heartbeat is sent on a connection in use.
 	 * @return milliseconds
 	 */
 	public int heartbeatMillis() {
@@ -103,7 +109,7 @@
 	}
 
 	/**
-	 * Returns after how much silence of the peer the connection is closed.
+	 * Returns after how much silence of the peer a connection in use is closed.
 	 * @return milliseconds
 	 */
 	public int silenceLimitMillis() {
--- a/core/src/test/java/io/lavenderroad/core/wire/ConnectionTests.java
+++ b/core/src/test/java/io/lavenderroad/core/wire/ConnectionTests.java
@@ -107,6 +107,14 @@
 		Assert.assertEquals(next.getLeft().verdict(), ExecutionVerdict.NOT_RUN);
 	}
 
+	@Test
+	public void probeIsAnsweredByALivingPeerOnly() throws Exception {
+		Connection connection = Connection.open(this.server.address(), options("east"), new EchoHandler()).get();
+		Assert.assertTrue(connection.probe(TIMEOUT_MILLIS));
+		connection.close();
+		Assert.assertFalse(connection.probe(TIMEOUT_MILLIS));
+	}
+
 	private static WireOptions options(String cluster) {
 		MessageCatalog catalog = MessageCatalog.builder()
 			.add(new MessageType<>(1, Text.class, (message, packer) -> packer.packString(message.value()),
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -30,10 +30,10 @@
 	static final long IDLE_MILLIS = 60_000;
 
 	/**
-	 * A connection without a frame for this many heartbeat intervals gets no new calls.
-	 * The silence limit of the wire closes it later.
+	 * A connection without a frame for this time is probed before a call is sent over it,
+	 * since the peer may have gone without a word. A probe costs one round trip.
 	 */
-	private static final double SUSPECT_HEARTBEATS = 1.8;
+	private static final long FRESH_MILLIS = 1_800;
 
 	private final WireOptions options;
 
@@ -139,7 +139,7 @@
 			return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "node is stopping"));
 		}
 		long now = this.options.clock().millis();
-		Peer peer = this.peers.compute(address, (key, known) -> isUsable(known, now) ? known : open(address, now));
+		Peer peer = this.peers.compute(address, (key, known) -> isUsable(known) ? known : open(address, now));
 		try {
 			long waitMillis = Math.min(timeoutMillis, this.connectWaitMillis);
 			Either<CallFailure, Connection> result = peer.connection.get(waitMillis, TimeUnit.MILLISECONDS);
@@ -147,6 +147,10 @@
 				this.peers.remove(address, peer);
 				return Either.left(result.getLeft());
 			}
+			if (!answers(result.get(), now, waitMillis)) {
+				this.peers.remove(address, peer);
+				return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "no answer to a probe"));
+			}
 			return Either.right(peer);
 		}
 		catch (TimeoutException ex) {
@@ -162,7 +166,7 @@
 		}
 	}
 
-	private boolean isUsable(Peer peer, long nowMillis) {
+	private static boolean isUsable(Peer peer) {
 		if (peer == null) {
 			return false;
 		}
@@ -170,8 +174,12 @@
 		if (result == null) {
 			return !peer.connection.isCompletedExceptionally();
 		}
-		return result.isRight() && result.get().isOpen()
-				&& nowMillis - result.get().lastReceivedMillis() < SUSPECT_HEARTBEATS * this.options.heartbeatMillis();
+		return result.isRight() && result.get().isOpen();
+	}
+
+	private static boolean answers(Connection connection, long nowMillis, long waitMillis) {
+		boolean fresh = nowMillis - connection.lastReceivedMillis() < FRESH_MILLIS;
+		return fresh || connection.probe(waitMillis);
 	}
 
 	private Peer open(String address, long nowMillis) {
