--- a/daemon/src/main/java/io/lavenderroad/daemon/LogConfiguration.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/LogConfiguration.java
@@ -2,6 +2,7 @@
 
 import io.lavenderroad.daemon.DaemonSettings.LogSettings;
 import org.tinylog.configuration.Configuration;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * Configures tinylog before its first use.
@@ -14,6 +15,8 @@
 	}
 
 	static void apply(LogSettings settings) {
+		// The default closes the writer as soon as the process is told to stop.
+		Configuration.set("autoshutdown", "false");
 		Configuration.set("level", settings.level());
 		Configuration.set("writer.format", FORMAT);
 		if (settings.file().isPresent()) {
@@ -26,4 +29,16 @@
 		}
 	}
 
+	/**
+	 * Writes what is left and closes the log, as the last step of a process.
+	 */
+	static void close() {
+		try {
+			ProviderRegistry.getLoggingProvider().shutdown();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
--- a/daemon/src/main/java/io/lavenderroad/daemon/Main.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -117,6 +117,7 @@
 			Logger.info("daemon: Shutting down {}.", settings.id());
 			shutDown(running, settings.shutdown().limitMillis());
 			Logger.info("daemon: Stopped {}.", settings.id());
+			LogConfiguration.close();
 			done.countDown();
 		}));
 		try {
