Keep no idempotency keys where callers cannot state any

Cause: at its start, and with each change among the servers of a service, a node connects to every other node of the service to copy records of idempotency keys. Each restart of a rolling restart pays it again, in code that has hardly run. Found by looking for work that grows with the number of servers, after heartbeats were ruled out. Change: the dialect says whether callers can state keys; without them nodes hold none, ask nobody and hand nothing over when they stop. A relay checks leases once a second, all connections are looked at twice.

--- a/core/src/main/java/io/lavenderroad/core/wire/ConnectionWatch.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/ConnectionWatch.java
@@ -11,7 +11,7 @@
  */
 final class ConnectionWatch {
 
-	private static final long CHECK_MILLIS = 250;
+	private static final long CHECK_MILLIS = 500;
 
 	private final ReentrantLock lock = new ReentrantLock();
 
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -384,7 +384,7 @@
 
 	private void tick() {
 		long lastCleanupMillis = this.clock.millis();
-		while (!this.closed && sleep(TreeTimes.CHECK_MILLIS)) {
+		while (!this.closed && sleep(TreeTimes.LEASE_CHECK_MILLIS)) {
 			long now = this.clock.millis();
 			boolean cleanupDue = now - lastCleanupMillis >= TreeTimes.CLEANUP_MILLIS;
 			lastCleanupMillis = cleanupDue ? now : lastCleanupMillis;
--- a/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/TreeTimes.java
@@ -36,10 +36,15 @@
 	static final long ROOT_AGE_PER_HOP_MILLIS = 500;
 
 	/**
-	 * Interval of the checks for silence and leases.
+	 * Interval of the checks for silence, and of those of a root for leases.
 	 */
 	static final long CHECK_MILLIS = 250;
 
+	/**
+	 * Interval of the checks of a relay for leases, which last for seconds.
+	 */
+	static final long LEASE_CHECK_MILLIS = 1_000;
+
 	/**
 	 * Interval of reports.
 	 */
--- a/node/src/main/java/io/lavenderroad/node/CallDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/CallDialect.java
@@ -24,6 +24,13 @@
 	 */
 	Either<String, CallTerms> terms(HeaderFields headers);
 
+	/**
+	 * Tells whether callers can state idempotency keys. Without them nodes keep no
+	 * records of keys and open no connections to each other for them.
+	 * @return true if {@link #terms} may return a key
+	 */
+	boolean carriesKeys();
+
 	/**
 	 * Tells whether a field is passed on beyond a node, besides the fields of one
 	 * connection, which never are.
--- a/node/src/main/java/io/lavenderroad/node/MeshDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/MeshDialect.java
@@ -36,6 +36,11 @@
 				headers.text(MeshHeaders.SERVICE), headers.text(MeshHeaders.CUSTOMER), key, millis, retries)));
 	}
 
+	@Override
+	public boolean carriesKeys() {
+		return true;
+	}
+
 	@Override
 	public boolean passesOn(String name) {
 		return MeshHeaders.passesOn(name);
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -245,7 +245,7 @@
 		long end = this.clock.millis() + this.drainTimeoutMillis;
 		this.admission.awaitIdle(this.drainTimeoutMillis);
 		boolean served = awaitNone(this.callServer::inFlight, end);
-		if (!this.keys.handOver()) {
+		if (this.dialect.carriesKeys() && !this.keys.handOver()) {
 			Logger.warn("node: Not every idempotency key was handed over.");
 		}
 		// Calls of the backend server's own running work enter here, so this comes last.
@@ -280,7 +280,9 @@
 			this.adminServer.start();
 		}
 		Thread.ofVirtual().name("backend monitor").start(() -> repeat(this::pollBackend));
-		Thread.ofVirtual().name("key ledger").start(() -> repeat(this.keys::maintain));
+		if (this.dialect.carriesKeys()) {
+			Thread.ofVirtual().name("key ledger").start(() -> repeat(this.keys::maintain));
+		}
 		Thread.ofVirtual().name("node tick").start(() -> repeat(this::tick));
 	}
 
