Close silent connections of blocked writers and replaced ones again

Change: a blocked writer counts as waiting. A connection that failed a probe is closed when its last call has ended. A node also logs its new parent, the other half of the line on a lost one.

--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -334,7 +334,9 @@
 	 */
 	void check() {
 		long now = this.options.clock().millis();
-		if (this.calls.isEmpty()) {
+		// A writer that is blocked waits for the peer to read.
+		boolean waiting = !this.calls.isEmpty() || this.writeLock.isLocked();
+		if (!waiting) {
 			this.waitingSinceMillis = 0;
 		}
 		else if (this.waitingSinceMillis == 0) {
--- a/core/src/main/java/io/lavenderroad/core/wire/ConnectionHealth.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/ConnectionHealth.java
@@ -32,8 +32,8 @@
 	 * @param nowMillis clock reading in milliseconds
 	 * @param lastSentMillis when the last frame was sent
 	 * @param lastReceivedMillis when the last frame was received
-	 * @param waitingSinceMillis since when this process waits for answers of the peer, 0
-	 * if it waits for none
+	 * @param waitingSinceMillis since when this process waits for answers of the peer or
+	 * for the peer to read, 0 if it does not
 	 * @param answering whether this process works on requests of the peer
 	 * @param options intervals of a connection in use
 	 * @return the verdict
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -237,6 +237,8 @@
 		}
 		this.lastPath = next.path();
 		this.lostParent = null;
+		Logger.info("distribution: Node {} has parent {} at {} hops from a root.", this.self.get().nodeId(),
+				next.parent().id(), next.path().size() - 1);
 		this.owner.attached(next);
 		if (previous != null) {
 			this.owner.replaced(previous);
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -96,7 +96,7 @@
 		}
 		finally {
 			peer.lastUsedMillis = this.options.clock().millis();
-			peer.inUse.decrementAndGet();
+			peer.release();
 		}
 	}
 
@@ -149,6 +149,7 @@
 			}
 			if (!answers(result.get(), now, waitMillis)) {
 				this.peers.remove(address, peer);
+				peer.retire();
 				return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "no answer to a probe"));
 			}
 			return Either.right(peer);
@@ -208,10 +209,28 @@
 
 		private volatile long lastUsedMillis;
 
+		private volatile boolean retired;
+
 		private Peer(long nowMillis) {
 			this.lastUsedMillis = nowMillis;
 		}
 
+		private void release() {
+			if (this.inUse.decrementAndGet() == 0 && this.retired) {
+				close("replaced after a probe without an answer");
+			}
+		}
+
+		/**
+		 * Closes the connection when its last call has ended.
+		 */
+		private void retire() {
+			this.retired = true;
+			if (this.inUse.get() == 0) {
+				close("no answer to a probe");
+			}
+		}
+
 		private void close(String reason) {
 			this.connection.thenAccept((result) -> result.forEach((open) -> open.close(reason)));
 		}
