Handle signals before saying that the process has started

The hook for SIGTERM and the handler of SIGHUP were set after the line "Started", so a signal in between ended the process at once, with its calls in flight. Ruled out: lines lost by the log writer, as even "Shutting down" was missing. Change: both are set before the line is written.

--- a/daemon/src/main/java/io/lavenderroad/daemon/Main.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -98,10 +98,12 @@
 		try {
 			Role role = kernel.find(Role.POINT, settings.role()).orElseThrow();
 			RunningRole running = role.start(settings, kernel);
+			CountDownLatch stopped = stopOnSignal(running, settings);
+			SettingsWatch.start(file, kernel, running);
+			// Whoever reads this line may send signals.
 			Logger.info("daemon: Started {} {} of cluster {} at {}.", settings.role(), settings.id(),
 					settings.cluster(), settings.frameAddress());
-			SettingsWatch.start(file, kernel, running);
-			awaitTermination(running, settings);
+			await(stopped);
 			return SUCCESS;
 		}
 		catch (IOException | LavenderroadException ex) {
@@ -111,7 +113,7 @@
 		}
 	}
 
-	private static void awaitTermination(RunningRole running, DaemonSettings settings) {
+	private static CountDownLatch stopOnSignal(RunningRole running, DaemonSettings settings) {
 		CountDownLatch done = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(() -> {
 			Logger.info("daemon: Shutting down {}.", settings.id());
@@ -120,8 +122,12 @@
 			LogConfiguration.close();
 			done.countDown();
 		}));
+		return done;
+	}
+
+	private static void await(CountDownLatch stopped) {
 		try {
-			done.await();
+			stopped.await();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
