Say once how an answer is awaited, and log the right version of a refusal

Found on reading the change again. - Connection.probe repeated the steps of call (register, write, wait, take back); both go through one method now. - CallerApi answered in three places and had two methods named refusal. One place answers; a request whose terms cannot be read is logged with the version in force again, where the wait for the first configuration had made it 0. Left: HttpConnection makes a parser for each request, since limits may change between requests; ConnectionWatch hangs on WireOptions, which else holds settings only; JsonObject and JsonInput check fields in two ways, one stops at the first problem, the other collects all.

--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -233,6 +233,19 @@
 	 * @return the answer, or why there is none and whether the request may have run
 	 */
 	public <T> Either<CallFailure, T> call(Object request, long timeoutMillis, Class<T> answerType) {
+		return exchange(KIND_REQUEST, request, timeoutMillis).flatMap((answer) -> cast(answer, answerType));
+	}
+
+	/**
+	 * Asks the peer for a sign of life.
+	 * @param timeoutMillis longest wait
+	 * @return true if it came in time
+	 */
+	public boolean probe(long timeoutMillis) {
+		return exchange(KIND_PROBE, null, timeoutMillis).isRight();
+	}
+
+	private Either<CallFailure, Object> exchange(int kind, Object message, long timeoutMillis) {
 		long correlation = this.nextCorrelation.incrementAndGet();
 		CompletableFuture<Either<CallFailure, Object>> future = new CompletableFuture<>();
 		this.calls.put(correlation, future);
@@ -240,10 +253,10 @@
 			if (!isOpen()) {
 				return Either.left(new CallFailure(ExecutionVerdict.NOT_RUN, "connection is closed"));
 			}
-			if (!tryWrite(KIND_REQUEST, correlation, request)) {
+			if (!tryWrite(kind, correlation, message)) {
 				return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, "connection broke while sending"));
 			}
-			return future.get(timeoutMillis, TimeUnit.MILLISECONDS).flatMap((answer) -> cast(answer, answerType));
+			return future.get(timeoutMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException ex) {
 			return Either.left(new CallFailure(ExecutionVerdict.MAY_HAVE_RUN, "no answer in " + timeoutMillis + " ms"));
@@ -260,31 +273,6 @@
 		}
 	}
 
-	/**
-	 * Asks the peer for a sign of life.
-	 * @param timeoutMillis longest wait
-	 * @return true if it came in time
-	 */
-	public boolean probe(long timeoutMillis) {
-		long correlation = this.nextCorrelation.incrementAndGet();
-		CompletableFuture<Either<CallFailure, Object>> future = new CompletableFuture<>();
-		this.calls.put(correlation, future);
-		try {
-			return isOpen() && tryWrite(KIND_PROBE, correlation, null)
-					&& future.get(timeoutMillis, TimeUnit.MILLISECONDS).isRight();
-		}
-		catch (TimeoutException | ExecutionException ex) {
-			return false;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
-		}
-		finally {
-			this.calls.remove(correlation);
-		}
-	}
-
 	@Override
 	public void close() {
 		close("closed by this process");
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -113,23 +113,17 @@
 
 	private OutgoingResponse answer(IncomingRequest request, boolean fits) {
 		Either<String, CallTerms> terms = this.dialect.terms(request.headers());
-		if (terms.isLeft()) {
-			return respond(request, "", refusal(HttpStatus.BAD_REQUEST, terms.getLeft()), 0);
-		}
-		String requestId = terms.get().requestId();
-		Optional<RoutedAnswer> refused = refusal(fits);
-		if (refused.isPresent()) {
-			long version = this.configuration.present().map(MeshConfiguration::version).orElse(0L);
-			return respond(request, requestId, refused.get(), version);
-		}
-		Optional<MeshConfiguration> present = this.configuration
-			.await(terms.get().deadlineMillis().orElse(Integer.MAX_VALUE));
-		RoutedAnswer answer = present.map((current) -> answerOrFail(request, terms.get(), current))
+		Optional<RoutedAnswer> refused = terms.isLeft() ? Optional.of(refusal(HttpStatus.BAD_REQUEST, terms.getLeft()))
+				: refuseOverload(fits);
+		Optional<MeshConfiguration> present = refused.isPresent() ? this.configuration.present()
+				: this.configuration.await(terms.get().deadlineMillis().orElse(Integer.MAX_VALUE));
+		RoutedAnswer answer = refused.or(() -> present.map((current) -> answerOrFail(request, terms.get(), current)))
 			.orElseGet(() -> refusal(HttpStatus.UNAVAILABLE, "no confirmed configuration yet"));
-		return respond(request, requestId, answer, present.map(MeshConfiguration::version).orElse(0L));
+		long version = present.map(MeshConfiguration::version).orElse(0L);
+		return respond(request, terms.map(CallTerms::requestId).getOrElse(""), answer, version);
 	}
 
-	private Optional<RoutedAnswer> refusal(boolean fits) {
+	private Optional<RoutedAnswer> refuseOverload(boolean fits) {
 		if (this.stopping) {
 			return Optional.of(refusal(HttpStatus.UNAVAILABLE, "node is stopping"));
 		}
--- a/policy/src/test/java/io/lavenderroad/policy/moves/EarlyWithdrawalTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/moves/EarlyWithdrawalTests.java
@@ -5,7 +5,6 @@
 
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.Evidence;
-import io.lavenderroad.model.LatencyHistogram;
 import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.MoveState;
 import io.lavenderroad.model.MoveStatus;
@@ -25,25 +24,25 @@
 
 	@Test
 	public void failingVersionIsTakenBackOnTheFirstWindow() {
-		MoveSituation situation = situation(15 * SECOND, observations(200, 1, 100), observations(20, 9, 100));
+		MoveSituation situation = situation(15 * SECOND, PlayedAnswers.of(200, 1, 100), PlayedAnswers.of(20, 9, 100));
 		Assert.assertTrue(new SequentialMovePolicy().decide(situation) instanceof MoveDecision.Withdraw);
 	}
 
 	@Test
 	public void slowVersionIsTakenBackOnTheFirstWindow() {
-		MoveSituation situation = situation(15 * SECOND, observations(200, 0, 100), observations(20, 0, 900));
+		MoveSituation situation = situation(15 * SECOND, PlayedAnswers.of(200, 0, 100), PlayedAnswers.of(20, 0, 900));
 		Assert.assertTrue(new SequentialMovePolicy().decide(situation) instanceof MoveDecision.Withdraw);
 	}
 
 	@Test
 	public void faultThatTheOldVersionSharesIsNotHeldAgainstTheNewOne() {
-		MoveSituation situation = situation(15 * SECOND, observations(200, 60, 100), observations(40, 12, 150));
+		MoveSituation situation = situation(15 * SECOND, PlayedAnswers.of(200, 60, 100), PlayedAnswers.of(40, 12, 150));
 		Assert.assertFalse(new SequentialMovePolicy().decide(situation) instanceof MoveDecision.Withdraw);
 	}
 
 	@Test
 	public void longMoveWaitsForTheSequentialComparison() {
-		MoveSituation situation = situation(600 * SECOND, observations(200, 1, 100), observations(20, 9, 100));
+		MoveSituation situation = situation(600 * SECOND, PlayedAnswers.of(200, 1, 100), PlayedAnswers.of(20, 9, 100));
 		Assert.assertFalse(new SequentialMovePolicy().decide(situation) instanceof MoveDecision.Withdraw);
 	}
 
@@ -62,10 +61,4 @@
 		return new MoveSituation(3 * SECOND, move, seen, oldServers, newServers);
 	}
 
-	private static Observations observations(long calls, long errors, double millis) {
-		long[] counts = new long[LatencyHistogram.BUCKETS];
-		counts[LatencyHistogram.bucketOf(millis)] = calls;
-		return new Observations(calls, errors, 0, LatencyHistogram.of(counts));
-	}
-
 }
--- a/policy/src/test/java/io/lavenderroad/policy/moves/OverloadedMoveTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/moves/OverloadedMoveTests.java
@@ -7,12 +7,10 @@
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
-import io.lavenderroad.model.LatencyHistogram;
 import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.MoveState;
 import io.lavenderroad.model.MoveStatus;
 import io.lavenderroad.model.ObservationKey;
-import io.lavenderroad.model.Observations;
 import io.lavenderroad.model.ThinEvidence;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -52,19 +50,14 @@
 				List.of(SequentialMovePolicy.DEADLINE_AT_RISK));
 		VersionServers older = VersionServers.of(servers("v1", 7), "v1", nowMillis);
 		VersionServers newer = VersionServers.of(servers("v2", newServers), "v2", nowMillis);
-		Evidence evidence = Evidence.of(Map.of(new ObservationKey("catalogue", "orders", "v1"), observations(200),
-				new ObservationKey("catalogue", "orders", "v2"), observations(400)));
+		Evidence evidence = Evidence
+			.of(Map.of(new ObservationKey("catalogue", "orders", "v1"), PlayedAnswers.of(200, 0, 300),
+					new ObservationKey("catalogue", "orders", "v2"), PlayedAnswers.of(400, 0, 300)));
 		MoveEvidence seen = MoveEvidence.start(move, List.of("orders"), nowMillis - 1_000)
 			.plus(evidence, nowMillis, older, newer);
 		return new MoveSituation(nowMillis, move, seen, older, newer);
 	}
 
-	private static Observations observations(long calls) {
-		long[] counts = new long[LatencyHistogram.BUCKETS];
-		counts[LatencyHistogram.bucketOf(300)] = calls;
-		return new Observations(calls, 0, 0, LatencyHistogram.of(counts));
-	}
-
 	private static List<Endpoint> servers(String version, int count) {
 		List<Endpoint> servers = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
