Log and count what tells the causes of a late version apart

A node that answered 404 for a route that had been accepted left no trace of why: a lost parent, a slow link and a slow change looked alike.

A node now logs each version that it puts in force with the number of routes, how long it was without a parent, each candidate that gave it no place with time and reason, and with a 404 the newest version it has heard of and the age of its last word from a root. A parent logs sends and confirmations of a version that take over 1 s. The metrics of a node hold search and apply times, the newest known version and the age of the word from a root.

No decision is changed.

--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -94,6 +94,7 @@
 			.backendAddress(text(backend.address()))
 			.adminAddress(settings.socketAddress(settings.ports().admin()))
 			.adminPage("/status", AdminServer.page(this::status))
+			.figures(this.distribution.metrics())
 			.healthPath(backend.healthPath())
 			.loadPath(backend.loadPath())
 			.registration(registration.orElse(null))
--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -38,6 +38,11 @@
  */
 final class Child {
 
+	/**
+	 * Time above which sending or confirming a version is logged.
+	 */
+	private static final long SLOW_MILLIS = 1_000;
+
 	private final Children owner;
 
 	private final Connection connection;
@@ -82,6 +87,8 @@
 
 	private volatile long version;
 
+	private volatile long sentMillis;
+
 	Child(Children owner, Connection connection, Attach attach) {
 		this.owner = owner;
 		this.connection = connection;
@@ -90,6 +97,7 @@
 		this.failureDomain = attach.failureDomain();
 		this.lastHeartbeatMillis = owner.clock().millis();
 		this.lastReceivedMillis = this.lastHeartbeatMillis;
+		this.sentMillis = this.lastHeartbeatMillis;
 	}
 
 	Hop hop() {
@@ -291,6 +299,11 @@
 	}
 
 	void versionInForce(long newVersion) {
+		long tookMillis = this.owner.clock().millis() - this.sentMillis;
+		if (newVersion > this.version && tookMillis > SLOW_MILLIS) {
+			Logger.info("distribution: Child {} has version {} in force {} ms after version {} was sent.",
+					this.hop.id(), newVersion, tookMillis, this.sentVersion);
+		}
 		this.version = newVersion;
 	}
 
@@ -318,7 +331,7 @@
 				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
 					this.connection.send(message);
 				}
-				nextUpdate().ifPresent(this.connection::send);
+				nextUpdate().ifPresent(this::sendUpdate);
 				beat();
 			}
 		}
@@ -331,6 +344,18 @@
 		}
 	}
 
+	private void sendUpdate(DistributionMessage update) {
+		long startMillis = this.owner.clock().millis();
+		long bytesBefore = this.connection.bytesSent();
+		this.sentMillis = startMillis;
+		this.connection.send(update);
+		long tookMillis = this.owner.clock().millis() - startMillis;
+		if (tookMillis > SLOW_MILLIS) {
+			Logger.info("distribution: Sending {} bytes of version {} to child {} took {} ms.",
+					this.connection.bytesSent() - bytesBefore, this.sentVersion, this.hop.id(), tookMillis);
+		}
+	}
+
 	private void beat() {
 		long now = this.owner.clock().millis();
 		if (now - this.lastReceivedMillis > TreeTimes.SILENCE_LIMIT_MILLIS) {
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -23,6 +23,7 @@
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
+import com.codahale.metrics.MetricSet;
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Connection;
@@ -46,6 +47,7 @@
 import io.lavenderroad.distribution.DistributionMessages.Subscribe;
 import io.lavenderroad.distribution.DistributionMessages.SubscribeAgain;
 import io.lavenderroad.distribution.DistributionMessages.WholeSlice;
+import io.lavenderroad.model.ConfigurationFreshness;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
@@ -81,6 +83,8 @@
 
 	private final ByteCount bytes = new ByteCount();
 
+	private final DistributionMetrics metrics = new DistributionMetrics();
+
 	private final AtomicLong attaches = new AtomicLong();
 
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
@@ -137,6 +141,7 @@
 				file.<ActiveConfiguration.Memory>map((value) -> value).orElse(ActiveConfiguration.Memory.NONE));
 		file.flatMap(VersionFile::load).ifPresent(this::restore);
 		this.children = new Children(new NodeParent(), Placement.RELAY, builder.attachesPerSecond);
+		this.metrics.gauges(this::freshness, () -> this.active.current().version(), this.children::size);
 		this.uplink = new Uplink(new NodeUplink(), this.options, this.clock, builder.random, this::seeds,
 				this::ownEndpoint);
 	}
@@ -187,6 +192,13 @@
 				: Optional.empty();
 	}
 
+	@Override
+	public ConfigurationFreshness freshness() {
+		ParentSession last = this.lastSession;
+		long heardOf = (last != null) ? last.parentVersion() : 0;
+		return new ConfigurationFreshness(rootAgeMillis(), Math.max(heardOf, this.active.current().version()));
+	}
+
 	@Override
 	public List<Endpoint> endpoints(String service) {
 		return this.registry.live(service);
@@ -262,6 +274,14 @@
 				this.evidence.lost(), bytesSent(), bytesReceived());
 	}
 
+	/**
+	 * Returns the figures of the distribution in this node.
+	 * @return metrics by name
+	 */
+	public MetricSet metrics() {
+		return this.metrics;
+	}
+
 	/**
 	 * Sets the addresses to try beside those that the parent names.
 	 * @param addresses {@code ip:port} of control members, or of any node
@@ -579,8 +599,10 @@
 
 	private void apply(ParentSession session, Object message) {
 		if (this.uplink.session().orElse(null) == session) {
+			long startMillis = this.clock.millis();
 			try {
 				applyNow(session, message);
+				this.metrics.applied(this.clock.millis() - startMillis);
 			}
 			catch (RuntimeException ex) {
 				Logger.error(ex, "distribution: Node {} failed to apply an update.", this.self.id());
@@ -608,6 +630,8 @@
 		switch (outcome.result()) {
 			case IN_FORCE -> {
 				this.rejected = null;
+				Logger.info("distribution: Node {} has version {} in force with {} routes, {}.", this.self.id(),
+						version, this.active.current().routes().all().size(), freshness());
 				retainScope();
 				this.children.wake();
 				changed();
@@ -902,6 +926,11 @@
 			NodeDistribution.this.bytes.opened(connection);
 		}
 
+		@Override
+		public void searched(long millis) {
+			NodeDistribution.this.metrics.searched(millis);
+		}
+
 		@Override
 		public void attached(ParentSession session) {
 			NodeDistribution.this.lastSession = session;
--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -86,6 +86,16 @@
 		return Math.max(0, this.clock.millis() - this.rootContactMillis);
 	}
 
+	/**
+	 * Describes for the logs how long nothing was heard.
+	 * @return a part of a sentence
+	 */
+	String describeSilence() {
+		return (this.connection.isOpen() ? "open" : "closed") + ", silent for "
+				+ (this.clock.millis() - this.lastReceivedMillis) + " ms, last word from a root " + rootAgeMillis()
+				+ " ms ago";
+	}
+
 	void parentIsLeaving() {
 		this.leaving.set(true);
 	}
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -62,6 +62,10 @@
 
 	private String lostParent;
 
+	private long aloneSinceMillis;
+
+	private int candidatesTried;
+
 	Uplink(Owner owner, WireOptions options, Clock clock, RandomGenerator random, Supplier<List<String>> seeds,
 			Supplier<Endpoint> self) {
 		this.owner = owner;
@@ -71,6 +75,7 @@
 		this.seeds = seeds;
 		this.self = self;
 		this.backoff = new Backoff(random);
+		this.aloneSinceMillis = clock.millis();
 	}
 
 	void start() {
@@ -141,7 +146,10 @@
 		this.lastPath = present.path();
 		this.lostParent = present.parent().id();
 		this.session = null;
-		Logger.info("distribution: Node {} lost its parent {}.", this.self.get().nodeId(), this.lostParent);
+		this.aloneSinceMillis = this.clock.millis();
+		this.candidatesTried = 0;
+		Logger.info("distribution: Node {} lost its parent {}, {}.", this.self.get().nodeId(), this.lostParent,
+				present.describeSilence());
 		present.connection().close("parent " + this.lostParent + " is lost");
 	}
 
@@ -183,9 +191,11 @@
 	}
 
 	private boolean tryOne(Hop candidate, ParentCandidates candidates, Map<String, Hop> redirectors) {
+		long startMillis = this.clock.millis();
+		this.candidatesTried++;
 		Either<CallFailure, Connection> opened = open(candidate.address());
 		if (opened.isLeft()) {
-			Logger.debug("distribution: {}.", opened.getLeft().reason());
+			logNoPlace(candidate, startMillis, opened.getLeft().reason());
 			candidates.failed(redirectors.get(candidate.address()), candidate);
 			return false;
 		}
@@ -201,19 +211,22 @@
 			candidates.redirected(redirected.targets());
 		}
 		else if (answer.isRight() && answer.get() instanceof Deferred deferred) {
-			Logger.debug("distribution: {} grants no place for {} ms: {}.", connection, deferred.retryAfterMillis(),
-					deferred.reason());
+			logNoPlace(candidate, startMillis, deferred.reason());
 			candidates.deferred(candidate, deferred.retryAfterMillis());
 		}
 		else {
-			Logger.debug("distribution: {} gave no usable answer: {}.", connection,
-					answer.fold(CallFailure::reason, String::valueOf));
+			logNoPlace(candidate, startMillis, answer.fold(CallFailure::reason, String::valueOf));
 			candidates.failed(redirectors.get(candidate.address()), candidate);
 		}
 		connection.close("no place here");
 		return false;
 	}
 
+	private void logNoPlace(Hop candidate, long startMillis, String reason) {
+		Logger.info("distribution: Node {} got no place at {} after {} ms: {}.", this.self.get().nodeId(),
+				candidate.address(), this.clock.millis() - startMillis, reason);
+	}
+
 	private Either<CallFailure, Connection> open(String address) {
 		try {
 			return Connection.open(address(address), this.options, this.owner.handler());
@@ -237,8 +250,12 @@
 		}
 		this.lastPath = next.path();
 		this.lostParent = null;
-		Logger.info("distribution: Node {} has parent {} at {} hops from a root.", this.self.get().nodeId(),
-				next.parent().id(), next.path().size() - 1);
+		long aloneMillis = (previous != null) ? 0 : this.clock.millis() - this.aloneSinceMillis;
+		this.owner.searched(aloneMillis);
+		Logger.info("distribution: Node {} has parent {} at {} hops from a root after {} ms without one, {} tried.",
+				this.self.get().nodeId(), next.parent().id(), next.path().size() - 1, aloneMillis,
+				this.candidatesTried);
+		this.candidatesTried = 0;
 		this.owner.attached(next);
 		if (previous != null) {
 			this.owner.replaced(previous);
@@ -296,6 +313,12 @@
 
 		void opened(Connection connection);
 
+		/**
+		 * A search for a parent has ended.
+		 * @param millis time without a parent
+		 */
+		void searched(long millis);
+
 		/**
 		 * A new session has begun.
 		 * @param session the session
--- a/model/src/main/java/io/lavenderroad/model/MeshView.java
+++ b/model/src/main/java/io/lavenderroad/model/MeshView.java
@@ -23,6 +23,15 @@
 	 */
 	List<Endpoint> endpoints(String service);
 
+	/**
+	 * Tells how current the configuration in force is. A view that cannot fall behind is
+	 * always current.
+	 * @return age of the last word from a root and the newest version heard of
+	 */
+	default ConfigurationFreshness freshness() {
+		return ConfigurationFreshness.CURRENT;
+	}
+
 	/**
 	 * Calls a listener after each switch to another configuration and after each change
 	 * of endpoints.
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -48,6 +48,8 @@
 
 	private final RandomGenerator random;
 
+	private final MeshView view;
+
 	private final FirstConfiguration configuration;
 
 	private final String ownService;
@@ -68,6 +70,7 @@
 		this.clock = parts.clock();
 		this.random = parts.random();
 		this.ownService = parts.self().service();
+		this.view = view;
 		this.configuration = new FirstConfiguration(parts.clock(), view);
 		this.dialect = dialect;
 		this.router = router;
@@ -176,7 +179,8 @@
 				.find(host, request.path())
 				.flatMap((route) -> byHost(route, configuration))
 				.<Either<RoutedAnswer, Target>>map(Either::right)
-				.orElseGet(() -> Either.left(refusal(HttpStatus.NOT_FOUND, "no route for " + host + request.path())));
+				.orElseGet(() -> Either.left(refusal(HttpStatus.NOT_FOUND,
+						"no route for " + host + request.path() + ", " + this.view.freshness())));
 		}
 		return byService(request, terms.service().isEmpty() ? firstLabel(host) : terms.service(), configuration);
 	}
--- a/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.MetricSet;
 import com.codahale.metrics.SlidingWindowReservoir;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.metrics.MetricsText;
@@ -61,6 +62,14 @@
 		this.registry.registerGauge("lavenderroad_node_" + name, gauge);
 	}
 
+	/**
+	 * Adds the figures of another part of the process, under their own names.
+	 * @param figures metrics by name
+	 */
+	void include(MetricSet figures) {
+		this.registry.registerAll(figures);
+	}
+
 	/**
 	 * Returns all figures.
 	 * @return the Prometheus text format
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,6 +19,7 @@
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
+import com.codahale.metrics.MetricSet;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import io.lavenderroad.core.Clock;
@@ -145,6 +148,7 @@
 			.bind(Objects.requireNonNull(builder.callerAddress, "callerAddress"));
 		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress, builder.adminPages)
 				: null;
+		builder.figures.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
 		this.metrics.gauge("key_records", store::size);
 		this.metrics.gauge("key_bytes", store::bytes);
@@ -418,6 +422,8 @@
 
 		private final Map<String, HttpHandler> adminPages = new TreeMap<>();
 
+		private final List<MetricSet> figures = new ArrayList<>();
+
 		private InetSocketAddress adminAddress;
 
 		private String healthPath = "";
@@ -605,6 +611,16 @@
 			return this;
 		}
 
+		/**
+		 * Adds the figures of another part of the process to the metrics page.
+		 * @param added metrics by name
+		 * @return this builder
+		 */
+		public Builder figures(MetricSet added) {
+			this.figures.add(added);
+			return this;
+		}
+
 		/**
 		 * Adds a page to those of the administrator.
 		 * @param path path of the page
