Serve nodes from the roots until their room runs out

Callers got 404 for routes that had been accepted more than 2 s before. Cause: a root took two children of each failure domain, so that with 58 nodes 40 hung below relays, which are ordinary VMs with a link of a few Mbit/s. A relay with 16 children needs 3 s to pass a change of 1,600 routes on, and each relay is one more process on which a change depends.

A root now takes 96 children itself and keeps the rest of its 128 connections for two children of each failure domain. Relays begin at 480 nodes with five roots. Tests of the tree ask for relays explicitly.

--- a/distribution/src/main/java/io/lavenderroad/distribution/ConvergenceBenchmark.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ConvergenceBenchmark.java
@@ -44,7 +44,7 @@
 
 	private final Random random = new Random(20261204);
 
-	private final LocalMesh mesh = new LocalMesh();
+	private final LocalMesh mesh = new LocalMesh().withRelays();
 
 	private final int size;
 
--- a/distribution/src/main/java/io/lavenderroad/distribution/FaultSoak.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/FaultSoak.java
@@ -35,7 +35,7 @@
 
 	private static final long HANG_MILLIS = 6_000;
 
-	private final LocalMesh mesh = new LocalMesh();
+	private final LocalMesh mesh = new LocalMesh().withRelays();
 
 	private final Random random;
 
--- a/distribution/src/main/java/io/lavenderroad/distribution/FullSizeModel.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/FullSizeModel.java
@@ -104,12 +104,12 @@
 	private void tree(Costs costs) {
 		int fanOut = Placement.RELAY.mostChildren();
 		double perDomain = NODES / (double) FAILURE_DOMAINS;
-		int direct = ROOTS * Placement.ROOT.mostPerFailureDomain();
+		int rootChildren = Placement.ROOT.directChildren();
+		double direct = ROOTS * rootChildren / (double) FAILURE_DOMAINS;
 		int depth = 1;
 		for (double reach = direct; reach < perDomain; reach = reach * fanOut + direct) {
 			depth++;
 		}
-		int rootChildren = FAILURE_DOMAINS * Placement.ROOT.mostPerFailureDomain();
 		double perChange = costs.delta();
 		double leafChange = inScope() * costs.delta() + (1 - inScope()) * costs.advance();
 		double beats = costs.heartbeatDown() + costs.heartbeatUp();
--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -47,6 +47,8 @@
 
 	private final AtomicLong incarnations = new AtomicLong(System.currentTimeMillis());
 
+	private Placement rootPlacement = Placement.ROOT;
+
 	LocalMesh() {
 		this(Clock.system());
 	}
@@ -59,6 +61,16 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Lets roots that are started later take two children of each failure domain only, so
+	 * that a few nodes make a tree with relays.
+	 * @return this mesh
+	 */
+	LocalMesh withRelays() {
+		this.rootPlacement = new Placement(0, 128, 2);
+		return this;
+	}
+
 	/**
 	 * Starts roots that know each other.
 	 * @param count number of roots
@@ -83,7 +95,8 @@
 		}
 		List<String> addresses = started.stream().map((root) -> root.address).toList();
 		for (int index = 0; index < count; index++) {
-			started.get(index).start(addresses, (index == 0) ? floor : Optional::empty, quorumAge.apply(index));
+			started.get(index).start(addresses, (index == 0) ? floor : Optional::empty, quorumAge.apply(index),
+					this.rootPlacement);
 		}
 		this.roots.addAll(started);
 		return started;
@@ -99,7 +112,7 @@
 		Root old = this.roots.get(index);
 		old.kill();
 		Root next = new Root(old.id, nextIncarnation(), Uplink.address(old.address).getPort(), this.clock);
-		next.start(seeds(), floor, () -> 0);
+		next.start(seeds(), floor, () -> 0, this.rootPlacement);
 		this.roots.set(index, next);
 		return next;
 	}
@@ -200,7 +213,7 @@
 			this.address = text(this.server.address());
 		}
 
-		void start(List<String> peers, Supplier<Optional<Long>> floor, LongSupplier quorumAge) {
+		void start(List<String> peers, Supplier<Optional<Long>> floor, LongSupplier quorumAge, Placement placement) {
 			this.distribution = RootDistribution.builder()
 				.options(options(this.id, "control", this.incarnation, this.address, this.clock))
 				.clock(this.clock)
@@ -208,6 +221,7 @@
 				.confirmCommittedVersion(floor)
 				.quorumAgeMillis(quorumAge)
 				.evidenceListener(this.evidence::add)
+				.placement(placement)
 				.build();
 			this.gate.target(this.distribution.handler());
 			this.distribution.start();
--- a/distribution/src/main/java/io/lavenderroad/distribution/Placement.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Placement.java
@@ -10,22 +10,24 @@
 /**
  * Decides where a caller finds its place in the tree.
  *
+ * @param directChildren children that are taken whatever their failure domain is
  * @param mostChildren most children of this parent
- * @param mostPerFailureDomain most children of one failure domain
+ * @param leastPerFailureDomain children that each failure domain may have beyond the
+ * direct ones
  */
-record Placement(int mostChildren, int mostPerFailureDomain) {
+record Placement(int directChildren, int mostChildren, int leastPerFailureDomain) {
 
 	/**
-	 * A root takes two children of each failure domain, so that the loss of one leaves a
-	 * relay beside the callers. The total bounds the open connections of a root.
+	 * A root serves as many nodes as it can itself, since each relay is a slow link and
+	 * one more process that a change depends on. The rest of its connections is kept for
+	 * two relays in each failure domain, so that the loss of one leaves the other.
 	 */
-	static final Placement ROOT = new Placement(128, 2);
+	static final Placement ROOT = new Placement(96, 128, 2);
 
 	/**
-	 * A relay takes 16 children: 2, 16 and 16 give 512 nodes per failure domain at depth
-	 * 3, and the relay still fits the budget of a node.
+	 * A relay takes 16 children, which still fits the budget of a node.
 	 */
-	static final Placement RELAY = new Placement(16, 16);
+	static final Placement RELAY = new Placement(16, 16, 16);
 
 	private static final int MOST_TARGETS = 3;
 
@@ -40,7 +42,8 @@
 	Decision decide(String callerId, String failureDomain, Set<String> avoided, Collection<Place> children) {
 		List<Place> others = children.stream().filter((child) -> !child.hop().id().equals(callerId)).toList();
 		List<Place> near = others.stream().filter((child) -> child.failureDomain().equals(failureDomain)).toList();
-		if (others.size() < this.mostChildren && near.size() < this.mostPerFailureDomain) {
+		boolean reserved = others.size() < this.mostChildren && near.size() < this.leastPerFailureDomain;
+		if (others.size() < this.directChildren || reserved) {
 			return Decision.ACCEPTED;
 		}
 		List<Hop> targets = targets(near, avoided);
@@ -49,7 +52,7 @@
 		}
 		// Every child that could serve the caller is out of its reach. Some room beyond
 		// the limit keeps it connected until the lost children are noticed.
-		if (targets.isEmpty() && others.size() < this.mostChildren && near.size() < 2 * this.mostPerFailureDomain) {
+		if (targets.isEmpty() && others.size() < this.mostChildren && near.size() < 2 * this.leastPerFailureDomain) {
 			return Decision.ACCEPTED;
 		}
 		return new Decision(false, targets);
--- a/distribution/src/main/java/io/lavenderroad/distribution/RelayLoadBenchmark.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RelayLoadBenchmark.java
@@ -42,7 +42,7 @@
 
 	private final Random random = new Random(34);
 
-	private final LocalMesh mesh = new LocalMesh();
+	private final LocalMesh mesh = new LocalMesh().withRelays();
 
 	private Root root;
 
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -68,7 +68,7 @@
 		this.evidenceListener = builder.evidenceListener;
 		this.quorumAgeMillis = builder.quorumAgeMillis;
 		this.localFloor = new FloorRequests(builder.confirmCommittedVersion);
-		this.children = new Children(new RootParent(), Placement.ROOT, builder.attachesPerSecond);
+		this.children = new Children(new RootParent(), builder.placement, builder.attachesPerSecond);
 		this.peers = new Peers(options, this.clock, builder.random, builder.peers, this.registry, this.handler);
 	}
 
@@ -294,6 +294,8 @@
 
 		private LongSupplier quorumAgeMillis = () -> 0;
 
+		private Placement placement = Placement.ROOT;
+
 		private Builder() {
 			super(TreeTimes.ROOT_ATTACHES_PER_SECOND);
 		}
@@ -337,6 +339,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets which children this member takes itself. Fewer direct ones make a deeper
+		 * tree.
+		 * @param decision decides about callers
+		 * @return this builder
+		 */
+		Builder placement(Placement decision) {
+			this.placement = decision;
+			return this;
+		}
+
 		/**
 		 * Sets who takes evidence. Each root gets the evidence of the whole mesh.
 		 * @param listener gets evidence that it did not get before; must not block
