Encode an update once and compress it

A change of 1,600 routes is 96,093 bytes for each child. With 7,800 nodes relays remain, and the links of relays took 12,764 ms for it where 5,000 ms are allowed (ChangeArrivalTests); a root composed and encoded the same update again for each of its children, now up to 128.

Deltas and whole slices of one version are composed once for all children that hold the same (UpdateCache) and carried as a body that is encoded and compressed once (UpdateBody, zlib). Frames of calls are not compressed.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -391,18 +391,18 @@
 	}
 
 	private DistributionMessage wholeSlice(MeshConfiguration current) {
-		MeshConfiguration slice = current.slice(this.scope);
+		WholeSlice slice = this.owner.updates().whole(current, this.scope);
 		this.whole = false;
-		sent(current, slice.services().keySet());
-		return new WholeSlice(this.scope.all(), slice.digest(), slice);
+		sent(current, slice.configuration().services().keySet());
+		return slice;
 	}
 
 	private DistributionMessage change(MeshConfiguration current) {
-		Optional<ConfigurationDelta> known = current.deltaFrom(this.sentVersion, this.sentNames, this.scope);
+		Optional<Delta> known = this.owner.updates().delta(current, this.sentVersion, this.sentNames, this.scope);
 		if (known.isEmpty()) {
 			return wholeSlice(current);
 		}
-		ConfigurationDelta delta = known.get();
+		ConfigurationDelta delta = known.get().delta();
 		if (delta.changesNothing(this.sentLimits)) {
 			long fromVersion = this.sentVersion;
 			this.sentVersion = current.version();
@@ -412,7 +412,7 @@
 		delta.removed().forEach(names::remove);
 		delta.changed().forEach((service) -> names.add(service.name()));
 		sent(current, names);
-		return new Delta(delta);
+		return known.get();
 	}
 
 	private void sent(MeshConfiguration current, Collection<String> names) {
--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -53,6 +53,8 @@
 
 	private final ByteCount bytes = new ByteCount();
 
+	private final UpdateCache updates = new UpdateCache();
+
 	private boolean closing;
 
 	Children(Parent parent, Placement placement, int attachesPerSecond) {
@@ -69,6 +71,10 @@
 		return this.parent.active().current();
 	}
 
+	UpdateCache updates() {
+		return this.updates;
+	}
+
 	EndpointRegistry registry() {
 		return this.parent.registry();
 	}
--- a/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessages.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessages.java
@@ -46,10 +46,10 @@
 						(unpacker) -> new SubscribeAgain(unpacker.unpackBoolean())),
 				new MessageType<>(206, WholeSlice.class, DistributionMessages::packWholeSlice,
 						(unpacker) -> new WholeSlice(unpacker.unpackBoolean(), unpacker.unpackString(),
-								ConfigurationBinding.unpackConfiguration(unpacker))),
+								UpdateBody.unpack(unpacker, ConfigurationBinding::unpackConfiguration))),
 				new MessageType<>(207, Delta.class,
-						(message, packer) -> ConfigurationBinding.packDelta(message.delta(), packer),
-						(unpacker) -> new Delta(ConfigurationBinding.unpackDelta(unpacker))),
+						(message, packer) -> message.body().pack(packer),
+						(unpacker) -> new Delta(UpdateBody.unpack(unpacker, ConfigurationBinding::unpackDelta))),
 				new MessageType<>(208, Advance.class,
 						(message, packer) -> packer.packLong(message.fromVersion()).packLong(message.toVersion()),
 						(unpacker) -> new Advance(unpacker.unpackLong(), unpacker.unpackLong())),
@@ -133,7 +133,7 @@
 	private static void packWholeSlice(WholeSlice message, MessagePacker packer) throws IOException {
 		packer.packBoolean(message.everything());
 		packer.packString(message.digest());
-		ConfigurationBinding.packConfiguration(message.configuration(), packer);
+		message.body().pack(packer);
 	}
 
 	private static void packReport(Report message, MessagePacker packer) throws IOException {
@@ -241,18 +241,36 @@
 	 *
 	 * @param everything whether the slice holds all services of the mesh
 	 * @param digest digest of the slice
-	 * @param configuration the slice
+	 * @param body the slice
 	 */
 	record WholeSlice(boolean everything, String digest,
-			MeshConfiguration configuration) implements DistributionMessage {
+			UpdateBody<MeshConfiguration> body) implements DistributionMessage {
+
+		WholeSlice(boolean everything, String digest, MeshConfiguration configuration) {
+			this(everything, digest, new UpdateBody<>(configuration, ConfigurationBinding::packConfiguration));
+		}
+
+		MeshConfiguration configuration() {
+			return this.body.value();
+		}
+
 	}
 
 	/**
 	 * A change of a slice.
 	 *
-	 * @param delta the change
+	 * @param body the change
 	 */
-	record Delta(ConfigurationDelta delta) implements DistributionMessage {
+	record Delta(UpdateBody<ConfigurationDelta> body) implements DistributionMessage {
+
+		Delta(ConfigurationDelta delta) {
+			this(new UpdateBody<>(delta, ConfigurationBinding::packDelta));
+		}
+
+		ConfigurationDelta delta() {
+			return this.body.value();
+		}
+
 	}
 
 	/**
