Count each part of a frame as a sign of life

The reader of a connection notes the time of each part of a frame, and parent and child both judge silence by it. Found elsewhere by the same search: the watch of all connections (replication of the log, forwarded calls) used the same time and is mended with it.

ConnectionTests.partOfALargeFrameIsASignOfLife: failed before (time of the last sign of life 1000 in place of 9000), passes now.

--- a/core/src/main/java/io/lavenderroad/core/wire/Connection.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Connection.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.EOFException;
@@ -30,7 +31,7 @@
 
 /**
  * One framed connection to a peer. A frame is a length of four bytes and a MessagePack
- * body: kind, correlation id, and a message of the catalog. Any frame counts as a sign of
+ * body: kind, correlation id, and a message of the catalog. Any bytes count as a sign of
  * life; a peer that stays silent for longer than the limit is disconnected, so that a
  * connection that went silent is found without the time-out of the kernel.
  */
@@ -174,7 +175,7 @@
 	}
 
 	/**
-	 * Returns the time of the last frame from the peer.
+	 * Returns when the last bytes of the peer came, in a whole frame or not.
 	 * @return milliseconds of the clock of the options
 	 */
 	public long lastReceivedMillis() {
@@ -370,15 +371,27 @@
 			throw new WireException(
 					"frame of " + length + " bytes is outside 1 to " + this.options.largestFrameBytes());
 		}
-		byte[] body = this.input.readNBytes(length);
-		if (body.length < length) {
-			throw new EOFException("truncated frame");
-		}
-		this.lastReceivedMillis = this.options.clock().millis();
+		byte[] body = readBody(length);
 		this.bytesReceived.add(length + FRAME_HEADER_BYTES);
 		return body;
 	}
 
+	// A large frame may take longer than the silence limit on a slow link, so each part
+	// of it counts as a sign of life.
+	private byte[] readBody(int length) throws IOException {
+		ByteArrayOutputStream body = new ByteArrayOutputStream(Math.min(length, STREAM_BUFFER_BYTES));
+		byte[] part = new byte[Math.min(length, STREAM_BUFFER_BYTES)];
+		while (body.size() < length) {
+			int count = this.input.read(part, 0, Math.min(part.length, length - body.size()));
+			if (count < 0) {
+				throw new EOFException("truncated frame");
+			}
+			body.write(part, 0, count);
+			this.lastReceivedMillis = this.options.clock().millis();
+		}
+		return body.toByteArray();
+	}
+
 	private void dispatch(byte[] body) throws IOException {
 		MessageUnpacker unpacker = Fields.unpacker(body);
 		int kind = unpacker.unpackInt();
--- a/core/src/test/java/io/lavenderroad/core/wire/ConnectionTests.java
+++ b/core/src/test/java/io/lavenderroad/core/wire/ConnectionTests.java
@@ -1,15 +1,21 @@
 package io.lavenderroad.core.wire;
 
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
+import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.vavr.control.Either;
 import org.testng.Assert;
@@ -115,7 +121,47 @@
 		Assert.assertFalse(connection.probe(TIMEOUT_MILLIS));
 	}
 
+	@Test
+	public void partOfALargeFrameIsASignOfLife() throws Exception {
+		AtomicLong nowMillis = new AtomicLong(1_000);
+		try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			FutureTask<Socket> accepting = new FutureTask<>(() -> acceptWithItsOwnHello(peer));
+			Thread.ofVirtual().start(accepting);
+			Connection connection = Connection
+				.open(new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort()),
+						options("east", nowMillis::get), new EchoHandler())
+				.get();
+			nowMillis.set(9_000);
+			DataOutputStream output = new DataOutputStream(accepting.get().getOutputStream());
+			output.writeInt(100_000);
+			output.write(new byte[50_000]);
+			output.flush();
+			long startNanos = System.nanoTime();
+			while (connection.lastReceivedMillis() != 9_000
+					&& System.nanoTime() - startNanos < TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS)) {
+				Thread.onSpinWait();
+			}
+			Assert.assertEquals(connection.lastReceivedMillis(), 9_000, "a slow link looks like a dead peer");
+			connection.close();
+		}
+	}
+
+	private static Socket acceptWithItsOwnHello(ServerSocket peer) throws IOException {
+		Socket socket = peer.accept();
+		DataInputStream input = new DataInputStream(socket.getInputStream());
+		byte[] hello = input.readNBytes(input.readInt());
+		DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+		output.writeInt(hello.length);
+		output.write(hello);
+		output.flush();
+		return socket;
+	}
+
 	private static WireOptions options(String cluster) {
+		return options(cluster, Clock.system());
+	}
+
+	private static WireOptions options(String cluster, Clock clock) {
 		MessageCatalog catalog = MessageCatalog.builder()
 			.add(new MessageType<>(1, Text.class, (message, packer) -> packer.packString(message.value()),
 					(unpacker) -> new Text(unpacker.unpackString())))
@@ -123,6 +169,7 @@
 		return WireOptions.builder()
 			.hello(new Hello(cluster, "test", "node", 1, ""))
 			.catalog(catalog)
+			.clock(clock)
 			.connectTimeoutMillis(TIMEOUT_MILLIS)
 			.silenceLimitMillis(TIMEOUT_MILLIS)
 			.build();
--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -83,8 +83,6 @@
 
 	private volatile boolean leaving;
 
-	private volatile long lastReceivedMillis;
-
 	private volatile long version;
 
 	private volatile long sentMillis;
@@ -96,7 +94,6 @@
 		this.incarnation = attach.incarnation();
 		this.failureDomain = attach.failureDomain();
 		this.lastHeartbeatMillis = owner.clock().millis();
-		this.lastReceivedMillis = this.lastHeartbeatMillis;
 		this.sentMillis = this.lastHeartbeatMillis;
 	}
 
@@ -294,10 +291,6 @@
 		this.outbox.wake();
 	}
 
-	void received(long now) {
-		this.lastReceivedMillis = now;
-	}
-
 	void versionInForce(long newVersion) {
 		long tookMillis = this.owner.clock().millis() - this.sentMillis;
 		if (newVersion > this.version && tookMillis > SLOW_MILLIS) {
@@ -358,9 +351,9 @@
 
 	private void beat() {
 		long now = this.owner.clock().millis();
-		if (now - this.lastReceivedMillis > TreeTimes.SILENCE_LIMIT_MILLIS) {
-			this.connection
-				.close("child " + this.hop.id() + " was silent for " + (now - this.lastReceivedMillis) + " ms");
+		long silenceMillis = now - this.connection.lastReceivedMillis();
+		if (silenceMillis > TreeTimes.SILENCE_LIMIT_MILLIS) {
+			this.connection.close("child " + this.hop.id() + " was silent for " + silenceMillis + " ms");
 			return;
 		}
 		if (this.heartbeatDue || now - this.lastHeartbeatMillis >= TreeTimes.OWN_HEARTBEAT_MILLIS) {
--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -140,7 +140,6 @@
 		if (child == null) {
 			return;
 		}
-		child.received(clock().millis());
 		switch (message) {
 			case Subscribe subscribe -> child.subscribed(subscribe);
 			case ChildHeartbeat heartbeat -> child.versionInForce(heartbeat.version());
@@ -164,7 +163,6 @@
 		if (child == null) {
 			return new ReportAcknowledged(0);
 		}
-		child.received(clock().millis());
 		child.reported(report);
 		if (this.ledger.isNew(child.hop().id(), child.incarnation(), report.sequence())) {
 			this.parent.evidenceFromBelow(report.evidence());
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -785,7 +785,6 @@
 				NodeDistribution.this.children.received(connection, message);
 				return;
 			}
-			session.received();
 			switch (message) {
 				case WholeSlice slice -> later(session, slice);
 				case Delta delta -> later(session, delta);
--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -29,8 +29,6 @@
 
 	private volatile long parentVersion;
 
-	private volatile long lastReceivedMillis;
-
 	private volatile long rootContactMillis;
 
 	ParentSession(Clock clock, Connection connection, Accepted accepted) {
@@ -38,8 +36,7 @@
 		this.connection = connection;
 		this.path = accepted.path();
 		this.parentVersion = accepted.version();
-		this.lastReceivedMillis = clock.millis();
-		this.rootContactMillis = this.lastReceivedMillis - accepted.rootAgeMillis();
+		this.rootContactMillis = clock.millis() - accepted.rootAgeMillis();
 	}
 
 	Connection connection() {
@@ -70,13 +67,6 @@
 		return this.outbox;
 	}
 
-	/**
-	 * Notes a message of the parent, whatever it says.
-	 */
-	void received() {
-		this.lastReceivedMillis = this.clock.millis();
-	}
-
 	void heartbeat(ParentHeartbeat heartbeat) {
 		this.parentVersion = heartbeat.version();
 		this.rootContactMillis = this.clock.millis() - heartbeat.rootAgeMillis();
@@ -92,7 +82,7 @@
 	 */
 	String describeSilence() {
 		return (this.connection.isOpen() ? "open" : "closed") + ", silent for "
-				+ (this.clock.millis() - this.lastReceivedMillis) + " ms, last word from a root " + rootAgeMillis()
+				+ silenceMillis() + " ms, last word from a root " + rootAgeMillis()
 				+ " ms ago";
 	}
 
@@ -107,7 +97,11 @@
 	 */
 	ParentHealth health(String selfId) {
 		return ParentHealth.of(this.connection.isOpen(), TreePath.usable(this.path, selfId), this.leaving.get(),
-				this.clock.millis() - this.lastReceivedMillis, rootAgeMillis(), this.path.size());
+				silenceMillis(), rootAgeMillis(), this.path.size());
+	}
+
+	private long silenceMillis() {
+		return this.clock.millis() - this.connection.lastReceivedMillis();
 	}
 
 	/**
