Ask further candidates beside one that does not answer

A round of a search now gives a candidate a head start of 150 ms to connect and 500 ms to answer and then asks the next one beside it, at most four at once (SearchRound decides, ParentSearch runs the attempts). The address of the lost parent is no longer tried again as a seed in the same round.

--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentCandidates.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentCandidates.java
@@ -37,11 +37,14 @@
 
 	private long retryAfterMillis;
 
-	ParentCandidates(String self, List<Hop> ancestors, List<String> seeds, Optional<String> lostParent) {
+	ParentCandidates(String self, List<Hop> ancestors, List<String> seeds, Optional<Hop> lostParent) {
 		this.self = self;
 		this.queue.addAll(ancestors);
 		seeds.forEach((seed) -> this.queue.add(new Hop("", seed)));
-		lostParent.ifPresent(this.avoided::add);
+		lostParent.ifPresent((lost) -> {
+			this.avoided.add(lost.id());
+			this.tried.add(lost.address());
+		});
 	}
 
 	/**
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -4,9 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.Semaphore;
@@ -23,9 +21,7 @@
 import io.lavenderroad.core.wire.WireOptions;
 import io.lavenderroad.distribution.DistributionMessages.Accepted;
 import io.lavenderroad.distribution.DistributionMessages.Attach;
-import io.lavenderroad.distribution.DistributionMessages.Deferred;
 import io.lavenderroad.distribution.DistributionMessages.Hop;
-import io.lavenderroad.distribution.DistributionMessages.Redirected;
 import io.lavenderroad.model.Endpoint;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
@@ -60,12 +56,10 @@
 
 	private List<Hop> comeBack = List.of();
 
-	private String lostParent;
+	private Hop lostParent;
 
 	private long aloneSinceMillis;
 
-	private int candidatesTried;
-
 	Uplink(Owner owner, WireOptions options, Clock clock, RandomGenerator random, Supplier<List<String>> seeds,
 			Supplier<Endpoint> self) {
 		this.owner = owner;
@@ -144,13 +138,12 @@
 			return;
 		}
 		this.lastPath = present.path();
-		this.lostParent = present.parent().id();
+		this.lostParent = present.parent();
 		this.session = null;
 		this.aloneSinceMillis = this.clock.millis();
-		this.candidatesTried = 0;
-		Logger.info("distribution: Node {} lost its parent {}, {}.", this.self.get().nodeId(), this.lostParent,
+		Logger.info("distribution: Node {} lost its parent {}, {}.", this.self.get().nodeId(), this.lostParent.id(),
 				present.describeSilence());
-		present.connection().close("parent " + this.lostParent + " is lost");
+		present.connection().close("parent " + this.lostParent.id() + " is lost");
 	}
 
 	private void search() throws InterruptedException {
@@ -162,13 +155,15 @@
 		ParentSession present = this.session;
 		if (present != null) {
 			this.lastPath = present.path();
-			this.lostParent = present.parent().id();
+			this.lostParent = present.parent();
 		}
 		List<Hop> first = new ArrayList<>(this.comeBack);
 		first.addAll(TreePath.ancestors(this.lastPath));
 		ParentCandidates candidates = new ParentCandidates(this.self.get().nodeId(), first, shuffledSeeds(),
 				Optional.ofNullable(this.lostParent));
-		if (tryAll(candidates)) {
+		ParentSearch search = new ParentSearch(this.self.get().nodeId(), this.clock, this::open, candidates,
+				this::attach);
+		if (search.run((found) -> use(found, search.tried()), () -> this.closed)) {
 			this.comeBack = List.of();
 			this.backoff.reset();
 		}
@@ -179,57 +174,9 @@
 		}
 	}
 
-	private boolean tryAll(ParentCandidates candidates) {
-		Map<String, Hop> redirectors = new HashMap<>();
-		for (Optional<Hop> next = candidates.next(); next.isPresent() && !this.closed; next = candidates.next()) {
-			Hop candidate = next.get();
-			if (tryOne(candidate, candidates, redirectors)) {
-				return true;
-			}
-		}
-		return false;
-	}
-
-	private boolean tryOne(Hop candidate, ParentCandidates candidates, Map<String, Hop> redirectors) {
-		long startMillis = this.clock.millis();
-		this.candidatesTried++;
-		Either<CallFailure, Connection> opened = open(candidate.address());
-		if (opened.isLeft()) {
-			logNoPlace(candidate, startMillis, opened.getLeft().reason());
-			candidates.failed(redirectors.get(candidate.address()), candidate);
-			return false;
-		}
-		Connection connection = opened.get();
-		this.owner.opened(connection);
-		Either<CallFailure, DistributionMessage> answer = connection.call(attach(candidates),
-				TreeTimes.ATTACH_TIMEOUT_MILLIS, DistributionMessage.class);
-		if (answer.isRight() && answer.get() instanceof Accepted accepted && use(connection, accepted)) {
-			return true;
-		}
-		if (answer.isRight() && answer.get() instanceof Redirected redirected) {
-			redirected.targets().forEach((target) -> redirectors.put(target.address(), candidate));
-			candidates.redirected(redirected.targets());
-		}
-		else if (answer.isRight() && answer.get() instanceof Deferred deferred) {
-			logNoPlace(candidate, startMillis, deferred.reason());
-			candidates.deferred(candidate, deferred.retryAfterMillis());
-		}
-		else {
-			logNoPlace(candidate, startMillis, answer.fold(CallFailure::reason, String::valueOf));
-			candidates.failed(redirectors.get(candidate.address()), candidate);
-		}
-		connection.close("no place here");
-		return false;
-	}
-
-	private void logNoPlace(Hop candidate, long startMillis, String reason) {
-		Logger.info("distribution: Node {} got no place at {} after {} ms: {}.", this.self.get().nodeId(),
-				candidate.address(), this.clock.millis() - startMillis, reason);
-	}
-
 	private Either<CallFailure, Connection> open(String address) {
 		try {
-			return Connection.open(address(address), this.options, this.owner.handler());
+			return Connection.open(address(address), this.options, this.owner.handler()).peek(this.owner::opened);
 		}
 		catch (LavenderroadException ex) {
 			// A peer named the address, so it may be anything.
@@ -237,13 +184,14 @@
 		}
 	}
 
-	private boolean use(Connection connection, Accepted accepted) {
+	private boolean use(ParentSearch.Found found, int tried) {
+		Accepted accepted = found.accepted();
 		if (this.closed || accepted.path().isEmpty() || !TreePath.usable(accepted.path(), this.self.get().nodeId())
 				|| accepted.rootAgeMillis() > TreeTimes.ROOT_AGE_LIMIT_MILLIS) {
 			return false;
 		}
 		ParentSession previous = this.session;
-		ParentSession next = new ParentSession(this.clock, connection, accepted);
+		ParentSession next = new ParentSession(this.clock, found.connection(), accepted);
 		this.session = next;
 		if (this.closed) {
 			return false;
@@ -254,8 +202,7 @@
 		this.owner.searched(aloneMillis);
 		Logger.info("distribution: Node {} has parent {} at {} hops from a root after {} ms without one, {} tried.",
 				this.self.get().nodeId(), next.parent().id(), next.path().size() - 1, aloneMillis,
-				this.candidatesTried);
-		this.candidatesTried = 0;
+				tried);
 		this.owner.attached(next);
 		if (previous != null) {
 			this.owner.replaced(previous);
@@ -263,10 +210,10 @@
 		return true;
 	}
 
-	private Attach attach(ParentCandidates candidates) {
+	private Attach attach(List<String> avoided) {
 		Endpoint endpoint = this.self.get();
 		return new Attach(endpoint.nodeId(), endpoint.incarnation(), endpoint.region(), endpoint.failureDomain(),
-				endpoint.frameAddress(), List.copyOf(candidates.avoided()));
+				endpoint.frameAddress(), avoided);
 	}
 
 	private List<String> shuffledSeeds() {
--- /dev/null
+++ b/distribution/src/test/java/io/lavenderroad/distribution/SearchRoundTests.java
@@ -0,0 +1,175 @@
+package io.lavenderroad.distribution;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import io.lavenderroad.distribution.DistributionMessages.Hop;
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a node that is without a parent, and so without new versions, for longer
+ * than a change may take, because it waits for processes that are dead or hang. Peers and
+ * time are simulated.
+ */
+public class SearchRoundTests {
+
+	private static final long BOUND_MILLIS = 2_000;
+
+	private static final int SEEDS = 1_000;
+
+	private static final int ROOTS = 5;
+
+	private static final int MOST_LOST = 2;
+
+	private static final long ROUND_TRIP_MILLIS = 5;
+
+	private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+	private static final long UPDATE_MILLIS = 50;
+
+	@Test
+	public void lossOfTheParentAndOfTwoCandidatesIsOverWithinTheTimeOfAChange() {
+		List<String> missed = new ArrayList<>();
+		for (int seed = 0; seed < SEEDS; seed++) {
+			long tookMillis = recovery(new Random(seed));
+			if (tookMillis > BOUND_MILLIS) {
+				missed.add("seed " + seed + " " + tookMillis + " ms");
+			}
+		}
+		Assert.assertTrue(missed.isEmpty(),
+				missed.size() + " of " + SEEDS + " searches took longer than " + BOUND_MILLIS + " ms: " + missed);
+	}
+
+	@Test
+	public void candidateThatAnswersInTimeIsAskedAlone() {
+		SearchRound round = round(hop(1), hop(2));
+		Assert.assertEquals(round.start(0), Optional.of(hop(1)));
+		Assert.assertEquals(round.start(149), Optional.empty());
+		round.connected(hop(1));
+		Assert.assertEquals(round.start(499), Optional.empty(), "a relay may need some time to prepare");
+		Assert.assertEquals(round.start(500), Optional.of(hop(2)));
+	}
+
+	@Test
+	public void candidateThatFailsIsFollowedAtOnce() {
+		SearchRound round = round(hop(1), hop(2));
+		round.start(0);
+		round.failed(hop(1));
+		Assert.assertEquals(round.start(1), Optional.of(hop(2)));
+		Assert.assertFalse(round.isOver());
+		round.failed(hop(2));
+		Assert.assertEquals(round.start(2), Optional.empty());
+		Assert.assertTrue(round.isOver());
+	}
+
+	@Test
+	public void redirectGoesBeforeOtherCandidates() {
+		SearchRound round = round(hop(1), hop(2));
+		round.start(0);
+		round.redirected(hop(1), List.of(hop(3)));
+		Assert.assertEquals(round.start(1), Optional.of(hop(3)));
+		Assert.assertEquals(round.start(151), Optional.of(hop(2)));
+		round.failed(hop(2));
+		round.failed(hop(3));
+		Assert.assertEquals(round.start(152), Optional.of(hop(1)), "the one that named a dead child names another");
+	}
+
+	@Test
+	public void searchAsksFewCandidatesAtOnce() {
+		SearchRound round = round(hop(1), hop(2), hop(3), hop(4), hop(5), hop(6));
+		int started = 0;
+		for (long now = 0; now < 10_000; now += 10) {
+			started += round.start(now).isPresent() ? 1 : 0;
+		}
+		Assert.assertEquals(started, SearchRound.MOST_AT_ONCE);
+	}
+
+	/**
+	 * Time from the death of a parent until the node has what it missed.
+	 */
+	private static long recovery(Random random) {
+		List<Hop> others = new ArrayList<>();
+		for (int index = 1; index < ROOTS; index++) {
+			others.add(hop(index));
+		}
+		Collections.shuffle(others, random);
+		Map<Hop, Fate> fates = new HashMap<>();
+		for (int index = 0; index < others.size(); index++) {
+			fates.put(others.get(index), (index < MOST_LOST) ? lost(random) : Fate.ALIVE);
+		}
+		Collections.shuffle(others, random);
+		List<String> seeds = new ArrayList<>(others.stream().map(Hop::address).toList());
+		seeds.add(random.nextInt(seeds.size() + 1), hop(0).address());
+		ParentCandidates candidates = new ParentCandidates("self", List.of(), seeds, Optional.of(hop(0)));
+		long noticedMillis = TreeTimes.SILENCE_LIMIT_MILLIS + random.nextLong(TreeTimes.CHECK_MILLIS + 1);
+		long startMillis = noticedMillis + new Backoff(random).nextMillis();
+		return search(new SearchRound(candidates), fates, startMillis) + UPDATE_MILLIS;
+	}
+
+	private static Fate lost(Random random) {
+		return Fate.values()[random.nextInt(Fate.ALIVE.ordinal())];
+	}
+
+	private static long search(SearchRound round, Map<Hop, Fate> fates, long startMillis) {
+		PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atMillis));
+		long now = startMillis;
+		while (!round.isOver()) {
+			for (Optional<Hop> due = round.start(now); due.isPresent(); due = round.start(now)) {
+				Fate fate = fates.get(new Hop("id" + due.get().address(), due.get().address()));
+				events.add(new Event(now + fate.millis, due.get(), fate));
+			}
+			long nextStart = round.waitMillis(now);
+			boolean eventFirst = !events.isEmpty()
+					&& (nextStart == Long.MAX_VALUE || events.peek().atMillis() <= now + nextStart);
+			if (eventFirst) {
+				Event event = events.poll();
+				now = event.atMillis();
+				if (event.fate() == Fate.ALIVE) {
+					return now;
+				}
+				round.failed(event.candidate());
+			}
+			else if (nextStart != Long.MAX_VALUE) {
+				now += nextStart;
+			}
+		}
+		return Long.MAX_VALUE / 2;
+	}
+
+	private static SearchRound round(Hop... ancestors) {
+		return new SearchRound(new ParentCandidates("self", List.of(ancestors), List.of(), Optional.empty()));
+	}
+
+	private static Hop hop(int index) {
+		return new Hop("id" + index, String.valueOf(index));
+	}
+
+	/**
+	 * What becomes of an attempt and after which time.
+	 */
+	private enum Fate {
+
+		NO_POWER(CONNECT_TIMEOUT_MILLIS), HANGING(CONNECT_TIMEOUT_MILLIS), KILLED(ROUND_TRIP_MILLIS),
+		ALIVE(3 * ROUND_TRIP_MILLIS);
+
+		private final long millis;
+
+		Fate(long millis) {
+			this.millis = millis;
+		}
+
+	}
+
+	private record Event(long atMillis, Hop candidate, Fate fate) {
+
+	}
+
+}
--- a/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/TreeDecisionTests.java
@@ -134,7 +134,7 @@
 	@Test
 	public void searchTriesAncestorsThenSeedsAndSkipsTheLostParent() {
 		ParentCandidates candidates = new ParentCandidates("self", List.of(hop("a"), hop("root")),
-				List.of("seed"), Optional.of("lost"));
+				List.of("at-lost", "seed"), Optional.of(hop("lost")));
 		candidates.redirected(List.of(hop("lost"), hop("x"), hop("self")));
 		List<String> order = new ArrayList<>();
 		for (Optional<Hop> next = candidates.next(); next.isPresent(); next = candidates.next()) {
