Refuse instead of denying a route that a node may only not have heard of

Callers got 404, which they do not repeat, from nodes that had no parent or were about to receive a newer version. The node stated as a fact what it did not know: nothing bounded the age of the version behind a 'no route'.

Routes that the node has are served whatever their age, so that a failure domain that is cut off does not go dark.

NodeProxyTests.nodeThatMayBeBehindDoesNotSayThatARouteIsMissing: 404 before, 503 with Retry-After now. FirstConfiguration becomes AwaitedConfiguration, which now has two reasons to wait.

--- a/bench/src/main/java/io/lavenderroad/bench/backend/FixedView.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/FixedView.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import io.lavenderroad.model.ConfigurationFreshness;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.MeshConfiguration;
@@ -23,11 +24,18 @@
 
 	private volatile MeshConfiguration configuration;
 
+	private volatile ConfigurationFreshness freshness = ConfigurationFreshness.CURRENT;
+
 	@Override
 	public Optional<MeshConfiguration> configuration() {
 		return Optional.ofNullable(this.configuration);
 	}
 
+	@Override
+	public ConfigurationFreshness freshness() {
+		return this.freshness;
+	}
+
 	@Override
 	public List<Endpoint> endpoints(String service) {
 		return this.endpoints.values()
@@ -51,6 +59,14 @@
 		this.listeners.forEach(Runnable::run);
 	}
 
+	/**
+	 * Sets how current the configuration is.
+	 * @param stated what nodes are told
+	 */
+	public void freshness(ConfigurationFreshness stated) {
+		this.freshness = stated;
+	}
+
 	/**
 	 * Announces an endpoint.
 	 * @param endpoint the announcement; replaces the one of the same node
--- a/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
+++ b/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
@@ -20,6 +20,7 @@
 import java.util.function.UnaryOperator;
 
 import io.lavenderroad.model.CallRules;
+import io.lavenderroad.model.ConfigurationFreshness;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
 import io.lavenderroad.model.HostRoute;
@@ -82,6 +83,19 @@
 		Assert.assertEquals(header(service, "Mesh-Verdict"), "not-run");
 	}
 
+	@Test
+	public void nodeThatMayBeBehindDoesNotSayThatARouteIsMissing() throws Exception {
+		for (ConfigurationFreshness old : List.of(new ConfigurationFreshness(0, 2),
+				new ConfigurationFreshness(60_000, 1))) {
+			this.mesh.view().freshness(old);
+			HttpResponse<String> response = send("GET", "/nothing", "", Map.of());
+			Assert.assertEquals(response.statusCode(), 503, old.toString());
+			Assert.assertEquals(header(response, "Mesh-Verdict"), "not-run");
+			Assert.assertFalse(header(response, "Retry-After").isEmpty());
+		}
+		Assert.assertEquals(send("GET", "/items", "", Map.of()).statusCode(), 200, "what is known is served");
+	}
+
 	@Test
 	public void partialBodyIsNeverPassedOffAsWhole() throws Exception {
 		for (String script : new String[] { "truncate", "no-length" }) {
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -48,9 +48,7 @@
 
 	private final RandomGenerator random;
 
-	private final MeshView view;
-
-	private final FirstConfiguration configuration;
+	private final AwaitedConfiguration configuration;
 
 	private final String ownService;
 
@@ -70,8 +68,7 @@
 		this.clock = parts.clock();
 		this.random = parts.random();
 		this.ownService = parts.self().service();
-		this.view = view;
-		this.configuration = new FirstConfiguration(parts.clock(), view);
+		this.configuration = new AwaitedConfiguration(parts.clock(), view);
 		this.dialect = dialect;
 		this.router = router;
 		this.metrics = metrics;
@@ -151,7 +148,7 @@
 
 	private RoutedAnswer answer(IncomingRequest request, CallTerms terms, MeshConfiguration configuration) {
 		long startNanos = System.nanoTime();
-		Either<RoutedAnswer, RoutedCall> call = find(request, terms, configuration)
+		Either<RoutedAnswer, RoutedCall> call = findInNewest(request, terms, configuration)
 			.flatMap((target) -> check(request, terms, target));
 		if (call.isLeft()) {
 			return call.getLeft();
@@ -162,6 +159,27 @@
 		return answer;
 	}
 
+	/**
+	 * Finds service and rules of a request. Where there is no route and the configuration
+	 * may be old, the request waits for a newer one; if none comes, it is refused as "not
+	 * run" and may come back, since the node does not know that the route does not exist.
+	 */
+	private Either<RoutedAnswer, Target> findInNewest(IncomingRequest request, CallTerms terms,
+			MeshConfiguration configuration) {
+		Either<RoutedAnswer, Target> target = find(request, terms, configuration);
+		if (target.isRight() || this.configuration.isCertain(configuration)) {
+			return target;
+		}
+		MeshConfiguration newer = this.configuration.awaitNewer(configuration,
+				terms.deadlineMillis().orElse(Integer.MAX_VALUE));
+		Either<RoutedAnswer, Target> second = find(request, terms, newer);
+		if (second.isRight() || this.configuration.isCertain(newer)) {
+			return second;
+		}
+		return Either.left(refusal(HttpStatus.UNAVAILABLE,
+				"configuration may be old, " + second.getLeft().answer().reason()));
+	}
+
 	/**
 	 * Finds service and rules of a request. A route by host goes first; a host that no
 	 * such route names, or a named service, leads to the routes of one service.
@@ -179,8 +197,7 @@
 				.find(host, request.path())
 				.flatMap((route) -> byHost(route, configuration))
 				.<Either<RoutedAnswer, Target>>map(Either::right)
-				.orElseGet(() -> Either.left(refusal(HttpStatus.NOT_FOUND,
-						"no route for " + host + request.path() + ", " + this.view.freshness())));
+				.orElseGet(() -> Either.left(absent("no route for " + host + request.path())));
 		}
 		return byService(request, terms.service().isEmpty() ? firstLabel(host) : terms.service(), configuration);
 	}
@@ -195,17 +212,16 @@
 			MeshConfiguration configuration) {
 		Optional<ServiceConfiguration> service = configuration.service(name);
 		if (service.isEmpty()) {
-			return Either.left(refusal(HttpStatus.NOT_FOUND, "no service '" + name + "'"));
+			return Either.left(absent("no service '" + name + "'"));
 		}
 		if (!mayCall(request, configuration, service.get())) {
-			return Either.left(refusal(HttpStatus.NOT_FOUND, "service '" + name + "' is not open to outside callers"));
+			return Either.left(absent("service '" + name + "' is not open to outside callers"));
 		}
 		return service.get()
 			.route(request.method(), request.path())
 			.map(Route::rules)
 			.<Either<RoutedAnswer, Target>>map((rules) -> Either.right(new Target(service.get(), rules)))
-			.orElseGet(() -> Either.left(refusal(HttpStatus.NOT_FOUND,
-					"no route of " + name + " for " + request.method() + " " + request.path())));
+			.orElseGet(() -> Either.left(absent("no route of " + name + " for " + request.method() + " " + request.path())));
 	}
 
 	private Either<RoutedAnswer, RoutedCall> check(IncomingRequest request, CallTerms terms, Target target) {
@@ -260,6 +276,10 @@
 		return (end < 0) ? host : host.substring(0, end);
 	}
 
+	private RoutedAnswer absent(String reason) {
+		return refusal(HttpStatus.NOT_FOUND, reason + ", " + this.configuration.freshness());
+	}
+
 	private static RoutedAnswer refusal(int status, String reason) {
 		return RoutedAnswer.untried(CallAnswer.notRun(status, reason));
 	}
