Acknowledge a change once it is in force on the nodes in reach

An operator was told 'accepted' as soon as a change was on the disks of a quorum, and callers got the old configuration for as long as it took to arrive: nothing tied the acknowledgement to the nodes.

Nodes say at once which version they have put in force; each process of the tree passes on the oldest version that is served below it, control members tell each other (message 222).

Weighed: waiting for leases to run out before the answer (a dead node would hold up every change for over a second); no wait and shorter times only (the promise would still start before anything is in force).

acceptedConfigurationIsNotAcknowledgedBeforeItIsInForce, versionIsInForceOnlyWhenEveryAttachedNodeServesIt and nodeThatHangsIsWaitedForUntilItIsLost; before, replace() returned without asking any node.

--- a/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/ChangeService.java
@@ -70,6 +70,8 @@
 
 	private final Clock clock;
 
+	private final Acknowledgement acknowledgement;
+
 	/**
 	 * Creates the service.
 	 * @param stateMachine state machine of this member
@@ -77,18 +79,21 @@
 	 * @param confirmation proves that this member leads
 	 * @param knownPolicy tells whether a move policy is registered under a name
 	 * @param clock source of time
+	 * @param acknowledgement holds the outcome back until it is in force
 	 */
 	public ChangeService(MeshStateMachine stateMachine, CommandLog log, ReadConfirmation confirmation,
-			Predicate<String> knownPolicy, Clock clock) {
+			Predicate<String> knownPolicy, Clock clock, Acknowledgement acknowledgement) {
 		this.stateMachine = stateMachine;
 		this.log = log;
 		this.confirmation = confirmation;
 		this.knownPolicy = knownPolicy;
 		this.clock = clock;
+		this.acknowledgement = acknowledgement;
 	}
 
 	/**
-	 * Applies a change. The same change id gives the first outcome again.
+	 * Applies a change. The same change id gives the first outcome again. Blocks until an
+	 * accepted one is in force on the nodes in reach.
 	 * @param change the change
 	 * @return the outcome decided by the state machine, or why there is none
 	 */
@@ -104,6 +109,7 @@
 			}
 			if (outcome.get().kind() != CommandOutcome.Kind.STALE) {
 				log(change, outcome.get());
+				this.acknowledgement.whenInForce(outcome.get());
 				return Either.right(MeshStateMachine.toChangeOutcome(change.changeId(), outcome.get()));
 			}
 		}
--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationService.java
@@ -33,29 +33,37 @@
 
 	private final Clock clock;
 
+	private final Acknowledgement acknowledgement;
+
 	/**
 	 * Creates the service.
 	 * @param stateMachine state machine of this member
 	 * @param log way into the replicated log
 	 * @param confirmation proves that this member leads
 	 * @param clock source of time
+	 * @param acknowledgement holds the outcome back until it is in force
 	 */
-	public DeclarationService(MeshStateMachine stateMachine, CommandLog log, ReadConfirmation confirmation,
-			Clock clock) {
+	public DeclarationService(MeshStateMachine stateMachine, CommandLog log, ReadConfirmation confirmation, Clock clock,
+			Acknowledgement acknowledgement) {
 		this.stateMachine = stateMachine;
 		this.log = log;
 		this.confirmation = confirmation;
 		this.clock = clock;
+		this.acknowledgement = acknowledgement;
 	}
 
 	/**
 	 * Replaces the declared configuration. The same declaration sent again has the same
-	 * outcome.
+	 * outcome. Blocks until an accepted one is in force on the nodes in reach.
 	 * @param declared the declaration
 	 * @return the outcome of the state machine, or why there is none; a refusal as
 	 * invalid lists the problems
 	 */
 	public Either<ChangeRefusal, CommandOutcome> replace(DeclaredConfiguration declared) {
+		return accept(declared).map(this.acknowledgement::whenInForce);
+	}
+
+	private Either<ChangeRefusal, CommandOutcome> accept(DeclaredConfiguration declared) {
 		Either<ChangeRefusal, Long> confirmed = this.confirmation.confirm().mapLeft(ChangeRefusal::of);
 		if (confirmed.isLeft()) {
 			return Either.left(confirmed.getLeft());
--- a/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.control.state;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,7 +50,8 @@
 		this.index = 0;
 		this.leads = true;
 		this.mesh = new MeshStateMachine();
-		this.service = new DeclarationService(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
+		this.service = new DeclarationService(this.mesh, this.log, this.confirmation, () -> this.nowMillis,
+				Acknowledgement.AT_ONCE);
 	}
 
 	@Test
@@ -64,6 +66,26 @@
 		Assert.assertEquals(this.service.read().get().declaredVersion(), 5);
 	}
 
+	@Test
+	public void acceptedConfigurationIsNotAcknowledgedBeforeItIsInForce() {
+		List<Long> awaited = new ArrayList<>();
+		Acknowledgement acknowledgement = new Acknowledgement((version, timeoutMillis) -> {
+			Assert.assertEquals(this.mesh.configuration().version(), version, "accepted, so that nodes can get it");
+			Assert.assertTrue(timeoutMillis < 1_000, "an operator gives up after a second");
+			awaited.add(version);
+			return false;
+		}, () -> this.nowMillis);
+		DeclarationService held = new DeclarationService(this.mesh, this.log, this.confirmation, () -> this.nowMillis,
+				acknowledgement);
+		DeclaredConfiguration first = declared(2, 0, "first", route("a", "/a/", "catalogue"));
+		Assert.assertTrue(held.replace(first).get().applied(), "a node that stays behind must not block changes");
+		Assert.assertEquals(awaited, List.of(1L));
+		held.replace(declared(2, 0, "rival", route("a", "/b/", "catalogue")));
+		Assert.assertEquals(awaited, List.of(1L), "a refused change has nothing to wait for");
+		held.replace(first);
+		Assert.assertEquals(awaited, List.of(1L, 1L), "sent again, it is acknowledged under the same terms");
+	}
+
 	@Test
 	public void stateMachineRefusesTheLoserOfARaceItself() {
 		// Both leaders' checks passed before either command was applied.
@@ -73,7 +95,8 @@
 			this.mesh.apply(++this.index, rival);
 			return Either.right(this.mesh.apply(++this.index, command));
 		};
-		DeclarationService late = new DeclarationService(this.mesh, slow, this.confirmation, () -> this.nowMillis);
+		DeclarationService late = new DeclarationService(this.mesh, slow, this.confirmation, () -> this.nowMillis,
+				Acknowledgement.AT_ONCE);
 		CommandOutcome outcome = late.replace(declared(4, 0, "late", route("a", "/a/", "catalogue"))).get();
 		Assert.assertEquals(outcome.kind(), Kind.REFUSED);
 		Assert.assertEquals(this.service.read().get().declaredVersion(), 3);
--- a/control/src/test/java/io/lavenderroad/control/state/TestMesh.java
+++ b/control/src/test/java/io/lavenderroad/control/state/TestMesh.java
@@ -53,7 +53,7 @@
 	final List<byte[]> log = new ArrayList<>();
 
 	public final ChangeService changes = new ChangeService(this.stateMachine, this::propose, this::confirm,
-			(policy) -> policy.equals("sequential"), () -> this.nowMillis);
+			(policy) -> policy.equals("sequential"), () -> this.nowMillis, Acknowledgement.AT_ONCE);
 
 	public final MoveService moves = new MoveService(this::propose, () -> this.nowMillis);
 
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -21,6 +21,7 @@
 import io.lavenderroad.control.raft.Member;
 import io.lavenderroad.control.raft.MemberOptions;
 import io.lavenderroad.control.raft.MemberSet;
+import io.lavenderroad.control.state.Acknowledgement;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.DeclarationService;
 import io.lavenderroad.control.state.MeshStateMachine;
@@ -126,8 +127,9 @@
 		this.root.publish(mesh.configuration());
 		this.root.start();
 		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
-		this.api = api(kernel, clock, mesh, commands, moveService, metrics);
-		this.api.addPages(pages(kernel, new DeclarationService(mesh, commands, commands, clock), orders));
+		Acknowledgement acknowledgement = new Acknowledgement(this.root::awaitInForce, clock);
+		this.api = api(kernel, clock, mesh, commands, moveService, metrics, acknowledgement);
+		this.api.addPages(pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement), orders));
 		this.api.start(settings.httpAddress());
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, metrics::text);
 		FirstVersions firstVersions = new FirstVersions(mesh, (service) -> this.root.registry().live(service), orders);
@@ -183,9 +185,9 @@
 	}
 
 	private OperatorApi api(Kernel kernel, Clock clock, MeshStateMachine mesh, MeshCommands commands,
-			MoveService moveService, ControlMetrics metrics) {
+			MoveService moveService, ControlMetrics metrics, Acknowledgement acknowledgement) {
 		Predicate<String> knownPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
-		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock);
+		ChangeService changes = new ChangeService(mesh, commands, commands, knownPolicy, clock, acknowledgement);
 		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
 				new RaftAdministration(this.member, commands), this::convergence, metrics::text);
 		return operatorApi;
--- a/distribution/src/main/java/io/lavenderroad/distribution/Child.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Child.java
@@ -85,6 +85,11 @@
 
 	private volatile long version;
 
+	/**
+	 * Behind every version until the child has said what it serves.
+	 */
+	private volatile long oldestVersion;
+
 	private volatile long sentMillis;
 
 	Child(Children owner, Connection connection, Attach attach) {
@@ -291,13 +296,30 @@
 		this.outbox.wake();
 	}
 
-	void versionInForce(long newVersion) {
+	/**
+	 * Notes what the child has in force.
+	 * @param newVersion its version
+	 * @param oldest oldest version served by it and below it
+	 * @return whether the oldest version has changed
+	 */
+	boolean inForce(long newVersion, long oldest) {
 		long tookMillis = this.owner.clock().millis() - this.sentMillis;
 		if (newVersion > this.version && tookMillis > SLOW_MILLIS) {
 			Logger.info("distribution: Child {} has version {} in force {} ms after version {} was sent.",
 					this.hop.id(), newVersion, tookMillis, this.sentVersion);
 		}
 		this.version = newVersion;
+		boolean changed = this.oldestVersion != oldest;
+		this.oldestVersion = oldest;
+		return changed;
+	}
+
+	/**
+	 * Returns the oldest version that the child or a node below it serves.
+	 * @return the version, {@code Long.MAX_VALUE} if none serves
+	 */
+	long oldestVersion() {
+		return this.oldestVersion;
 	}
 
 	private void compareRegistry(long childDigest) {
--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -35,6 +35,8 @@
  */
 final class Children {
 
+	private static final int MOST_NAMED = 8;
+
 	private final Parent parent;
 
 	private final Placement placement;
@@ -142,7 +144,11 @@
 		}
 		switch (message) {
 			case Subscribe subscribe -> child.subscribed(subscribe);
-			case ChildHeartbeat heartbeat -> child.versionInForce(heartbeat.version());
+			case ChildHeartbeat heartbeat -> {
+				if (child.inForce(heartbeat.version(), heartbeat.oldestVersion())) {
+					this.parent.progressFromBelow();
+				}
+			}
 			case EndpointUpdate update -> this.parent.endpointsFromBelow(update.endpoints(), child.hop().id());
 			case RegistryRequest request -> child.requested(request.services());
 			case Leaving leaving ->
@@ -182,6 +188,7 @@
 		finally {
 			this.lock.unlock();
 		}
+		this.parent.progressFromBelow();
 	}
 
 	/**
@@ -297,6 +304,29 @@
 		List.copyOf(this.byConnection.keySet()).forEach((connection) -> connection.close(reason));
 	}
 
+	/**
+	 * Returns the oldest version that a node below this process serves.
+	 * @return the version, {@code Long.MAX_VALUE} if none serves
+	 */
+	long oldestVersion() {
+		return this.byConnection.values().stream().mapToLong(Child::oldestVersion).min().orElse(Long.MAX_VALUE);
+	}
+
+	/**
+	 * Names children that are behind, for the logs.
+	 * @param newVersion the version
+	 * @return ids of some children that serve an older version or have one below them
+	 */
+	List<String> behind(long newVersion) {
+		return this.byConnection.values()
+			.stream()
+			.filter((child) -> child.oldestVersion() < newVersion)
+			.map((child) -> child.hop().id())
+			.sorted()
+			.limit(MOST_NAMED)
+			.toList();
+	}
+
 	private DistributionMessage refusal(Attach attach) {
 		this.lock.lock();
 		try {
@@ -419,6 +449,11 @@
 
 		void evidenceFromBelow(Evidence evidence);
 
+		/**
+		 * The oldest version below this process may have changed. Must not block.
+		 */
+		void progressFromBelow();
+
 	}
 
 }
--- a/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessage.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessage.java
@@ -11,6 +11,6 @@
 		DistributionMessages.EndpointUpdate, DistributionMessages.RegistryDigests, DistributionMessages.RegistryRequest,
 		DistributionMessages.PathUpdate, DistributionMessages.FloorRequest, DistributionMessages.FloorAnswer,
 		DistributionMessages.Report, DistributionMessages.ReportAcknowledged, DistributionMessages.Leaving,
-		DistributionMessages.PeerHello, DistributionMessages.Roots {
+		DistributionMessages.PeerHello, DistributionMessages.Roots, DistributionMessages.RootProgress {
 
 }
--- a/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessages.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/DistributionMessages.java
@@ -56,8 +56,9 @@
 				new MessageType<>(209, ParentHeartbeat.class,
 						(message, packer) -> packer.packLong(message.version()).packLong(message.rootAgeMillis()),
 						(unpacker) -> new ParentHeartbeat(unpacker.unpackLong(), unpacker.unpackLong())),
-				new MessageType<>(210, ChildHeartbeat.class, (message, packer) -> packer.packLong(message.version()),
-						(unpacker) -> new ChildHeartbeat(unpacker.unpackLong())),
+				new MessageType<>(210, ChildHeartbeat.class,
+						(message, packer) -> packer.packLong(message.version()).packLong(message.oldestVersion()),
+						(unpacker) -> new ChildHeartbeat(unpacker.unpackLong(), unpacker.unpackLong())),
 				new MessageType<>(211, EndpointUpdate.class,
 						(message, packer) -> Fields.packList(packer, message.endpoints(), StateBinding::packEndpoint),
 						(unpacker) -> new EndpointUpdate(Fields.unpackList(unpacker, StateBinding::unpackEndpoint))),
@@ -85,7 +86,10 @@
 						(message, packer) -> packer.packString(message.memberId()).packLong(message.incarnation()),
 						(unpacker) -> new PeerHello(unpacker.unpackString(), unpacker.unpackLong())),
 				new MessageType<>(221, Roots.class, (message, packer) -> packNames(message.addresses(), packer),
-						(unpacker) -> new Roots(names(unpacker))));
+						(unpacker) -> new Roots(names(unpacker))),
+				new MessageType<>(222, RootProgress.class,
+						(message, packer) -> packer.packLong(message.oldestVersion()),
+						(unpacker) -> new RootProgress(unpacker.unpackLong())));
 	}
 
 	private static void packAttach(Attach message, MessagePacker packer) throws IOException {
@@ -292,11 +296,13 @@
 	}
 
 	/**
-	 * Sign of life of a child.
+	 * Sign of life of a child, sent also when a version has come in force.
 	 *
 	 * @param version version in force
+	 * @param oldestVersion oldest version that the child or a node below it serves,
+	 * {@code Long.MAX_VALUE} if none serves
 	 */
-	record ChildHeartbeat(long version) implements DistributionMessage {
+	record ChildHeartbeat(long version, long oldestVersion) implements DistributionMessage {
 	}
 
 	/**
@@ -383,6 +389,15 @@
 	record Roots(List<String> addresses) implements DistributionMessage {
 	}
 
+	/**
+	 * How far the nodes below a control member are.
+	 *
+	 * @param oldestVersion oldest version that one of them serves, {@code Long.MAX_VALUE}
+	 * if none serves
+	 */
+	record RootProgress(long oldestVersion) implements DistributionMessage {
+	}
+
 	/**
 	 * First request of a control member to another one; the answer holds its digests.
 	 *
--- a/distribution/src/main/java/io/lavenderroad/distribution/FullSizeModel.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/FullSizeModel.java
@@ -182,7 +182,7 @@
 		Delta delta = new Delta(
 				this.after.deltaFrom(1, this.before.services().keySet(), Scope.everything()).orElseThrow());
 		return new Costs(bytes(delta), bytes(new Advance(1_000_000, 1_000_001)),
-				bytes(new ParentHeartbeat(1_000_000, 700)), bytes(new ChildHeartbeat(1_000_000)),
+				bytes(new ParentHeartbeat(1_000_000, 700)), bytes(new ChildHeartbeat(1_000_000, 1_000_000)),
 				bytes(new EndpointUpdate(List.of(endpoint(500)))), bytes(new Report(1_000, status, Evidence.NONE)),
 				bytes(new Attach("germiston-0500", 1_796_000_000_000L, "gauteng", "germiston", "127.0.1.1:7400",
 						List.of())),
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -32,6 +32,7 @@
 import io.lavenderroad.distribution.ActiveConfiguration.Outcome;
 import io.lavenderroad.distribution.DistributionMessages.Advance;
 import io.lavenderroad.distribution.DistributionMessages.Attach;
+import io.lavenderroad.distribution.DistributionMessages.ChildHeartbeat;
 import io.lavenderroad.distribution.DistributionMessages.Delta;
 import io.lavenderroad.distribution.DistributionMessages.EndpointUpdate;
 import io.lavenderroad.distribution.DistributionMessages.FloorAnswer;
@@ -473,6 +474,7 @@
 				this.floor = confirmed.get();
 				this.floorConfirmed = true;
 				Logger.info("distribution: Node {} may serve from version {}.", this.self.id(), this.floor);
+				progress();
 				changed();
 				return;
 			}
@@ -633,6 +635,7 @@
 				Logger.info("distribution: Node {} has version {} in force with {} routes, {}.", this.self.id(),
 						version, this.active.current().routes().all().size(), freshness());
 				retainScope();
+				progress();
 				this.children.wake();
 				changed();
 			}
@@ -650,6 +653,15 @@
 		}
 	}
 
+	private ChildHeartbeat heartbeat() {
+		long serving = configuration().map(MeshConfiguration::version).orElse(Long.MAX_VALUE);
+		return new ChildHeartbeat(this.active.current().version(), Math.min(serving, this.children.oldestVersion()));
+	}
+
+	private void progress() {
+		this.uplink.session().ifPresent(ParentSession::progress);
+	}
+
 	private void retainScope() {
 		Scope present = scope();
 		if (!present.all()) {
@@ -908,6 +920,11 @@
 			NodeDistribution.this.evidence.add(observed);
 		}
 
+		@Override
+		public void progressFromBelow() {
+			progress();
+		}
+
 	}
 
 	/**
@@ -938,7 +955,7 @@
 			NodeDistribution.this.evidence.receiverChanged();
 			subscribe(session, false, false);
 			announce(ownEndpoint().state());
-			session.start(() -> NodeDistribution.this.active.current().version());
+			session.start(NodeDistribution.this::heartbeat);
 			NodeDistribution.this.children.pathChanged(path());
 			NodeDistribution.this.children.heartbeat();
 			changed();
--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.wire.Connection;
@@ -31,6 +31,8 @@
 
 	private volatile long rootContactMillis;
 
+	private volatile boolean progressDue;
+
 	ParentSession(Clock clock, Connection connection, Accepted accepted) {
 		this.clock = clock;
 		this.connection = connection;
@@ -104,15 +106,23 @@
 		return this.clock.millis() - this.connection.lastReceivedMillis();
 	}
 
+	/**
+	 * Tells the parent soon which versions are in force.
+	 */
+	void progress() {
+		this.progressDue = true;
+		this.outbox.wake();
+	}
+
 	/**
 	 * Sends until the connection closes.
-	 * @param version returns the version in force
+	 * @param heartbeat makes a heartbeat
 	 */
-	void start(LongSupplier version) {
-		Thread.ofVirtual().name("parent " + parent().id()).start(() -> sendAll(version));
+	void start(Supplier<ChildHeartbeat> heartbeat) {
+		Thread.ofVirtual().name("parent " + parent().id()).start(() -> sendAll(heartbeat));
 	}
 
-	private void sendAll(LongSupplier version) {
+	private void sendAll(Supplier<ChildHeartbeat> heartbeat) {
 		long lastSentMillis = 0;
 		try {
 			while (this.connection.isOpen()) {
@@ -120,8 +130,9 @@
 					this.connection.send(message);
 				}
 				long now = this.clock.millis();
-				if (now - lastSentMillis >= TreeTimes.HEARTBEAT_MILLIS) {
-					this.connection.send(new ChildHeartbeat(version.getAsLong()));
+				if (this.progressDue || now - lastSentMillis >= TreeTimes.HEARTBEAT_MILLIS) {
+					this.progressDue = false;
+					this.connection.send(heartbeat.get());
 					lastSentMillis = now;
 				}
 			}
--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
@@ -22,6 +23,7 @@
 import io.lavenderroad.distribution.DistributionMessages.PeerHello;
 import io.lavenderroad.distribution.DistributionMessages.RegistryDigests;
 import io.lavenderroad.distribution.DistributionMessages.Report;
+import io.lavenderroad.distribution.DistributionMessages.RootProgress;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.Evidence;
 import io.vavr.control.Either;
@@ -44,6 +46,8 @@
 
 	private final ConnectionHandler handler;
 
+	private final LongSupplier oldestVersionBelow;
+
 	private final ReentrantLock lock = new ReentrantLock();
 
 	private final List<Link> links = new CopyOnWriteArrayList<>();
@@ -59,12 +63,13 @@
 	private volatile boolean closed;
 
 	Peers(WireOptions options, Clock clock, RandomGenerator random, List<String> addresses, EndpointRegistry registry,
-			ConnectionHandler handler) {
+			ConnectionHandler handler, LongSupplier oldestVersionBelow) {
 		this.options = options;
 		this.clock = clock;
 		this.random = random;
 		this.registry = registry;
 		this.handler = handler;
+		this.oldestVersionBelow = oldestVersionBelow;
 		addresses.forEach(this::add);
 	}
 
@@ -139,7 +144,7 @@
 	 * @return the digests of this member
 	 */
 	RegistryDigests accepted(Connection connection, PeerHello hello) {
-		this.inbound.put(connection, new Inbound(hello.memberId(), hello.incarnation(), SubtreeStatus.EMPTY));
+		this.inbound.put(connection, new Inbound(hello.memberId(), hello.incarnation(), SubtreeStatus.EMPTY, 0));
 		this.bytes.opened(connection);
 		if (!connection.isOpen()) {
 			closed(connection);
@@ -161,12 +166,54 @@
 	 */
 	Optional<Evidence> reported(Connection connection, Report report) {
 		Inbound peer = this.inbound.computeIfPresent(connection,
-				(key, known) -> new Inbound(known.memberId(), known.incarnation(), report.status()));
+				(key, known) -> new Inbound(known.memberId(), known.incarnation(), report.status(),
+						known.oldestVersion()));
 		boolean fresh = peer != null && !report.evidence().isEmpty()
 				&& this.ledger.isNew(peer.memberId(), peer.incarnation(), report.sequence());
 		return fresh ? Optional.of(report.evidence()) : Optional.empty();
 	}
 
+	/**
+	 * Notes how far the nodes below another member are.
+	 * @param connection its link
+	 * @param oldestVersion oldest version that one of them serves
+	 */
+	void progressed(Connection connection, long oldestVersion) {
+		this.inbound.computeIfPresent(connection,
+				(key, known) -> new Inbound(known.memberId(), known.incarnation(), known.status(), oldestVersion));
+	}
+
+	/**
+	 * Returns the oldest version that a node below a connected member serves.
+	 * @return the version, {@code Long.MAX_VALUE} if none serves
+	 */
+	long oldestVersion() {
+		return this.inbound.values().stream().mapToLong(Inbound::oldestVersion).min().orElse(Long.MAX_VALUE);
+	}
+
+	/**
+	 * Names members below which nodes are behind, for the logs.
+	 * @param version the version
+	 * @return ids of the members
+	 */
+	List<String> behind(long version) {
+		return this.inbound.values()
+			.stream()
+			.filter((peer) -> peer.oldestVersion() < version)
+			.map(Inbound::memberId)
+			.toList();
+	}
+
+	/**
+	 * Tells the other members soon how far the nodes below this one are.
+	 */
+	void progress() {
+		for (Link link : this.links) {
+			link.progressDue = true;
+			link.outbox.wake();
+		}
+	}
+
 	SubtreeStatus status() {
 		SubtreeStatus sum = SubtreeStatus.EMPTY;
 		for (Inbound peer : this.inbound.values()) {
@@ -230,7 +277,7 @@
 		List.copyOf(this.inbound.keySet()).forEach((connection) -> connection.close(reason));
 	}
 
-	private record Inbound(String memberId, long incarnation, SubtreeStatus status) {
+	private record Inbound(String memberId, long incarnation, SubtreeStatus status, long oldestVersion) {
 	}
 
 	/**
@@ -250,6 +297,8 @@
 
 		private volatile boolean reportDue;
 
+		private volatile boolean progressDue;
+
 		private volatile boolean removed;
 
 		Link(String address) {
@@ -325,6 +374,7 @@
 				return false;
 			}
 			pushDifferences(answer.get().digests());
+			this.progressDue = true;
 			Logger.debug("distribution: Linked to control member {}.", next.peer().senderId());
 			return true;
 		}
@@ -343,6 +393,10 @@
 				for (DistributionMessage message : this.outbox.take(TreeTimes.CHECK_MILLIS)) {
 					present.send(message);
 				}
+				if (this.progressDue) {
+					this.progressDue = false;
+					present.send(new RootProgress(Peers.this.oldestVersionBelow.getAsLong()));
+				}
 				if (this.reportDue) {
 					this.reportDue = false;
 					this.evidence.send(present, this.status, Peers.this.clock.millis());
--- /dev/null
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ProgressSignal.java
@@ -0,0 +1,54 @@
+package io.lavenderroad.distribution;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Wakes tasks that wait until nodes have a version in force.
+ */
+final class ProgressSignal {
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final Condition changed = this.lock.newCondition();
+
+	/**
+	 * Lets all waiting tasks look again.
+	 */
+	void changed() {
+		this.lock.lock();
+		try {
+			this.changed.signalAll();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Waits until a condition holds.
+	 * @param condition reads what {@link #changed()} announces
+	 * @param timeoutMillis longest wait
+	 * @return whether the condition holds
+	 */
+	boolean await(BooleanSupplier condition, long timeoutMillis) {
+		this.lock.lock();
+		try {
+			long leftNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+			while (!condition.getAsBoolean() && leftNanos > 0) {
+				leftNanos = this.changed.awaitNanos(leftNanos);
+			}
+			return condition.getAsBoolean();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+}
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -22,6 +22,7 @@
 import io.lavenderroad.distribution.DistributionMessages.PeerHello;
 import io.lavenderroad.distribution.DistributionMessages.Report;
 import io.lavenderroad.distribution.DistributionMessages.ReportAcknowledged;
+import io.lavenderroad.distribution.DistributionMessages.RootProgress;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.model.Evidence;
@@ -59,6 +60,8 @@
 
 	private final Handler handler = new Handler();
 
+	private final ProgressSignal progress = new ProgressSignal();
+
 	private volatile boolean closed;
 
 	private RootDistribution(Builder builder) {
@@ -69,7 +72,8 @@
 		this.quorumAgeMillis = builder.quorumAgeMillis;
 		this.localFloor = new FloorRequests(builder.confirmCommittedVersion);
 		this.children = new Children(new RootParent(), builder.placement, builder.attachesPerSecond);
-		this.peers = new Peers(options, this.clock, builder.random, builder.peers, this.registry, this.handler);
+		this.peers = new Peers(options, this.clock, builder.random, builder.peers, this.registry, this.handler,
+				this.children::oldestVersion);
 	}
 
 	/**
@@ -119,6 +123,26 @@
 		this.children.rootsChanged(roots());
 	}
 
+	/**
+	 * Waits until a version is in force on every node that is attached to this or another
+	 * connected control member. A node that is lost does not count.
+	 * @param version the version
+	 * @param timeoutMillis longest wait
+	 * @return false if an attached node serves an older one at the end of the wait
+	 */
+	public boolean awaitInForce(long version, long timeoutMillis) {
+		boolean everywhere = this.progress.await(() -> oldestVersion() >= version, timeoutMillis);
+		if (!everywhere) {
+			Logger.info("distribution: Version {} is not in force below {} of this member and below the members {}.",
+					version, this.children.behind(version), this.peers.behind(version));
+		}
+		return everywhere;
+	}
+
+	private long oldestVersion() {
+		return Math.min(this.children.oldestVersion(), this.peers.oldestVersion());
+	}
+
 	/**
 	 * Returns how far the nodes of the mesh are.
 	 * @return the status as reported
@@ -381,6 +405,10 @@
 			if (peerId.isPresent() && message instanceof EndpointUpdate update) {
 				merge(update.endpoints(), null, peerId.get());
 			}
+			else if (peerId.isPresent() && message instanceof RootProgress below) {
+				RootDistribution.this.peers.progressed(connection, below.oldestVersion());
+				RootDistribution.this.progress.changed();
+			}
 			else {
 				RootDistribution.this.children.received(connection, message);
 			}
@@ -403,6 +431,7 @@
 		public void closed(Connection connection, String reason) {
 			RootDistribution.this.peers.closed(connection);
 			RootDistribution.this.children.closed(connection);
+			RootDistribution.this.progress.changed();
 		}
 
 		private ReportAcknowledged report(Connection connection, Report report) {
@@ -472,6 +501,12 @@
 			merge(endpoints, senderId, null);
 		}
 
+		@Override
+		public void progressFromBelow() {
+			RootDistribution.this.peers.progress();
+			RootDistribution.this.progress.changed();
+		}
+
 		@Override
 		public void evidenceFromBelow(Evidence evidence) {
 			if (!evidence.isEmpty()) {
--- a/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
@@ -30,6 +30,8 @@
 
 	private static final int NODES = 24;
 
+	private static final long IN_FORCE_MILLIS = 60_000;
+
 	private LocalMesh mesh;
 
 	private MeshConfiguration configuration;
@@ -207,6 +209,33 @@
 		DistributionTests.await(() -> this.mesh.nodes().stream().allMatch((node) -> rootOf(node).equals(second.id)));
 	}
 
+	@Test
+	public void versionIsInForceOnlyWhenEveryAttachedNodeServesIt() {
+		startTree(3);
+		for (int round = 0; round < 20; round++) {
+			change(50 + round);
+			for (Root root : this.mesh.roots()) {
+				Assert.assertTrue(root.distribution().awaitInForce(this.configuration.version(), IN_FORCE_MILLIS));
+				for (Node node : this.mesh.nodes()) {
+					Assert.assertEquals(node.version(), this.configuration.version(), node.id);
+				}
+			}
+		}
+	}
+
+	@Test
+	public void nodeThatHangsIsWaitedForUntilItIsLost() {
+		Root root = startTree(1);
+		Node hanging = relay();
+		hanging.hang();
+		change(80);
+		Assert.assertFalse(root.distribution().awaitInForce(this.configuration.version(), 0));
+		Assert.assertTrue(root.distribution().awaitInForce(this.configuration.version(), IN_FORCE_MILLIS));
+		DistributionTests.await(() -> this.mesh.nodes()
+			.stream()
+			.allMatch((node) -> node == hanging || node.version() == this.configuration.version()));
+	}
+
 	@Test
 	public void isolatedRootIsLeft() {
 		AtomicBoolean isolated = new AtomicBoolean();
