Break off heads, chunk framing and trailers that never end

The node read such a status line, header, interim answers, chunk size, chunk extension or trailers for as long as they came: up to the deadline of the request, at the speed of the link, into a heap of 96 MB, and an exhausted heap ends the process. From callers the sum of the headers was not bounded either, only their number and each line.

A head may take 64 KB with the interim answers before it, a line 16 KB, trailers 100 fields; the head of a request the header bytes of the limits. What is larger is broken off, and its connection closed.

HttpListenerTests: a head of 400 KB was not refused before, 431 now.

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
@@ -28,6 +29,16 @@
 
 	private static final int BUFFER_BYTES = 4 * 1024;
 
+	/**
+	 * Largest head of an answer, together with the interim answers before it.
+	 */
+	private static final int LARGEST_HEAD_BYTES = 64 * 1024;
+
+	/**
+	 * Longest line of a head, of the framing of chunks or of trailers.
+	 */
+	private static final int LARGEST_LINE_BYTES = 16 * 1024;
+
 	/**
 	 * Answers of other requests that are dropped before the connection is given up.
 	 */
@@ -39,8 +50,8 @@
 
 	private final OutputStream outputStream;
 
-	private final SessionInputBufferImpl input = new SessionInputBufferImpl(BUFFER_BYTES,
-			StandardCharsets.ISO_8859_1.newDecoder());
+	private final SessionInputBufferImpl input = new SessionInputBufferImpl(new BasicHttpTransportMetrics(),
+			BUFFER_BYTES, BUFFER_BYTES, LARGEST_LINE_BYTES, StandardCharsets.ISO_8859_1.newDecoder());
 
 	private final SessionOutputBufferImpl output = new SessionOutputBufferImpl(BUFFER_BYTES,
 			StandardCharsets.ISO_8859_1.newEncoder());
@@ -151,7 +162,7 @@
 	}
 
 	private ClassicHttpResponse readHead() throws IOException, HttpException {
-		HeadStream stream = new HeadStream(this.inputStream);
+		HeadStream stream = new HeadStream(this.inputStream, LARGEST_HEAD_BYTES);
 		ClassicHttpResponse head = new DefaultHttpResponseParser().parse(this.input, stream);
 		while (head.getCode() < HttpStatus.SC_SUCCESS) {
 			head = new DefaultHttpResponseParser().parse(this.input, stream);
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -158,7 +158,8 @@
 		this.socket.setSoTimeout(limits.headerTimeoutMillis());
 		Http1Config config = Http1Config.custom().setMaxHeaderCount(limits.largestHeaderBytes() / 4).build();
 		try {
-			ClassicHttpRequest head = new DefaultHttpRequestParser(config).parse(this.input, new HeadStream(stream));
+			ClassicHttpRequest head = new DefaultHttpRequestParser(config).parse(this.input,
+					new HeadStream(stream, limits.largestHeaderBytes() + BUFFER_BYTES));
 			return accept(head, stream, limits);
 		}
 		catch (SocketTimeoutException ex) {
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
@@ -20,6 +21,8 @@
 
 	private static final byte[] NONE = new byte[0];
 
+	private static final Http1Config TRAILER_LIMITS = Http1Config.custom().setMaxHeaderCount(100).build();
+
 	private MessageBody() {
 	}
 
@@ -91,7 +94,7 @@
 
 	private static InputStream open(long length, SessionInputBuffer buffer, InputStream stream) {
 		if (length == ContentLengthStrategy.CHUNKED) {
-			return new ChunkedInputStream(buffer, stream);
+			return new ChunkedInputStream(buffer, stream, TRAILER_LIMITS);
 		}
 		return (length >= 0) ? new ContentLengthInputStream(buffer, stream, length)
 				: new IdentityInputStream(buffer, stream);
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -89,6 +89,8 @@
 	@Test
 	public void callersOverTheLimitsGetAStatusAndTheConnectionEnds() throws IOException {
 		Assert.assertEquals(status("GET / HTTP/1.1\r\nLarge: " + "x".repeat(3_000) + "\r\n\r\n"), "431");
+		String manyHeaders = ("Many: " + "x".repeat(1_000) + "\r\n").repeat(400);
+		Assert.assertEquals(status("GET / HTTP/1.1\r\nHost: h\r\n" + manyHeaders + "\r\n"), "431");
 		Assert.assertEquals(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n"), "413");
 		Assert.assertEquals(status("GET / HTTP/1.1\r\nHost"), "408");
 		Assert.assertEquals(status("no request\r\n\r\n"), "400");
