--- a/control/src/main/java/io/lavenderroad/control/state/Acknowledgement.java
+++ b/control/src/main/java/io/lavenderroad/control/state/Acknowledgement.java
@@ -12,8 +12,7 @@
 	/**
 	 * Acknowledges as soon as a change is accepted, for a member without nodes.
 	 */
-	public static final Acknowledgement AT_ONCE = new Acknowledgement((version, timeoutMillis) -> true,
-			Clock.system());
+	public static final Acknowledgement AT_ONCE = new Acknowledgement((version, timeoutMillis) -> true, Clock.system());
 
 	/**
 	 * Longest wait. Operators turn to another member after a second without an answer,
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -129,7 +129,8 @@
 		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
 		Acknowledgement acknowledgement = new Acknowledgement(this.root::awaitInForce, clock);
 		this.api = api(kernel, clock, mesh, commands, moveService, metrics, acknowledgement);
-		this.api.addPages(pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement), orders));
+		this.api
+			.addPages(pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement), orders));
 		this.api.start(settings.httpAddress());
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, metrics::text);
 		FirstVersions firstVersions = new FirstVersions(mesh, (service) -> this.root.registry().live(service), orders);
--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -95,8 +95,8 @@
 		}
 		List<String> addresses = started.stream().map((root) -> root.address).toList();
 		for (int index = 0; index < count; index++) {
-			started.get(index).start(addresses, (index == 0) ? floor : Optional::empty, quorumAge.apply(index),
-					this.rootPlacement);
+			started.get(index)
+				.start(addresses, (index == 0) ? floor : Optional::empty, quorumAge.apply(index), this.rootPlacement);
 		}
 		this.roots.addAll(started);
 		return started;
@@ -253,7 +253,7 @@
 
 		private final FrameServer server;
 
-		private final NodeDistribution.Builder builder;
+		private final NodeDistributionBuilder builder;
 
 		private NodeDistribution distribution;
 
@@ -274,7 +274,7 @@
 				});
 		}
 
-		Node with(Consumer<NodeDistribution.Builder> settings) {
+		Node with(Consumer<NodeDistributionBuilder> settings) {
 			settings.accept(this.builder);
 			return this;
 		}
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -1,6 +1,5 @@
 package io.lavenderroad.distribution;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -12,14 +11,10 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
-import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 
@@ -29,7 +24,6 @@
 import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.WireOptions;
-import io.lavenderroad.distribution.ActiveConfiguration.Outcome;
 import io.lavenderroad.distribution.DistributionMessages.Advance;
 import io.lavenderroad.distribution.DistributionMessages.Attach;
 import io.lavenderroad.distribution.DistributionMessages.ChildHeartbeat;
@@ -82,6 +76,8 @@
 
 	private final FloorRequests floorRequests = new FloorRequests(this::askParentForFloor);
 
+	private final VersionFloor floor;
+
 	private final ByteCount bytes = new ByteCount();
 
 	private final DistributionMetrics metrics = new DistributionMetrics();
@@ -90,8 +86,7 @@
 
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
-	private final ExecutorService applying = Executors
-		.newSingleThreadExecutor(Thread.ofVirtual().name("apply").factory());
+	private final SliceUpdates updates;
 
 	private final RandomGenerator random;
 
@@ -111,21 +106,13 @@
 
 	private Scope scope;
 
-	private volatile boolean wholeRequested;
-
 	private volatile ParentSession lastSession;
 
 	private volatile List<String> roots = List.of();
 
-	private volatile boolean floorConfirmed;
-
-	private volatile long floor;
-
-	private volatile RejectedVersion rejected;
-
 	private volatile boolean closed;
 
-	private NodeDistribution(Builder builder) {
+	NodeDistribution(NodeDistributionBuilder builder) {
 		this.options = Objects.requireNonNull(builder.options, "options");
 		this.seeds = builder.seeds;
 		this.seeds.forEach(Uplink::address);
@@ -140,6 +127,8 @@
 			.map((folder) -> new VersionFile(folder, this.self.id()));
 		this.active = new ActiveConfiguration(builder.validator,
 				file.<ActiveConfiguration.Memory>map((value) -> value).orElse(ActiveConfiguration.Memory.NONE));
+		this.floor = new VersionFloor(this.self.id(), this.random, this.floorRequests);
+		this.updates = new SliceUpdates(this.self.id(), this.clock, this.active, this.metrics, new NodeUpdates());
 		file.flatMap(VersionFile::load).ifPresent(this::restore);
 		this.children = new Children(new NodeParent(), Placement.RELAY, builder.attachesPerSecond);
 		this.metrics.gauges(this::freshness, () -> this.active.current().version(), this.children::size);
@@ -148,9 +137,8 @@
 	}
 
 	private void restore(VersionFile.Stored stored) {
-		// It may be served at once: nothing newer was in force here.
 		this.active.restore(stored.configuration(), stored.everything());
-		this.floorConfirmed = true;
+		this.floor.remembered();
 		if (stored.everything()) {
 			this.scope = Scope.everything();
 		}
@@ -160,8 +148,8 @@
 	 * Creates a builder.
 	 * @return the builder
 	 */
-	public static Builder builder() {
-		return new Builder();
+	public static NodeDistributionBuilder builder() {
+		return new NodeDistributionBuilder();
 	}
 
 	/**
@@ -173,7 +161,7 @@
 		this.uplink.start();
 		Thread.ofVirtual().name("distribution " + this.self.id()).start(this::tick);
 		Thread.ofVirtual().name("report " + this.self.id()).start(this::reportAll);
-		if (!this.floorConfirmed) {
+		if (!this.floor.isConfirmed()) {
 			Thread.ofVirtual().name("floor " + this.self.id()).start(this::confirmFloor);
 		}
 	}
@@ -189,7 +177,7 @@
 	@Override
 	public Optional<MeshConfiguration> configuration() {
 		MeshConfiguration current = this.active.current();
-		return (this.floorConfirmed && current.version() > 0 && current.version() >= this.floor) ? Optional.of(current)
+		return (current.version() > 0 && this.floor.allows(current.version())) ? Optional.of(current)
 				: Optional.empty();
 	}
 
@@ -334,7 +322,7 @@
 		this.closed = true;
 		this.uplink.close(reason);
 		this.children.close(reason);
-		this.applying.shutdown();
+		this.updates.close();
 	}
 
 	private Endpoint ownEndpoint() {
@@ -459,28 +447,16 @@
 
 	private SubtreeStatus subtreeStatus() {
 		long version = configuration().map(MeshConfiguration::version).orElse(0L);
-		RejectedVersion refused = this.rejected;
 		SubtreeStatus mine = new SubtreeStatus(new TreeMap<>(Map.of(version, 1)),
-				List.of(new NodeVersion(this.self.id(), version)), (refused != null) ? List.of(refused) : List.of(), 0,
+				List.of(new NodeVersion(this.self.id(), version)), this.updates.rejected().stream().toList(), 0,
 				bytesSent(), bytesReceived());
 		return this.children.status().laggingBehind(version).plus(mine);
 	}
 
 	private void confirmFloor() {
-		Backoff backoff = new Backoff(this.random, TreeTimes.FLOOR_RETRY_MILLIS, TreeTimes.FLOOR_RETRY_LIMIT_MILLIS);
-		while (!this.closed && awaitParent()) {
-			Optional<Long> confirmed = this.floorRequests.request(2 * TreeTimes.CALL_TIMEOUT_MILLIS);
-			if (confirmed.isPresent()) {
-				this.floor = confirmed.get();
-				this.floorConfirmed = true;
-				Logger.info("distribution: Node {} may serve from version {}.", this.self.id(), this.floor);
-				progress();
-				changed();
-				return;
-			}
-			if (!sleep(backoff.nextMillis())) {
-				return;
-			}
+		if (this.floor.confirm(this::awaitParent)) {
+			progress();
+			changed();
 		}
 	}
 
@@ -556,7 +532,7 @@
 			MeshConfiguration current = this.active.current();
 			boolean wider = this.scope.all() && !this.active.everything();
 			boolean wantsWhole = whole || wider;
-			this.wholeRequested = wantsWhole;
+			this.updates.wholeRequested(wantsWhole);
 			Set<String> names = current.services().keySet();
 			Set<String> inScope = new HashSet<>(names);
 			inScope.addAll(this.scope.ownServices());
@@ -599,60 +575,6 @@
 				|| this.uplink.session().map((session) -> session.parentVersion() == 0).orElse(false);
 	}
 
-	private void apply(ParentSession session, Object message) {
-		if (this.uplink.session().orElse(null) == session) {
-			long startMillis = this.clock.millis();
-			try {
-				applyNow(session, message);
-				this.metrics.applied(this.clock.millis() - startMillis);
-			}
-			catch (RuntimeException ex) {
-				Logger.error(ex, "distribution: Node {} failed to apply an update.", this.self.id());
-				session.connection().close("update failed: " + ex.getMessage());
-			}
-		}
-	}
-
-	private void applyNow(ParentSession session, Object message) {
-		switch (message) {
-			case WholeSlice slice -> {
-				Outcome outcome = this.active.offer(slice.configuration(), slice.digest(), slice.everything(),
-						this.wholeRequested);
-				this.wholeRequested = false;
-				settle(session, outcome, slice.configuration().version(), true);
-			}
-			case Delta delta -> settle(session, this.active.offer(delta.delta()), delta.delta().toVersion(), false);
-			case Advance advance -> settle(session,
-					this.active.offerAdvance(advance.fromVersion(), advance.toVersion()), advance.toVersion(), false);
-			default -> throw new LavenderroadException("unexpected " + message.getClass().getSimpleName());
-		}
-	}
-
-	private void settle(ParentSession session, Outcome outcome, long version, boolean whole) {
-		switch (outcome.result()) {
-			case IN_FORCE -> {
-				this.rejected = null;
-				Logger.info("distribution: Node {} has version {} in force with {} routes, {}.", this.self.id(),
-						version, this.active.current().routes().all().size(), freshness());
-				retainScope();
-				progress();
-				this.children.wake();
-				changed();
-			}
-			case IGNORED -> Logger.debug("distribution: Node {} ignored version {}.", this.self.id(), version);
-			case OTHER_BASE -> subscribe(session, true, false);
-			case DIGEST_MISMATCH -> {
-				if (whole) {
-					reject(version, "digest of the whole slice differs from the stated one");
-				}
-				else {
-					subscribe(session, false, true);
-				}
-			}
-			case REJECTED -> reject(version, outcome.reason());
-		}
-	}
-
 	private ChildHeartbeat heartbeat() {
 		long serving = configuration().map(MeshConfiguration::version).orElse(Long.MAX_VALUE);
 		return new ChildHeartbeat(this.active.current().version(), Math.min(serving, this.children.oldestVersion()));
@@ -680,111 +602,6 @@
 		}
 	}
 
-	private void reject(long version, String reason) {
-		Logger.warn("distribution: Node {} rejected version {}: {}.", this.self.id(), version, reason);
-		this.rejected = new RejectedVersion(this.self.id(), version, reason);
-	}
-
-	/**
-	 * Builds {@link NodeDistribution}.
-	 */
-	public static final class Builder extends DistributionBuilder<Builder> {
-
-		private List<String> seeds = List.of();
-
-		private Endpoint endpoint;
-
-		private Path dataFolder;
-
-		private Function<MeshConfiguration, List<String>> validator = MeshConfiguration::missingResources;
-
-		private long drainMillis = 5_000;
-
-		private UnaryOperator<ConnectionHandler> outgoing = UnaryOperator.identity();
-
-		private Builder() {
-			super(TreeTimes.RELAY_ATTACHES_PER_SECOND);
-		}
-
-		@Override
-		Builder self() {
-			return this;
-		}
-
-		/**
-		 * Sets the addresses to try first.
-		 * @param seeds {@code ip:port} of control members, or of any node
-		 * @return this builder
-		 */
-		public Builder seeds(List<String> seeds) {
-			this.seeds = List.copyOf(seeds);
-			return this;
-		}
-
-		/**
-		 * Sets the first announcement of the backend server beside this node. Its id,
-		 * region, failure domain and frame address are those of this node, its
-		 * incarnation is the start time of the process.
-		 * @param endpoint the announcement
-		 * @return this builder
-		 */
-		public Builder endpoint(Endpoint endpoint) {
-			this.endpoint = endpoint;
-			return this;
-		}
-
-		/**
-		 * Sets where the last version in force is kept.
-		 * @param dataFolder the folder, or null to keep nothing
-		 * @return this builder
-		 */
-		public Builder dataFolder(Path dataFolder) {
-			this.dataFolder = dataFolder;
-			return this;
-		}
-
-		/**
-		 * Sets the check of each version before it comes in force. The default is
-		 * {@link MeshConfiguration#missingResources()}.
-		 * @param validator lists what is wrong, empty if nothing
-		 * @return this builder
-		 */
-		public Builder validator(Function<MeshConfiguration, List<String>> validator) {
-			this.validator = validator;
-			return this;
-		}
-
-		/**
-		 * Sets how long {@link NodeDistribution#close()} waits for children.
-		 * @param millis the time
-		 * @return this builder
-		 */
-		public Builder drainMillis(long millis) {
-			this.drainMillis = millis;
-			return this;
-		}
-
-		/**
-		 * Wraps the handler of outgoing connections, so that a test can hold messages
-		 * back.
-		 * @param outgoing wraps it
-		 * @return this builder
-		 */
-		Builder outgoing(UnaryOperator<ConnectionHandler> outgoing) {
-			this.outgoing = outgoing;
-			return this;
-		}
-
-		/**
-		 * Creates the distribution, which does nothing before it is started.
-		 * @return the distribution
-		 */
-		public NodeDistribution build() {
-			return new NodeDistribution(this);
-		}
-
-	}
-
 	/**
 	 * Dispatches the messages of children and of the parent.
 	 */
@@ -798,9 +615,9 @@
 				return;
 			}
 			switch (message) {
-				case WholeSlice slice -> later(session, slice);
-				case Delta delta -> later(session, delta);
-				case Advance advance -> later(session, advance);
+				case WholeSlice slice -> NodeDistribution.this.updates.add(session, slice);
+				case Delta delta -> NodeDistribution.this.updates.add(session, delta);
+				case Advance advance -> NodeDistribution.this.updates.add(session, advance);
 				case ParentHeartbeat heartbeat -> {
 					session.heartbeat(heartbeat);
 					NodeDistribution.this.children.heartbeat();
@@ -840,15 +657,6 @@
 			NodeDistribution.this.uplink.check();
 		}
 
-		private void later(ParentSession session, Object message) {
-			try {
-				NodeDistribution.this.applying.execute(() -> apply(session, message));
-			}
-			catch (RejectedExecutionException ex) {
-				Logger.debug("distribution: Node {} is closed.", NodeDistribution.this.self.id());
-			}
-		}
-
 		private void rootsChanged(List<String> addresses) {
 			NodeDistribution.this.roots = addresses;
 			NodeDistribution.this.children.rootsChanged(addresses);
@@ -927,6 +735,34 @@
 
 	}
 
+	/**
+	 * This node as the receiver of updates.
+	 */
+	private final class NodeUpdates implements SliceUpdates.Owner {
+
+		@Override
+		public boolean isPresent(ParentSession session) {
+			return NodeDistribution.this.uplink.session().orElse(null) == session;
+		}
+
+		@Override
+		public void subscribe(ParentSession session, boolean namesGiven, boolean whole) {
+			NodeDistribution.this.subscribe(session, namesGiven, whole);
+		}
+
+		@Override
+		public void inForce(long version) {
+			Logger.info("distribution: Node {} has version {} in force with {} routes, {}.",
+					NodeDistribution.this.self.id(), version,
+					NodeDistribution.this.active.current().routes().all().size(), freshness());
+			retainScope();
+			progress();
+			NodeDistribution.this.children.wake();
+			changed();
+		}
+
+	}
+
 	/**
 	 * This node as the child of its parent.
 	 */
--- a/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/ParentSession.java
@@ -83,9 +83,8 @@
 	 * @return a part of a sentence
 	 */
 	String describeSilence() {
-		return (this.connection.isOpen() ? "open" : "closed") + ", silent for "
-				+ silenceMillis() + " ms, last word from a root " + rootAgeMillis()
-				+ " ms ago";
+		return (this.connection.isOpen() ? "open" : "closed") + ", silent for " + silenceMillis()
+				+ " ms, last word from a root " + rootAgeMillis() + " ms ago";
 	}
 
 	void parentIsLeaving() {
--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -165,9 +165,8 @@
 	 * @return evidence that was not added before
 	 */
 	Optional<Evidence> reported(Connection connection, Report report) {
-		Inbound peer = this.inbound.computeIfPresent(connection,
-				(key, known) -> new Inbound(known.memberId(), known.incarnation(), report.status(),
-						known.oldestVersion()));
+		Inbound peer = this.inbound.computeIfPresent(connection, (key, known) -> new Inbound(known.memberId(),
+				known.incarnation(), report.status(), known.oldestVersion()));
 		boolean fresh = peer != null && !report.evidence().isEmpty()
 				&& this.ledger.isNew(peer.memberId(), peer.incarnation(), report.sequence());
 		return fresh ? Optional.of(report.evidence()) : Optional.empty();
--- a/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Uplink.java
@@ -201,8 +201,7 @@
 		long aloneMillis = (previous != null) ? 0 : this.clock.millis() - this.aloneSinceMillis;
 		this.owner.searched(aloneMillis);
 		Logger.info("distribution: Node {} has parent {} at {} hops from a root after {} ms without one, {} tried.",
-				this.self.get().nodeId(), next.parent().id(), next.path().size() - 1, aloneMillis,
-				tried);
+				this.self.get().nodeId(), next.parent().id(), next.path().size() - 1, aloneMillis, tried);
 		this.owner.attached(next);
 		if (previous != null) {
 			this.owner.replaced(previous);
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -176,8 +176,8 @@
 		if (second.isRight() || this.configuration.isCertain(newer)) {
 			return second;
 		}
-		return Either.left(refusal(HttpStatus.UNAVAILABLE,
-				"configuration may be old, " + second.getLeft().answer().reason()));
+		return Either
+			.left(refusal(HttpStatus.UNAVAILABLE, "configuration may be old, " + second.getLeft().answer().reason()));
 	}
 
 	/**
@@ -221,7 +221,8 @@
 			.route(request.method(), request.path())
 			.map(Route::rules)
 			.<Either<RoutedAnswer, Target>>map((rules) -> Either.right(new Target(service.get(), rules)))
-			.orElseGet(() -> Either.left(absent("no route of " + name + " for " + request.method() + " " + request.path())));
+			.orElseGet(() -> Either
+				.left(absent("no route of " + name + " for " + request.method() + " " + request.path())));
 	}
 
 	private Either<RoutedAnswer, RoutedCall> check(IncomingRequest request, CallTerms terms, Target target) {
--- a/node/src/test/java/io/lavenderroad/node/http/EndlessBytesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/EndlessBytesTests.java
@@ -50,12 +50,12 @@
 	@DataProvider
 	Object[][] answers() {
 		String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-		return new Object[][] { { "a status line", "", "HTTP/1.1 200 OK " }, { "one header", "HTTP/1.1 200 OK\r\nA: ", "a" },
-				{ "headers", "HTTP/1.1 200 OK\r\n", "A: a\r\n" }, { "empty lines", "", "\r\n" },
-				{ "lines that are no answer", "", "nonsense\r\n" },
-				{ "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
-				{ "a chunk size", chunked, "0" }, { "a chunk extension", chunked + "5;", "a" },
-				{ "chunks", chunked, "5\r\nhello\r\n" }, { "trailers", chunked + "0\r\n", "A: a\r\n" },
+		return new Object[][] { { "a status line", "", "HTTP/1.1 200 OK " },
+				{ "one header", "HTTP/1.1 200 OK\r\nA: ", "a" }, { "headers", "HTTP/1.1 200 OK\r\n", "A: a\r\n" },
+				{ "empty lines", "", "\r\n" }, { "lines that are no answer", "", "nonsense\r\n" },
+				{ "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" }, { "a chunk size", chunked, "0" },
+				{ "a chunk extension", chunked + "5;", "a" }, { "chunks", chunked, "5\r\nhello\r\n" },
+				{ "trailers", chunked + "0\r\n", "A: a\r\n" },
 				{ "a body without length", "HTTP/1.1 200 OK\r\n\r\n", "a" } };
 	}
 
@@ -65,8 +65,8 @@
 		CompletableFuture<Boolean> closed = new CompletableFuture<>();
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			Thread.ofVirtual().start(() -> serve(server, start, endless, closed));
-			BackendPool pool = new BackendPool(
-					new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), () -> 0);
+			BackendPool pool = new BackendPool(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+					() -> 0);
 			BackendExchange exchange = new BackendExchange(pool, this.timer, LARGEST_ANSWER_BYTES, KeepAlive::millis);
 			Either<BackendFailure, BackendResponse> answer = exchange.run(
 					new BackendRequest("GET", "/", HeaderFields.of(List.of("Host", "h")), new byte[0], (any) -> true),
