Announce the progress of a control member only when it changes

Each child that confirmed a version woke the links to all other members, up to 96 times for each version; the oldest version below a member changes with the last of them only. Comments and imports as the linter wants them.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -48,6 +48,13 @@
 
 	private final LongSupplier oldestVersionBelow;
 
+	/**
+	 * Guards the version announced last, so that no change between two readings is lost.
+	 */
+	private final ReentrantLock progressLock = new ReentrantLock();
+
+	private long announcedOldest;
+
 	private final ReentrantLock lock = new ReentrantLock();
 
 	private final List<Link> links = new CopyOnWriteArrayList<>();
@@ -204,9 +211,21 @@
 	}
 
 	/**
-	 * Tells the other members soon how far the nodes below this one are.
+	 * Tells the other members soon how far the nodes below this one are, if that has
+	 * changed.
 	 */
 	void progress() {
+		this.progressLock.lock();
+		try {
+			long oldest = this.oldestVersionBelow.getAsLong();
+			if (oldest == this.announcedOldest) {
+				return;
+			}
+			this.announcedOldest = oldest;
+		}
+		finally {
+			this.progressLock.unlock();
+		}
 		for (Link link : this.links) {
 			link.progressDue = true;
 			link.outbox.wake();
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -163,6 +163,10 @@
 	 * Finds service and rules of a request. Where there is no route and the configuration
 	 * may be old, the request waits for a newer one; if none comes, it is refused as "not
 	 * run" and may come back, since the node does not know that the route does not exist.
+	 * @param request the request
+	 * @param terms what the caller states
+	 * @param configuration configuration in force when the request came
+	 * @return the target, or a refusal
 	 */
 	private Either<RoutedAnswer, Target> findInNewest(IncomingRequest request, CallTerms terms,
 			MeshConfiguration configuration) {
