Bound the memory of all bodies that are being read

Found while testing bytes without end: an endless body was cut at 4 MB for each connection, but with 8 to 12 slots that is up to 96 MB while the parts are put together, the whole heap of a node, so that one backend server in trouble could end the process beside it. The body of a caller was bounded by the limit of the configuration alone (64 MB on the users' sites).

Bodies that are being read take at most 16 MB together for answers and as much for requests (BodyMemory). An answer beyond it is broken off as 'may have run'; a request is refused with 503 and a time to come back.

EndlessBytesTests.bodiesOnManyConnectionsShareTheirMemory; the type is new, before there was no bound over connections. The figure of 96 MB is computed.

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -81,15 +81,16 @@
 	 * Sends a request and reads its answer.
 	 * @param request the request
 	 * @param mostBytes largest body of the answer
+	 * @param memory bounds the bodies of all answers together
 	 * @return the whole answer
 	 * @throws IOException if the connection breaks or the answer is malformed or too
 	 * large
 	 */
-	BackendResponse exchange(BackendRequest request, int mostBytes) throws IOException {
+	BackendResponse exchange(BackendRequest request, int mostBytes, BodyMemory memory) throws IOException {
 		this.doubtful = true;
 		try {
 			write(request);
-			BackendResponse response = read(request, mostBytes);
+			BackendResponse response = read(request, mostBytes, memory);
 			this.doubtful = !response.framed() || response.headers().closesConnection() || this.input.hasBufferedData();
 			return response;
 		}
@@ -144,11 +145,12 @@
 		return method.equals("GET") || method.equals("HEAD") || method.equals("DELETE") || method.equals("OPTIONS");
 	}
 
-	private BackendResponse read(BackendRequest request, int mostBytes) throws IOException, HttpException {
+	private BackendResponse read(BackendRequest request, int mostBytes, BodyMemory memory)
+			throws IOException, HttpException {
 		for (int foreign = 0; foreign <= MOST_FOREIGN_ANSWERS; foreign++) {
 			ClassicHttpResponse head = readHead();
 			HeaderFields headers = HeaderFields.ofFields(head.getHeaders());
-			BackendResponse response = readBody(request.method(), head, headers, mostBytes);
+			BackendResponse response = readBody(request.method(), head, headers, mostBytes, memory);
 			if (request.isAnswer().test(headers)) {
 				return response;
 			}
@@ -170,13 +172,13 @@
 		return head;
 	}
 
-	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int mostBytes)
-			throws IOException, HttpException {
+	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int mostBytes,
+			BodyMemory memory) throws IOException, HttpException {
 		int status = head.getCode();
 		if (method.equals("HEAD") || MessageBody.isForbidden(status)) {
 			return new BackendResponse(status, headers, new byte[0], true);
 		}
-		byte[] body = MessageBody.readAnswer(head, this.input, this.inputStream, mostBytes);
+		byte[] body = MessageBody.readAnswer(head, this.input, this.inputStream, mostBytes, memory);
 		if (body == null) {
 			throw new ProtocolException("the body is over " + mostBytes + " bytes");
 		}
--- a/node/src/main/java/io/lavenderroad/node/http/BackendExchange.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendExchange.java
@@ -17,6 +17,13 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+	/**
+	 * Bodies of all answers that are being read.
+	 */
+	private static final long MOST_ANSWER_BYTES = 16L * 1024 * 1024;
+
+	private final BodyMemory memory = new BodyMemory(MOST_ANSWER_BYTES);
+
 	private final BackendPool pool;
 
 	private final ScheduledExecutorService timer;
@@ -72,7 +79,7 @@
 				remainingMillis, TimeUnit.MILLISECONDS);
 		cancellation.onCancel(() -> ending.end(connection, BackendFailure.CANCELLED));
 		try {
-			BackendResponse response = connection.exchange(request, this.largestAnswerBytes);
+			BackendResponse response = connection.exchange(request, this.largestAnswerBytes, this.memory);
 			if (ending.finish()) {
 				this.pool.giveBack(connection, this.keepAliveMillis.applyAsLong(response.headers()));
 			}
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -49,6 +49,11 @@
 
 	private static final int BUFFER_BYTES = 4 * 1024;
 
+	/**
+	 * When a caller may come back whose body found no memory.
+	 */
+	private static final String FULL_RETRY_AFTER_SECONDS = "1";
+
 	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
 	private static final CompletableFuture<OutgoingResponse> DONE = CompletableFuture.completedFuture(null);
@@ -169,6 +174,9 @@
 			return reject(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE,
 					"the headers are over " + limits.largestHeaderBytes() + " bytes");
 		}
+		catch (BodyMemoryException ex) {
+			return reject(HttpStatus.SC_SERVICE_UNAVAILABLE, ex.getMessage());
+		}
 		catch (HttpException ex) {
 			return reject(HttpStatus.SC_BAD_REQUEST, "the request cannot be read: " + ex.getMessage());
 		}
@@ -176,7 +184,7 @@
 
 	private boolean accept(ClassicHttpRequest head, InputStream stream, CallerLimits limits)
 			throws IOException, HttpException, InterruptedException {
-		byte[] body = MessageBody.read(head, this.input, stream, limits.largestBodyBytes());
+		byte[] body = MessageBody.read(head, this.input, stream, limits.largestBodyBytes(), this.listener.bodyMemory());
 		if (body == null) {
 			return reject(HttpStatus.SC_REQUEST_TOO_LONG, "the body is over " + limits.largestBodyBytes() + " bytes");
 		}
@@ -217,7 +225,9 @@
 				reason);
 		byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
 		this.inProgress.incrementAndGet();
-		OutgoingResponse response = new OutgoingResponse(status, HeaderFields.NONE, body, true);
+		HeaderFields headers = (status == HttpStatus.SC_SERVICE_UNAVAILABLE)
+				? HeaderFields.of(List.of("Retry-After", FULL_RETRY_AFTER_SECONDS)) : HeaderFields.NONE;
+		OutgoingResponse response = new OutgoingResponse(status, headers, body, true);
 		this.steps.put(new Step("", CompletableFuture.completedFuture(response), true));
 		return false;
 	}
--- a/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
@@ -22,6 +22,11 @@
 
 	private static final int BACKLOG = 1_024;
 
+	/**
+	 * Bodies of all requests that are being read.
+	 */
+	private static final long MOST_BODY_BYTES = 16L * 1024 * 1024;
+
 	/**
 	 * Pause after a failed accept, such as for want of descriptors.
 	 */
@@ -35,6 +40,8 @@
 
 	private final RequestHandler handler;
 
+	private final BodyMemory bodyMemory = new BodyMemory(MOST_BODY_BYTES);
+
 	private final int mostConnections;
 
 	private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
@@ -106,6 +113,10 @@
 		return this.leaving;
 	}
 
+	BodyMemory bodyMemory() {
+		return this.bodyMemory;
+	}
+
 	CallerLimits limits() {
 		return this.limits.get();
 	}
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -32,17 +32,18 @@
 	 * @param buffer bytes already received
 	 * @param stream further bytes
 	 * @param mostBytes largest body
+	 * @param memory bounds all bodies together
 	 * @return the body, or null if it is larger
 	 * @throws IOException if the body breaks off
 	 * @throws HttpException if its length is malformed
 	 */
-	static byte[] read(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int mostBytes)
-			throws IOException, HttpException {
+	static byte[] read(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int mostBytes,
+			BodyMemory memory) throws IOException, HttpException {
 		long length = DefaultContentLengthStrategy.INSTANCE.determineLength(head);
 		if (length == ContentLengthStrategy.UNDEFINED) {
 			return NONE;
 		}
-		return bounded(length, buffer, stream, mostBytes);
+		return bounded(length, buffer, stream, mostBytes, memory);
 	}
 
 	/**
@@ -51,13 +52,14 @@
 	 * @param buffer bytes already received
 	 * @param stream further bytes
 	 * @param mostBytes largest body
+	 * @param memory bounds all bodies together
 	 * @return the body, or null if it is larger
 	 * @throws IOException if the body breaks off
 	 * @throws HttpException if its length is malformed
 	 */
-	static byte[] readAnswer(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int mostBytes)
-			throws IOException, HttpException {
-		return bounded(DefaultContentLengthStrategy.INSTANCE.determineLength(head), buffer, stream, mostBytes);
+	static byte[] readAnswer(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int mostBytes,
+			BodyMemory memory) throws IOException, HttpException {
+		return bounded(DefaultContentLengthStrategy.INSTANCE.determineLength(head), buffer, stream, mostBytes, memory);
 	}
 
 	/**
@@ -80,16 +82,15 @@
 				|| status == HttpStatus.SC_NOT_MODIFIED;
 	}
 
-	private static byte[] bounded(long length, SessionInputBuffer buffer, InputStream stream, int mostBytes)
-			throws IOException {
+	private static byte[] bounded(long length, SessionInputBuffer buffer, InputStream stream, int mostBytes,
+			BodyMemory memory) throws IOException {
 		if (length > mostBytes) {
 			return null;
 		}
 		if (length == 0) {
 			return NONE;
 		}
-		byte[] body = open(length, buffer, stream).readNBytes(mostBytes + 1);
-		return (body.length > mostBytes) ? null : body;
+		return memory.read(open(length, buffer, stream), mostBytes);
 	}
 
 	private static InputStream open(long length, SessionInputBuffer buffer, InputStream stream) {
--- a/node/src/test/java/io/lavenderroad/node/http/EndlessBytesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/EndlessBytesTests.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.node.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -77,6 +78,41 @@
 		}
 	}
 
+	@Test
+	public void bodiesOnManyConnectionsShareTheirMemory() throws IOException {
+		BodyMemory memory = new BodyMemory(1_000_000);
+		Runnable secondBody = () -> {
+			Assert.assertThrows(BodyMemoryException.class, () -> memory.read(endless(() -> {
+			}), 4_000_000));
+			Assert.assertTrue(memory.takenBytes() <= 600_000, "a body that failed gives its memory back");
+		};
+		Assert.assertNull(memory.read(endless(secondBody), 600_000), "the limit of one body goes first");
+		Assert.assertEquals(memory.takenBytes(), 0);
+	}
+
+	private static InputStream endless(Runnable afterHalfAMegabyte) {
+		return new InputStream() {
+
+			private int sent;
+
+			@Override
+			public int read() {
+				return 'a';
+			}
+
+			@Override
+			public int read(byte[] target, int offset, int length) {
+				boolean before = this.sent < 500_000;
+				this.sent += length;
+				if (before && this.sent >= 500_000) {
+					afterHalfAMegabyte.run();
+				}
+				return length;
+			}
+
+		};
+	}
+
 	private static void serve(ServerSocket server, String start, String endless, CompletableFuture<Boolean> closed) {
 		try (Socket socket = server.accept()) {
 			OutputStream output = socket.getOutputStream();
