Do not wait for a control member that is lost

Control members send their progress every 0.5 s as well, and one that was not heard for 1.2 s does not count, as with parents and children.

--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -197,7 +197,7 @@
 
 		private final long incarnation;
 
-		private final Clock clock;
+		private final HangingClock clock;
 
 		private final Gate gate = new Gate();
 
@@ -205,11 +205,11 @@
 
 		private RootDistribution distribution;
 
-		Root(String id, long incarnation, int port, Clock clock) {
-			this.clock = clock;
+		Root(String id, long incarnation, int port, Clock meshClock) {
+			this.clock = new HangingClock(meshClock);
 			this.id = id;
 			this.incarnation = incarnation;
-			this.server = serve(id, "control", incarnation, port, clock, this.gate);
+			this.server = serve(id, "control", incarnation, port, this.clock, this.gate);
 			this.address = text(this.server.address());
 		}
 
@@ -232,10 +232,19 @@
 		}
 
 		void kill() {
+			this.gate.open.countDown();
 			this.server.close();
 			this.distribution.abort("killed");
 		}
 
+		/**
+		 * Lets the member stop to read and to send while its sockets stay open.
+		 */
+		void hang() {
+			this.gate.hanging = true;
+			this.clock.hang();
+		}
+
 	}
 
 	/**
--- a/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Peers.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.wire.CallFailure;
@@ -190,11 +191,12 @@
 	}
 
 	/**
-	 * Returns the oldest version that a node below a connected member serves.
+	 * Returns the oldest version that a node below another member serves. A member that
+	 * is silent is lost, and its nodes turn to other members.
 	 * @return the version, {@code Long.MAX_VALUE} if none serves
 	 */
 	long oldestVersion() {
-		return this.inbound.values().stream().mapToLong(Inbound::oldestVersion).min().orElse(Long.MAX_VALUE);
+		return heard().mapToLong(Inbound::oldestVersion).min().orElse(Long.MAX_VALUE);
 	}
 
 	/**
@@ -203,11 +205,15 @@
 	 * @return ids of the members
 	 */
 	List<String> behind(long version) {
-		return this.inbound.values()
+		return heard().filter((peer) -> peer.oldestVersion() < version).map(Inbound::memberId).toList();
+	}
+
+	private Stream<Inbound> heard() {
+		long now = this.clock.millis();
+		return this.inbound.entrySet()
 			.stream()
-			.filter((peer) -> peer.oldestVersion() < version)
-			.map(Inbound::memberId)
-			.toList();
+			.filter((entry) -> now - entry.getKey().lastReceivedMillis() <= TreeTimes.SILENCE_LIMIT_MILLIS)
+			.map(Map.Entry::getValue);
 	}
 
 	/**
@@ -226,6 +232,14 @@
 		finally {
 			this.progressLock.unlock();
 		}
+		heartbeat();
+	}
+
+	/**
+	 * Tells the other members how far the nodes below this one are, which is also a sign
+	 * of life.
+	 */
+	void heartbeat() {
 		for (Link link : this.links) {
 			link.progressDue = true;
 			link.outbox.wake();
--- a/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/RootDistribution.java
@@ -240,6 +240,7 @@
 		this.children.expireLeases();
 		if (heartbeatDue) {
 			this.children.heartbeat();
+			this.peers.heartbeat();
 		}
 		if (reportDue) {
 			this.peers.report(subtreeStatus());
--- a/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
@@ -236,6 +236,21 @@
 			.allMatch((node) -> node == hanging || node.version() == this.configuration.version()));
 	}
 
+	@Test
+	public void controlMemberThatHangsIsNotWaitedFor() {
+		this.mesh = new LocalMesh(slowClock()).withRelays();
+		startTree(3);
+		Root hanging = this.mesh.roots().get(1);
+		Root other = this.mesh.roots().getFirst();
+		hanging.hang();
+		DistributionTests.await(() -> this.mesh.nodes().stream().noneMatch((node) -> rootOf(node).equals(hanging.id)));
+		change(90);
+		DistributionTests
+			.await(() -> this.mesh.nodes().stream().allMatch((node) -> node.version() == this.configuration.version()));
+		Assert.assertTrue(other.distribution().awaitInForce(this.configuration.version(), IN_FORCE_MILLIS),
+				"operators wait for a member that is lost");
+	}
+
 	@Test
 	public void isolatedRootIsLeft() {
 		AtomicBoolean isolated = new AtomicBoolean();
