Log and count what tells the causes of a shortage apart

Each node now has histograms of wait and run by route, and writes one line a second for each route of which a call failed or was refused, with the mean wait, the mean run and the refusals by reason.

--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -24,7 +24,6 @@
 import io.lavenderroad.policy.calls.RetryDecision;
 import io.lavenderroad.policy.calls.VersionChoice;
 import io.vavr.control.Either;
-import org.tinylog.Logger;
 
 /**
  * The caller's side of a call: chooses the version by the split and the endpoint by the
@@ -60,6 +59,8 @@
 
 	private final int retryBurst;
 
+	private final RequestLog requestLog;
+
 	private final AtomicLong callIds = new AtomicLong();
 
 	private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
@@ -72,6 +73,7 @@
 		this.connections = parts.connections();
 		this.evidence = parts.evidence();
 		this.withdrawn = parts.withdrawn();
+		this.requestLog = parts.requestLog();
 		this.balancing = balancing;
 		this.local = local;
 		this.retryBurst = retryBurst;
@@ -145,7 +147,7 @@
 					answer, tookMillis);
 		}
 		if (answer.verdict() != ExecutionVerdict.RAN) {
-			Logger.info("node: Request {} on {} got no answer from {} after {} ms of {} left: {} {}, {}.",
+			this.requestLog.write("node: Request {} on {} got no answer from {} after {} ms of {} left: {} {}, {}.",
 					call.requestId(), call.rules().route(), endpoint.nodeId(), Math.round(tookMillis), remaining,
 					answer.verdict().label(), answer.status(), answer.reason());
 		}
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -50,6 +50,8 @@
 
 	private final KeyLedger keys;
 
+	private final AdmissionFigures figures;
+
 	private final Map<RunningCall, Cancellation> running = new ConcurrentHashMap<>();
 
 	private final AtomicInteger keyed = new AtomicInteger();
@@ -57,7 +59,8 @@
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
-			LocalBackend monitor, KeyLedger keys) {
+			LocalBackend monitor, KeyLedger keys, AdmissionFigures figures) {
+		this.figures = figures;
 		this.monitor = monitor;
 		this.keys = keys;
 		this.clock = clock;
@@ -202,9 +205,17 @@
 	private CallAnswer admit(CallRequest request, long deadlineMillis, Cancellation waiting, Cancellation running) {
 		long goal = request.traits().goalMillis();
 		long goalMillis = (goal > 0) ? Math.min(deadlineMillis, this.clock.millis() + goal) : deadlineMillis;
+		long arrivedNanos = System.nanoTime();
 		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(),
 				request.traits().priority(), goalMillis, deadlineMillis, limits(), waiting);
-		return slot.isLeft() ? slot.getLeft() : run(request, deadlineMillis, running, slot.get());
+		if (slot.isLeft()) {
+			this.figures.refused(request.route(), slot.getLeft().reason());
+			return slot.getLeft();
+		}
+		long startNanos = System.nanoTime();
+		CallAnswer answer = run(request, deadlineMillis, running, slot.get());
+		this.figures.ran(request.route(), startNanos - arrivedNanos, System.nanoTime() - startNanos, answer.isError());
+		return answer;
 	}
 
 	// Health and load of the backend server only change the order of preference.
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -58,6 +58,8 @@
 
 	private final NodeMetrics metrics;
 
+	private final RequestLog requestLog;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private final AtomicLong bodyBytes = new AtomicLong();
@@ -72,6 +74,7 @@
 		this.dialect = dialect;
 		this.router = router;
 		this.metrics = metrics;
+		this.requestLog = parts.requestLog();
 	}
 
 	@Override
@@ -262,9 +265,9 @@
 		boolean unavailable = answer.verdict() == ExecutionVerdict.NOT_RUN && (answer.status() == HttpStatus.UNAVAILABLE
 				|| answer.status() == HttpStatus.OVER_SHARE || answer.status() == HttpStatus.GATEWAY_TIMEOUT);
 		if (answer.verdict() != ExecutionVerdict.RAN) {
-			Logger.info("node: Request {} {} {} ends {} with {} after {} tries, configuration {}: {}.", requestId,
-					request.method(), request.path(), answer.verdict().label(), answer.status(), routed.attempts(),
-					version, answer.reason());
+			this.requestLog.write("node: Request {} {} {} ends {} with {} after {} tries, configuration {}: {}.",
+					requestId, request.method(), request.path(), answer.verdict().label(), answer.status(),
+					routed.attempts(), version, answer.reason());
 		}
 		long retryAfterMillis = (version == 0) ? RetryAdvice.afterStartMillis(this.random)
 				: RetryAdvice.afterMillis(this.random);
--- a/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
@@ -62,6 +62,16 @@
 		this.registry.registerGauge("lavenderroad_node_" + name, gauge);
 	}
 
+	/**
+	 * Adds a histogram of a route. The caller bounds the number of routes.
+	 * @param name name of the figure
+	 * @param route name of the route
+	 * @return the histogram, of microseconds
+	 */
+	Histogram routeHistogram(String name, String route) {
+		return histogram("lavenderroad_" + name + "{route=\"" + escaped(route) + "\"}");
+	}
+
 	/**
 	 * Adds the figures of another part of the process, under their own names.
 	 * @param figures metrics by name
@@ -86,9 +96,11 @@
 			counters[index] = this.registry
 				.counter("lavenderroad_calls_total{" + labels + ",verdict=\"" + verdicts[index].label() + "\"}");
 		}
-		Histogram histogram = this.registry.histogram("lavenderroad_call_millis{" + labels + "}",
-				() -> new Histogram(new SlidingWindowReservoir(WINDOW)));
-		return new CallFigures(histogram, counters);
+		return new CallFigures(histogram("lavenderroad_call_millis{" + labels + "}"), counters);
+	}
+
+	private Histogram histogram(String name) {
+		return this.registry.histogram(name, () -> new Histogram(new SlidingWindowReservoir(WINDOW)));
 	}
 
 	private static String escaped(String label) {
--- a/node/src/main/java/io/lavenderroad/node/NodeParts.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeParts.java
@@ -15,8 +15,9 @@
  * @param connections connections to other nodes
  * @param evidence own observations
  * @param withdrawn versions that this node has withdrawn
+ * @param requestLog lines of single requests
  */
 record NodeParts(Clock clock, RandomGenerator random, Endpoint self, EndpointDirectory directory,
-		PeerConnections connections, EvidenceRecorder evidence, WithdrawnVersions withdrawn) {
+		PeerConnections connections, EvidenceRecorder evidence, WithdrawnVersions withdrawn, RequestLog requestLog) {
 
 }
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -72,6 +72,8 @@
 
 	private final NodeMetrics metrics = new NodeMetrics();
 
+	private final AdmissionFigures admissionFigures = new AdmissionFigures(this.metrics);
+
 	private final long drainTimeoutMillis;
 
 	private final HttpListener callerListener;
@@ -135,10 +137,10 @@
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
-				this.keys);
+				this.keys, this.admissionFigures);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeParts parts = new NodeParts(this.clock, builder.random, self, this.directory, this.connections,
-				this.evidence, this.withdrawn);
+				this.evidence, this.withdrawn, new RequestLog(this.clock));
 		this.router = new CallRouter(parts, builder.balancing, this.callServer, builder.retryBurst);
 		this.callerApi = new CallerApi(parts, this.view, this.dialect, this.router, this.metrics);
 		this.callerListener = HttpListener.builder()
@@ -358,6 +360,7 @@
 	private void tick() {
 		this.connections.closeIdle();
 		this.directory.prune();
+		this.admissionFigures.report();
 		Evidence recent;
 		this.evidenceLock.lock();
 		try {
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/RequestLogTests.java
@@ -0,0 +1,26 @@
+package io.lavenderroad.node;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a volume of log lines that grows with an overload.
+ */
+public class RequestLogTests {
+
+	@Test
+	public void linesOfASecondAreBounded() {
+		AtomicLong now = new AtomicLong();
+		RequestLog log = new RequestLog(now::get);
+		for (int line = 0; line < RequestLog.MOST_LINES + 50; line++) {
+			log.write("node: Request {} of a test.", line);
+		}
+		Assert.assertEquals(log.leftOut(), 50);
+		now.set(1_000);
+		log.write("node: Request of the next second of a test.");
+		Assert.assertEquals(log.leftOut(), 0);
+	}
+
+}
