Bound the wait in a queue that lasts

Cause: a call may wait until it is expected to end at its goal. In a shortage the queue fills up to that bound and stays there, so the bound becomes the wait of every call. Ruled out: slower runs.

A queue that has not been empty for 100 ms is no burst. From then on a call waits only if that takes an eighth of the time to its goal, or if it is the next one; a few waiting calls keep all slots in use.

LastingQueueTests failed before (lastingQueueIsShort).

--- a/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
@@ -28,6 +28,19 @@
  */
 public final class AdmissionQueue<T> {
 
+	/**
+	 * Part of the time to its goal that a call may wait in a lasting queue. A few calls
+	 * in the queue keep all slots in use; a longer wait serves nobody more.
+	 */
+	static final double SHARE_OF_GOAL = 0.125;
+
+	/**
+	 * A queue that has not been empty for this long is no burst but a shortage: its bound
+	 * becomes the wait of every call (CoDel, Nichols and Jacobson, "Controlling Queue
+	 * Delay", 2012).
+	 */
+	static final long BURST_MILLIS = 100;
+
 	private static final double SERVICE_TIME_WEIGHT = 0.1;
 
 	private final Map<String, Integer> runningByCustomer = new HashMap<>();
@@ -50,6 +63,8 @@
 
 	private double serviceMillis;
 
+	private long emptyMillis = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates an empty queue.
 	 * @param slots calls that may run at the same time
@@ -107,14 +122,17 @@
 	 * @param rank rank of the call, 0 for the most urgent
 	 * @param nowMillis clock reading in milliseconds
 	 * @param goalMillis when the answer should be there; the call waits only if it is
-	 * expected to end before that
+	 * expected to end before that and, in a lasting queue, for a part of the time only
 	 * @param deadlineMillis when the answer is due, on the same clock
 	 * @return the decision
 	 */
 	public AdmissionDecision offer(T call, String customer, int rank, long nowMillis, long goalMillis,
 			long deadlineMillis) {
+		if (this.waiting == 0) {
+			this.emptyMillis = nowMillis;
+		}
 		boolean free = this.running < this.slots && this.waiting == 0;
-		if (!free && nowMillis < deadlineMillis && nowMillis + expectedMillis(customer, rank) > goalMillis) {
+		if (!free && nowMillis < deadlineMillis && waitsTooLong(customer, rank, nowMillis, goalMillis)) {
 			return AdmissionDecision.TOO_LATE;
 		}
 		return offer(call, customer, rank, nowMillis, deadlineMillis);
@@ -141,7 +159,7 @@
 		if (othersWait(customer) && holding(customer) >= share()) {
 			return AdmissionDecision.OVER_SHARE;
 		}
-		if (nowMillis + expectedMillis(customer, rank) > deadlineMillis) {
+		if (nowMillis + expectedMillis(ahead(customer, rank)) > deadlineMillis) {
 			return AdmissionDecision.TOO_LATE;
 		}
 		if (this.waiting >= this.queueLength) {
@@ -355,7 +373,16 @@
 		return (int) Math.max(1, places * this.customerShareBasisPoints / ServiceConfiguration.WHOLE_SHARE);
 	}
 
-	private double expectedMillis(String customer, int rank) {
+	private boolean waitsTooLong(String customer, int rank, long nowMillis, long goalMillis) {
+		int ahead = ahead(customer, rank);
+		if (nowMillis + expectedMillis(ahead) > goalMillis) {
+			return true;
+		}
+		boolean burst = nowMillis - this.emptyMillis < BURST_MILLIS;
+		return !burst && ahead > 0 && waitMillis(ahead) > (goalMillis - nowMillis) * SHARE_OF_GOAL;
+	}
+
+	private int ahead(String customer, int rank) {
 		int ahead = 0;
 		for (Map.Entry<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> entry : this.ranks.headMap(rank, true)
 			.entrySet()) {
@@ -366,8 +393,16 @@
 				ahead += sameRank ? Math.min(calls.size(), turn) : calls.size();
 			}
 		}
-		// One service time for the slot to become free among all slots, and one to run.
-		return this.serviceMillis * (ahead + 1) / Math.max(1, this.slots) + this.serviceMillis;
+		return ahead;
+	}
+
+	private double expectedMillis(int ahead) {
+		return waitMillis(ahead) + this.serviceMillis;
+	}
+
+	// One service time for a slot to become free among all slots.
+	private double waitMillis(int ahead) {
+		return this.serviceMillis * (ahead + 1) / Math.max(1, this.slots);
 	}
 
 	private record Waiting<T>(T call, long deadlineMillis) {
