Avoid a full server for the refused rank only

An endpoint that refused a call for lack of room was passed over for 5 to 15 ms by every call of that node.

A refusal for lack of room now says so (Avoidance.Scope.RANK) and keeps away calls of the same and of less urgent ranks. Draining or unreachable endpoints are avoided by all calls as before.

CallPoliciesTests.serverWithoutRoomForALessUrgentCallGetsMoreUrgentOnes did not compile before; by rank the choice was empty.

--- a/node/src/main/java/io/lavenderroad/node/AdminApi.java
+++ b/node/src/main/java/io/lavenderroad/node/AdminApi.java
@@ -96,7 +96,7 @@
 				endpoint.put("inFlight", load.inFlight());
 				endpoint.put("latencyMillis", load.latencyMillis(now));
 				endpoint.put("errorShare", load.errorShare());
-				endpoint.put("avoided", load.isAvoided(now));
+				endpoint.put("avoided", load.isAvoided(now, Integer.MAX_VALUE));
 				endpoints.add(endpoint);
 			}
 			services.put(service, endpoints);
--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -314,18 +314,19 @@
 	}
 
 	private CallAnswer refusal(AdmissionDecision decision) {
-		int avoidMillis = AVOID_FULL_MILLIS / 2 + this.random.nextInt(AVOID_FULL_MILLIS);
+		Avoidance avoidance = Avoidance.ofRank(AVOID_FULL_MILLIS / 2 + this.random.nextInt(AVOID_FULL_MILLIS));
 		return switch (decision) {
 			case OVER_SHARE ->
 				CallAnswer.notRun(HttpStatus.OVER_SHARE, "customer holds its share of the backend server");
-			case TOO_LATE -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, "expected wait is too long").avoid(avoidMillis);
+			case TOO_LATE -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, "expected wait is too long").avoid(avoidance);
 			default ->
-				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "queue of the backend server is full").avoid(avoidMillis);
+				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "queue of the backend server is full").avoid(avoidance);
 		};
 	}
 
 	static CallAnswer drainRefusal() {
-		return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server is draining").avoid(AVOID_DRAINING_MILLIS);
+		return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server is draining")
+			.avoid(Avoidance.ofAllCalls(AVOID_DRAINING_MILLIS));
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -88,8 +88,8 @@
 
 	private static CallAnswer failure(BackendFailure failure) {
 		return switch (failure.kind()) {
-			case UNREACHABLE ->
-				CallAnswer.notRun(HttpStatus.UNAVAILABLE, failure.reason()).avoid(AVOID_UNREACHABLE_MILLIS);
+			case UNREACHABLE -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, failure.reason())
+				.avoid(Avoidance.ofAllCalls(AVOID_UNREACHABLE_MILLIS));
 			case OVERDUE -> CallAnswer.mayHaveRun(HttpStatus.GATEWAY_TIMEOUT, failure.reason());
 			case CANCELLED -> CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY, failure.reason());
 			case BROKEN -> CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY,
--- a/node/src/main/java/io/lavenderroad/node/CallAnswer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallAnswer.java
@@ -15,25 +15,27 @@
  * @param body whole answer body
  * @param load calls running and waiting at the backend server, a hint for balancing
  * @param serviceMillis how long a call runs at the backend server, 0 if unknown
- * @param avoidMillis how long the sender should choose other endpoints, 0 for none
+ * @param avoidance which further calls the sender should not send there, after a refusal
  * @param arrived whether the backend server received the request, also if it did not run
  * it
  */
 record CallAnswer(ExecutionVerdict verdict, int status, String reason, List<String> headers, byte[] body, int load,
-		int serviceMillis, int avoidMillis, boolean arrived) {
+		int serviceMillis, Avoidance avoidance, boolean arrived) {
 
 	static final byte[] NO_BODY = new byte[0];
 
 	static CallAnswer notRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0, 0, false);
+		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0, Avoidance.NONE,
+				false);
 	}
 
 	static CallAnswer mayHaveRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0, 0, true);
+		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0, Avoidance.NONE,
+				true);
 	}
 
 	static CallAnswer ran(int status, List<String> headers, byte[] body) {
-		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0, 0, true);
+		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0, Avoidance.NONE, true);
 	}
 
 	/**
@@ -42,12 +44,12 @@
 	 */
 	CallAnswer byBackend() {
 		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
-				this.serviceMillis, this.avoidMillis, true);
+				this.serviceMillis, this.avoidance, true);
 	}
 
-	CallAnswer avoid(int millis) {
+	CallAnswer avoid(Avoidance newAvoidance) {
 		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
-				this.serviceMillis, millis, this.arrived);
+				this.serviceMillis, newAvoidance, this.arrived);
 	}
 
 	CallAnswer withLoad(int newLoad) {
@@ -56,7 +58,7 @@
 
 	CallAnswer withLoad(int newLoad, int newServiceMillis) {
 		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, newLoad,
-				newServiceMillis, this.avoidMillis, this.arrived);
+				newServiceMillis, this.avoidance, this.arrived);
 	}
 
 	/**
@@ -65,7 +67,7 @@
 	 */
 	CallAnswer repeated() {
 		return new CallAnswer(this.verdict, this.status, "answered from the first run with this idempotency key",
-				this.headers, this.body, this.load, this.serviceMillis, this.avoidMillis, this.arrived);
+				this.headers, this.body, this.load, this.serviceMillis, this.avoidance, this.arrived);
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -114,7 +114,7 @@
 
 	private Optional<EndpointLoad> next(RoutedCall call, List<EndpointLoad> tried) {
 		boolean worthwhile = this.clock.millis() < call.deadlineMillis() && !call.departure().isCancelled();
-		return worthwhile ? choose(call.service(), tried) : Optional.empty();
+		return worthwhile ? choose(call, tried) : Optional.empty();
 	}
 
 	private CallAnswer unsent(RoutedCall call) {
@@ -141,7 +141,7 @@
 		target.started();
 		CallAnswer answer = send(call, endpoint, attemptBudget, remaining);
 		double tookMillis = (System.nanoTime() - startNanos) / 1e6;
-		observe(target, answer, tookMillis);
+		observe(call, target, answer, tookMillis);
 		if (answer.isObservation()) {
 			this.evidence.record(new ObservationKey(call.service().name(), call.rules().route(), endpoint.version()),
 					answer, tookMillis);
@@ -179,7 +179,7 @@
 			.withLoad(UNKNOWN_LOAD);
 	}
 
-	private void observe(EndpointLoad target, CallAnswer answer, double tookMillis) {
+	private void observe(RoutedCall call, EndpointLoad target, CallAnswer answer, double tookMillis) {
 		long now = this.clock.millis();
 		boolean answered = answer.load() != UNKNOWN_LOAD;
 		if (answered) {
@@ -191,17 +191,23 @@
 		else if (answer.verdict() == ExecutionVerdict.NOT_RUN && !answered) {
 			target.unreachable(now, UNREACHABLE, this.random);
 		}
-		else if (answer.avoidMillis() > 0) {
-			target.refused(now + answer.avoidMillis());
-		}
 		else {
-			target.abandoned();
+			avoid(target, answer.avoidance(), call.rules().priority(), now);
+		}
+	}
+
+	private static void avoid(EndpointLoad target, Avoidance avoidance, int rank, long now) {
+		switch (avoidance.scope()) {
+			case ALL_CALLS -> target.refused(now + avoidance.millis());
+			case RANK -> target.full(now + avoidance.millis(), rank);
+			default -> target.abandoned();
 		}
 	}
 
-	private Optional<EndpointLoad> choose(ServiceConfiguration service, Collection<EndpointLoad> tried) {
+	private Optional<EndpointLoad> choose(RoutedCall call, Collection<EndpointLoad> tried) {
+		ServiceConfiguration service = call.service();
 		BalancingContext context = new BalancingContext(this.self.failureDomain(), this.clock.millis(), tried,
-				this.random);
+				this.random, call.rules().priority());
 		List<String> versions = VersionChoice.order(this.withdrawn.split(service),
 				service.move().map(MoveParameters::from), this.random);
 		for (String version : versions) {
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -102,7 +102,7 @@
 			return CallAnswer
 				.notRun(HttpStatus.UNAVAILABLE,
 						"no backend server of " + request.service() + " " + request.version() + " takes work here")
-				.avoid(AVOID_OTHER_MILLIS);
+				.avoid(Avoidance.ofAllCalls(AVOID_OTHER_MILLIS));
 		}
 		// The run of a call that must not run twice goes on when its caller leaves.
 		Cancellation running = request.traits().idempotent() ? cancellation : new Cancellation();
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -24,6 +24,8 @@
 
 	private static final List<ExecutionVerdict> VERDICTS = List.of(ExecutionVerdict.values());
 
+	private static final List<Avoidance.Scope> SCOPES = List.of(Avoidance.Scope.values());
+
 	private static final List<MessageType<?>> CALL_TYPES = List.of(
 			new MessageType<>(CALL_REQUEST, CallRequest.class, NodeMessages::packRequest, NodeMessages::unpackRequest),
 			new MessageType<>(CALL_ANSWER, CallAnswer.class, NodeMessages::packAnswer, NodeMessages::unpackAnswer),
@@ -52,14 +54,23 @@
 		Fields.packBytes(packer, answer.body());
 		packer.packInt(answer.load());
 		packer.packInt(answer.serviceMillis());
-		packer.packInt(answer.avoidMillis());
+		packer.packInt(answer.avoidance().scope().ordinal());
+		packer.packInt(answer.avoidance().millis());
 		packer.packBoolean(answer.arrived());
 	}
 
 	static CallAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
 		return new CallAnswer(verdict(unpacker.unpackInt()), unpacker.unpackInt(), unpacker.unpackString(),
 				headers(unpacker), Fields.unpackBytes(unpacker), unpacker.unpackInt(), unpacker.unpackInt(),
-				unpacker.unpackInt(), unpacker.unpackBoolean());
+				avoidance(unpacker), unpacker.unpackBoolean());
+	}
+
+	private static Avoidance avoidance(MessageUnpacker unpacker) throws IOException {
+		int ordinal = unpacker.unpackInt();
+		if (ordinal < 0 || ordinal >= SCOPES.size()) {
+			throw new WireException("scope " + ordinal + " is outside 0 to " + (SCOPES.size() - 1));
+		}
+		return new Avoidance(SCOPES.get(ordinal), unpacker.unpackInt());
 	}
 
 	private static void packRequest(CallRequest request, MessagePacker packer) throws IOException {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
@@ -11,9 +11,10 @@
  * @param nowMillis clock reading in milliseconds
  * @param tried endpoints that this call has already tried
  * @param random source of randomness
+ * @param rank rank of the call, lower for more urgent ones
  */
 public record BalancingContext(String failureDomain, long nowMillis, Collection<EndpointLoad> tried,
-		RandomGenerator random) {
+		RandomGenerator random, int rank) {
 
 	public BalancingContext {
 		Objects.requireNonNull(failureDomain, "failureDomain");
@@ -21,13 +22,25 @@
 		Objects.requireNonNull(random, "random");
 	}
 
+	/**
+	 * Creates the circumstances of a call without a rank.
+	 * @param failureDomain failure domain of the caller's node
+	 * @param nowMillis clock reading in milliseconds
+	 * @param tried endpoints that this call has already tried
+	 * @param random source of randomness
+	 */
+	public BalancingContext(String failureDomain, long nowMillis, Collection<EndpointLoad> tried,
+			RandomGenerator random) {
+		this(failureDomain, nowMillis, tried, random, Integer.MAX_VALUE);
+	}
+
 	/**
 	 * Tells whether an endpoint may get this call.
 	 * @param candidate the endpoint
 	 * @return true if it accepts work, is not avoided and was not tried
 	 */
 	public boolean allows(EndpointLoad candidate) {
-		return candidate.endpoint().state().acceptsWork() && !candidate.isAvoided(this.nowMillis)
+		return candidate.endpoint().state().acceptsWork() && !candidate.isAvoided(this.nowMillis, this.rank)
 				&& !this.tried.contains(candidate);
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -43,6 +43,10 @@
 
 	private volatile long avoidedUntilMillis = Long.MIN_VALUE;
 
+	private volatile long fullUntilMillis = Long.MIN_VALUE;
+
+	private volatile int fullFromRank = Integer.MAX_VALUE;
+
 	private volatile int hintedLoad;
 
 	private volatile long hintedMillis = Long.MIN_VALUE / 2;
@@ -108,6 +112,19 @@
 		this.avoidedUntilMillis = avoidUntilMillis;
 	}
 
+	/**
+	 * Records a call that was refused for lack of room. More urgent calls may still find
+	 * room there.
+	 * @param untilMillis until when the endpoint gets no call of that rank or a less
+	 * urgent one
+	 * @param rank rank of the call
+	 */
+	public void full(long untilMillis, int rank) {
+		this.inFlight.decrementAndGet();
+		this.fullFromRank = rank;
+		this.fullUntilMillis = untilMillis;
+	}
+
 	/**
 	 * Records a call that could not be sent.
 	 * @param nowMillis clock reading in milliseconds
@@ -151,12 +168,13 @@
 	}
 
 	/**
-	 * Tells whether the endpoint gets no calls for the moment.
+	 * Tells whether the endpoint gets no calls of a rank for the moment.
 	 * @param nowMillis clock reading in milliseconds
+	 * @param rank rank of the call
 	 * @return true while it is avoided
 	 */
-	public boolean isAvoided(long nowMillis) {
-		return nowMillis < this.avoidedUntilMillis;
+	public boolean isAvoided(long nowMillis, int rank) {
+		return nowMillis < this.avoidedUntilMillis || (nowMillis < this.fullUntilMillis && rank >= this.fullFromRank);
 	}
 
 	/**
--- a/policy/src/test/java/io/lavenderroad/policy/calls/CallPoliciesTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/CallPoliciesTests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 
 import io.lavenderroad.core.kernel.Kernel;
@@ -83,12 +84,26 @@
 		}
 	}
 
+	@Test
+	public void serverWithoutRoomForALessUrgentCallGetsMoreUrgentOnes() {
+		List<EndpointLoad> candidates = endpoints(1, EndpointState.READY);
+		candidates.getFirst().started();
+		candidates.getFirst().full(NOW + 10, 1);
+		Assert.assertTrue(chooseWithRank(candidates, 0).isPresent());
+		Assert.assertTrue(chooseWithRank(candidates, 1).isEmpty());
+		Assert.assertTrue(chooseWithRank(candidates, 2).isEmpty());
+	}
+
 	@Test
 	public void policiesAreRegisteredByName() {
 		Kernel kernel = Kernel.load();
 		Assert.assertTrue(kernel.names(BalancingPolicy.POINT).containsAll(List.of("round-robin", "two-choices")));
 	}
 
+	private Optional<EndpointLoad> chooseWithRank(List<EndpointLoad> candidates, int rank) {
+		return new TwoChoices().choose(candidates, new BalancingContext("soweto", NOW, List.of(), this.random, rank));
+	}
+
 	private Map<String, Integer> choose(List<EndpointLoad> candidates, int calls) {
 		Map<String, Integer> counts = new HashMap<>();
 		BalancingContext context = new BalancingContext("soweto", NOW, List.of(), this.random);
--- a/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
@@ -382,9 +382,13 @@
 			this.retry = new RetryDecision(kind.rules, kind.rules.mostAttempts(), budget);
 		}
 
+		private int rank() {
+			return this.kind.rules.priority();
+		}
+
 		private void send() {
 			Optional<EndpointLoad> chosen = (OverloadPlay.this.now < this.deadlineMillis)
-					? this.entry.choose(this.kind.service, this.tried) : Optional.empty();
+					? this.entry.choose(this.kind.service, rank(), this.tried) : Optional.empty();
 			if (chosen.isEmpty()) {
 				this.ended.accept(Outcome.REFUSED);
 				return;
@@ -402,7 +406,7 @@
 			long millis = (long) OverloadPlay.this.now;
 			target.hint(millis, server.load(), server.queue.serviceMillis());
 			if (outcome == Outcome.REFUSED) {
-				target.refused(millis + AVOID_MILLIS / 2 + OverloadPlay.this.random.nextInt(AVOID_MILLIS));
+				target.full(millis + AVOID_MILLIS / 2 + OverloadPlay.this.random.nextInt(AVOID_MILLIS), rank());
 			}
 			else {
 				target.finished(millis, tookMillis, !outcome.served());
@@ -456,9 +460,9 @@
 			}
 		}
 
-		private Optional<EndpointLoad> choose(Service wanted, List<EndpointLoad> tried) {
-			return this.policy.choose(this.views.get(wanted),
-					new BalancingContext("regina", (long) OverloadPlay.this.now, tried, OverloadPlay.this.random));
+		private Optional<EndpointLoad> choose(Service wanted, int rank, List<EndpointLoad> tried) {
+			return this.policy.choose(this.views.get(wanted), new BalancingContext("regina",
+					(long) OverloadPlay.this.now, tried, OverloadPlay.this.random, rank));
 		}
 
 		private int load() {
