Ask refused callers back while their answer can still be in time

A refused caller was told to come back after 100 to 500 ms whatever it asked for. The target of delivery-status is 150 ms, so each answer to a second try was late.

--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -96,12 +96,14 @@
 		do {
 			Optional<EndpointLoad> chosen = next(call, tried);
 			if (chosen.isEmpty()) {
-				last = (last != null) ? last : RoutedAnswer.untried(unsent(call));
+				last = (last != null) ? last
+						: new RoutedAnswer(unsent(call), "", 0, call.rules().targetLatencyMillis());
 				break;
 			}
 			tried.add(chosen.get());
 			CallAnswer answer = attempt(call, chosen.get(), (tried.size() == 1) ? call.attemptBudget() : 0);
-			last = new RoutedAnswer(answer, chosen.get().endpoint().version(), tried.size());
+			last = new RoutedAnswer(answer, chosen.get().endpoint().version(), tried.size(),
+					call.rules().targetLatencyMillis());
 			if (isFinal(call, answer)) {
 				return last;
 			}
@@ -232,7 +234,7 @@
 			return new RoutedAnswer(
 					CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY,
 							"an earlier attempt may have run; the last one was refused: " + last.answer().reason()),
-					last.version(), last.attempts());
+					last.version(), last.attempts(), last.targetMillis());
 		}
 		return last;
 	}
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -270,7 +270,7 @@
 					routed.attempts(), version, answer.reason());
 		}
 		long retryAfterMillis = (version == 0) ? RetryAdvice.afterStartMillis(this.random)
-				: RetryAdvice.afterMillis(this.random);
+				: RetryAdvice.afterMillis(routed.targetMillis(), this.random);
 		return this.dialect.response(new FinalAnswer(requestId, answer.verdict(), answer.status(), answer.reason(),
 				HeaderFields.of(answer.headers()), answer.body(), routed.version(), version,
 				unavailable ? retryAfterMillis : 0));
--- a/node/src/main/java/io/lavenderroad/node/RoutedAnswer.java
+++ b/node/src/main/java/io/lavenderroad/node/RoutedAnswer.java
@@ -1,13 +1,16 @@
 package io.lavenderroad.node;
 
+import io.lavenderroad.policy.calls.RetryAdvice;
+
 /**
  * Final outcome of a call.
  *
  * @param answer the outcome
  * @param version backend server version of the last attempt, empty if there was none
  * @param attempts endpoints that were tried
+ * @param targetMillis target latency of the route
  */
-record RoutedAnswer(CallAnswer answer, String version, int attempts) {
+record RoutedAnswer(CallAnswer answer, String version, int attempts, int targetMillis) {
 
 	/**
 	 * Creates the outcome of a call for which no endpoint was tried.
@@ -15,7 +18,7 @@
 	 * @return the final outcome
 	 */
 	static RoutedAnswer untried(CallAnswer answer) {
-		return new RoutedAnswer(answer, "", 0);
+		return new RoutedAnswer(answer, "", 0, RetryAdvice.USUAL_TARGET_MILLIS);
 	}
 
 }
--- a/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
@@ -346,7 +346,9 @@
 			this.repeated = true;
 			double left = this.kind.rules.timeoutMillis() - took;
 			double pause = (outcome == Outcome.REFUSED)
-					? Math.min(RetryAdvice.afterMillis(OverloadPlay.this.random), left * SHARE_OF_TIME_LEFT) : 0;
+					? Math.min(RetryAdvice.afterMillis(this.kind.rules.targetLatencyMillis(), OverloadPlay.this.random),
+							left * SHARE_OF_TIME_LEFT)
+					: 0;
 			later(Math.max(0, pause), this::attempt);
 		}
 
