--- a/core/src/main/java/io/lavenderroad/core/wire/Hello.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Hello.java
@@ -19,7 +19,7 @@
 	/**
 	 * Version of the frame protocol. Peers with another version are refused.
 	 */
-	public static final int PROTOCOL_VERSION = 5;
+	public static final int PROTOCOL_VERSION = 6;
 
 	void encode(MessagePacker packer) throws IOException {
 		packer.packInt(PROTOCOL_VERSION);
--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -16,6 +17,7 @@
 import io.lavenderroad.node.http.Cancellation;
 import io.lavenderroad.policy.calls.AdmissionDecision;
 import io.lavenderroad.policy.calls.AdmissionQueue;
+import io.lavenderroad.policy.calls.EntryShare;
 import io.vavr.control.Either;
 
 /**
@@ -58,6 +60,8 @@
 
 	private final AdmissionQueue<Waiter> queue;
 
+	private final EntryShare startShare = new EntryShare();
+
 	private final boolean limited;
 
 	/**
@@ -85,36 +89,33 @@
 	 */
 	Either<CallAnswer, Slot> acquire(String customer, long deadlineMillis, ServiceLimits limits,
 			Cancellation cancellation) {
-		return acquire(customer, 0, deadlineMillis, deadlineMillis, limits, cancellation);
+		return acquire(new SlotRequest(customer, 0, false, deadlineMillis, deadlineMillis), limits, cancellation);
 	}
 
 	/**
-	 * Waits for a slot.
-	 * @param customer customer of the call
-	 * @param rank rank of the call, 0 for the most urgent
-	 * @param goalMillis when the answer should be there; the call waits only if it is
-	 * expected to end before that
-	 * @param deadlineMillis when the answer is due
+	 * Waits for a slot. A call that is not nested waits only if it is expected to end
+	 * before its goal.
+	 * @param request the call
 	 * @param limits limits in force
 	 * @param cancellation ends the wait early
 	 * @return the slot, or a refusal with the verdict "not run"
 	 */
-	Either<CallAnswer, Slot> acquire(String customer, int rank, long goalMillis, long deadlineMillis,
-			ServiceLimits limits, Cancellation cancellation) {
-		Waiter waiter = new Waiter();
+	Either<CallAnswer, Slot> acquire(SlotRequest request, ServiceLimits limits, Cancellation cancellation) {
 		long now = this.clock.millis();
+		Waiter waiter = new Waiter(request, now);
+		String customer = request.customer();
 		this.lock.lock();
 		try {
 			if (this.draining) {
 				return Either.left(drainRefusal());
 			}
 			this.queue.limits(limits.queueLength(), limits.customerShareBasisPoints());
-			AdmissionDecision decision = this.queue.offer(waiter, customer, rank, now, goalMillis, deadlineMillis);
-			if (decision == AdmissionDecision.FULL && (displaceLessUrgent(rank) || displace(customer))) {
-				decision = this.queue.offer(waiter, customer, rank, now, goalMillis, deadlineMillis);
+			AdmissionDecision decision = offer(waiter, now);
+			if (decision == AdmissionDecision.FULL && (displaceLessUrgent(request) || displace(customer))) {
+				decision = offer(waiter, now);
 			}
 			if (decision == AdmissionDecision.RUN) {
-				return Either.right(hold(customer, now));
+				return Either.right(hold(waiter, now));
 			}
 			if (decision != AdmissionDecision.WAIT) {
 				return Either.left(refusal(decision));
@@ -125,7 +126,23 @@
 		}
 		cancellation.onCancel(() -> waiter.result
 			.complete(CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone while the call was queued")));
-		return await(waiter, customer, deadlineMillis - now);
+		return await(waiter, request.deadlineMillis() - now);
+	}
+
+	/**
+	 * Returns the share of the requests that call this backend server while they run
+	 * which may start.
+	 * @param rank rank of the requests
+	 * @return 0 to 1
+	 */
+	double startShare(int rank) {
+		this.lock.lock();
+		try {
+			return this.startShare.share(rank, this.clock.millis());
+		}
+		finally {
+			this.lock.unlock();
+		}
 	}
 
 	/**
@@ -242,7 +259,15 @@
 		}
 	}
 
-	private Either<CallAnswer, Slot> await(Waiter waiter, String customer, long waitMillis) {
+	private AdmissionDecision offer(Waiter waiter, long now) {
+		SlotRequest request = waiter.request;
+		return request.nested()
+				? this.queue.offerNested(waiter, request.customer(), request.rank(), now, request.deadlineMillis())
+				: this.queue.offer(waiter, request.customer(), request.rank(), now, request.goalMillis(),
+						request.deadlineMillis());
+	}
+
+	private Either<CallAnswer, Slot> await(Waiter waiter, long waitMillis) {
 		CallAnswer result;
 		try {
 			result = waiter.result.get(waitMillis, TimeUnit.MILLISECONDS);
@@ -254,15 +279,16 @@
 			result = CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone while the call was queued");
 		}
 		if (result == GRANTED) {
-			return Either.right(hold(customer, this.clock.millis()));
+			return Either.right(hold(waiter, this.clock.millis()));
 		}
-		withdraw(waiter, customer);
+		withdraw(waiter);
 		return Either.left(result);
 	}
 
 	// Takes a call out of the queue that will not run. If it got a slot in the meantime,
 	// the slot goes to the next call.
-	private void withdraw(Waiter waiter, String customer) {
+	private void withdraw(Waiter waiter) {
+		String customer = waiter.request.customer();
 		this.lock.lock();
 		try {
 			this.queue.remove(waiter, customer);
@@ -275,8 +301,10 @@
 		}
 	}
 
-	private boolean displaceLessUrgent(int rank) {
-		return this.queue.displaceLessUrgent(rank).map((waiter) -> {
+	private boolean displaceLessUrgent(SlotRequest request) {
+		Optional<Waiter> displaced = request.nested() ? this.queue.displaceByNested(request.rank())
+				: this.queue.displaceLessUrgent(request.rank());
+		return displaced.map((waiter) -> {
 			waiter.result.complete(refusal(AdmissionDecision.FULL));
 			return true;
 		}).orElse(false);
@@ -301,11 +329,16 @@
 		next.result.complete(GRANTED);
 	}
 
-	private Slot hold(String customer, long startMillis) {
-		Slot slot = new Slot(customer, startMillis);
+	private Slot hold(Waiter waiter, long startMillis) {
+		SlotRequest request = waiter.request;
+		Slot slot = new Slot(request.customer(), startMillis);
 		this.lock.lock();
 		try {
 			this.held.add(slot);
+			if (request.nested()) {
+				this.startShare.waited(request.rank(), startMillis - waiter.sinceMillis,
+						request.goalMillis() - waiter.sinceMillis, startMillis);
+			}
 		}
 		finally {
 			this.lock.unlock();
@@ -365,8 +398,17 @@
 
 		private final CompletableFuture<CallAnswer> result = new CompletableFuture<>();
 
+		private final SlotRequest request;
+
+		private final long sinceMillis;
+
 		private boolean granted;
 
+		private Waiter(SlotRequest request, long sinceMillis) {
+			this.request = request;
+			this.sinceMillis = sinceMillis;
+		}
+
 	}
 
 }
--- a/node/src/main/java/io/lavenderroad/node/Avoidance.java
+++ b/node/src/main/java/io/lavenderroad/node/Avoidance.java
@@ -34,6 +34,14 @@
 		return new Avoidance(Scope.RANK, millis);
 	}
 
+	/**
+	 * No endpoint of the service would take the call.
+	 * @return the avoidance
+	 */
+	static Avoidance ofService() {
+		return new Avoidance(Scope.SERVICE, 0);
+	}
+
 	/**
 	 * The calls that are not to be sent.
 	 */
@@ -52,7 +60,12 @@
 		/**
 		 * All calls.
 		 */
-		ALL_CALLS
+		ALL_CALLS,
+
+		/**
+		 * The refused one, to any endpoint of the service.
+		 */
+		SERVICE
 
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/CallAnswer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallAnswer.java
@@ -13,29 +13,28 @@
  * @param reason why the system generated the answer, empty if the backend server did
  * @param headers end-to-end headers: names and values in turn
  * @param body whole answer body
- * @param load calls running and waiting at the backend server, a hint for balancing
- * @param serviceMillis how long a call runs at the backend server, 0 if unknown
+ * @param report what the node of the backend server says of it
  * @param avoidance which further calls the sender should not send there, after a refusal
  * @param arrived whether the backend server received the request, also if it did not run
  * it
  */
-record CallAnswer(ExecutionVerdict verdict, int status, String reason, List<String> headers, byte[] body, int load,
-		int serviceMillis, Avoidance avoidance, boolean arrived) {
+record CallAnswer(ExecutionVerdict verdict, int status, String reason, List<String> headers, byte[] body,
+		ServerReport report, Avoidance avoidance, boolean arrived) {
 
 	static final byte[] NO_BODY = new byte[0];
 
 	static CallAnswer notRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, 0, 0, Avoidance.NONE,
-				false);
+		return new CallAnswer(ExecutionVerdict.NOT_RUN, status, reason, List.of(), NO_BODY, ServerReport.IDLE,
+				Avoidance.NONE, false);
 	}
 
 	static CallAnswer mayHaveRun(int status, String reason) {
-		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, 0, 0, Avoidance.NONE,
-				true);
+		return new CallAnswer(ExecutionVerdict.MAY_HAVE_RUN, status, reason, List.of(), NO_BODY, ServerReport.IDLE,
+				Avoidance.NONE, true);
 	}
 
 	static CallAnswer ran(int status, List<String> headers, byte[] body) {
-		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, 0, 0, Avoidance.NONE, true);
+		return new CallAnswer(ExecutionVerdict.RAN, status, "", headers, body, ServerReport.IDLE, Avoidance.NONE, true);
 	}
 
 	/**
@@ -43,22 +42,18 @@
 	 * @return the copy
 	 */
 	CallAnswer byBackend() {
-		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
-				this.serviceMillis, this.avoidance, true);
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.report,
+				this.avoidance, true);
 	}
 
 	CallAnswer avoid(Avoidance newAvoidance) {
-		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.load,
-				this.serviceMillis, newAvoidance, this.arrived);
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, this.report,
+				newAvoidance, this.arrived);
 	}
 
-	CallAnswer withLoad(int newLoad) {
-		return withLoad(newLoad, 0);
-	}
-
-	CallAnswer withLoad(int newLoad, int newServiceMillis) {
-		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, newLoad,
-				newServiceMillis, this.avoidance, this.arrived);
+	CallAnswer withReport(ServerReport newReport) {
+		return new CallAnswer(this.verdict, this.status, this.reason, this.headers, this.body, newReport,
+				this.avoidance, this.arrived);
 	}
 
 	/**
@@ -67,7 +62,7 @@
 	 */
 	CallAnswer repeated() {
 		return new CallAnswer(this.verdict, this.status, "answered from the first run with this idempotency key",
-				this.headers, this.body, this.load, this.serviceMillis, this.avoidance, this.arrived);
+				this.headers, this.body, this.report, this.avoidance, this.arrived);
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -16,6 +16,7 @@
 import io.lavenderroad.model.MoveParameters;
 import io.lavenderroad.model.ObservationKey;
 import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.node.CalledServices.Urgency;
 import io.lavenderroad.policy.calls.Backoff;
 import io.lavenderroad.policy.calls.BalancingContext;
 import io.lavenderroad.policy.calls.BalancingPolicy;
@@ -37,8 +38,6 @@
 	 */
 	private static final Backoff UNREACHABLE = new Backoff(500, 5_000);
 
-	private static final int UNKNOWN_LOAD = -1;
-
 	private final Clock clock;
 
 	private final RandomGenerator random;
@@ -59,6 +58,8 @@
 
 	private final int retryBurst;
 
+	private final CalledServices calledServices;
+
 	private final RequestLog requestLog;
 
 	private final AtomicLong callIds = new AtomicLong();
@@ -73,6 +74,7 @@
 		this.connections = parts.connections();
 		this.evidence = parts.evidence();
 		this.withdrawn = parts.withdrawn();
+		this.calledServices = parts.calledServices();
 		this.requestLog = parts.requestLog();
 		this.balancing = balancing;
 		this.local = local;
@@ -88,20 +90,22 @@
 		RetryBudget budget = this.retryBudgets.computeIfAbsent(call.service().name(),
 				(name) -> new RetryBudget(this.retryBurst));
 		budget.call(call.service().limits().retryBudgetBasisPoints());
+		Urgency urgency = this.calledServices.entered(call.service().name(), call.rules().route(),
+				call.rules().priority());
 		RetryDecision retry = new RetryDecision(call.rules(), call.attemptBudget() + 1, budget);
 		List<EndpointLoad> tried = new ArrayList<>(2);
 		ExecutionVerdict earlier = ExecutionVerdict.NOT_RUN;
 		RoutedAnswer last = null;
 		RoutedAnswer answered = null;
 		do {
-			Optional<EndpointLoad> chosen = next(call, tried);
+			Optional<EndpointLoad> chosen = next(call, urgency, tried);
 			if (chosen.isEmpty()) {
 				last = (last != null) ? last
 						: new RoutedAnswer(unsent(call), "", 0, call.rules().targetLatencyMillis());
 				break;
 			}
 			tried.add(chosen.get());
-			CallAnswer answer = attempt(call, chosen.get(), (tried.size() == 1) ? call.attemptBudget() : 0);
+			CallAnswer answer = attempt(call, urgency, chosen.get(), (tried.size() == 1) ? call.attemptBudget() : 0);
 			last = new RoutedAnswer(answer, chosen.get().endpoint().version(), tried.size(),
 					call.rules().targetLatencyMillis());
 			if (isFinal(call, answer)) {
@@ -114,9 +118,9 @@
 		return (answered != null) ? answered : withEarlier(last, earlier);
 	}
 
-	private Optional<EndpointLoad> next(RoutedCall call, List<EndpointLoad> tried) {
+	private Optional<EndpointLoad> next(RoutedCall call, Urgency urgency, List<EndpointLoad> tried) {
 		boolean worthwhile = this.clock.millis() < call.deadlineMillis() && !call.departure().isCancelled();
-		return worthwhile ? choose(call, tried) : Optional.empty();
+		return worthwhile ? choose(call, urgency, tried) : Optional.empty();
 	}
 
 	private CallAnswer unsent(RoutedCall call) {
@@ -133,7 +137,7 @@
 				&& !(call.rules().idempotent() && answer.status() == HttpStatus.INTERNAL_ERROR);
 	}
 
-	private CallAnswer attempt(RoutedCall call, EndpointLoad target, int attemptBudget) {
+	private CallAnswer attempt(RoutedCall call, Urgency urgency, EndpointLoad target, int attemptBudget) {
 		Endpoint endpoint = target.endpoint();
 		long remaining = call.deadlineMillis() - this.clock.millis();
 		if (remaining <= 0) {
@@ -141,9 +145,9 @@
 		}
 		long startNanos = System.nanoTime();
 		target.started();
-		CallAnswer answer = send(call, endpoint, attemptBudget, remaining);
+		CallAnswer answer = send(call, urgency, endpoint, attemptBudget, remaining);
 		double tookMillis = (System.nanoTime() - startNanos) / 1e6;
-		observe(call, target, answer, tookMillis);
+		observe(call, urgency, target, answer, tookMillis);
 		if (answer.isObservation()) {
 			this.evidence.record(new ObservationKey(call.service().name(), call.rules().route(), endpoint.version()),
 					answer, tookMillis);
@@ -156,10 +160,10 @@
 		return answer;
 	}
 
-	private CallAnswer send(RoutedCall call, Endpoint endpoint, int attemptBudget, long remaining) {
+	private CallAnswer send(RoutedCall call, Urgency urgency, Endpoint endpoint, int attemptBudget, long remaining) {
 		long goal = Math.clamp(call.goalMillis() - this.clock.millis(), 0, Integer.MAX_VALUE);
 		CallTraits traits = new CallTraits(call.requestId(), this.self.service(), call.rules().idempotent(),
-				call.rules().priority(), (int) goal);
+				urgency.nested(), urgency.rank(), (int) goal);
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
 				call.rules().route(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
 				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget, traits);
@@ -175,26 +179,27 @@
 		boolean late = this.clock.millis() >= call.deadlineMillis();
 		if (failure.verdict() == ExecutionVerdict.NOT_RUN) {
 			return CallAnswer.notRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.UNAVAILABLE, failure.reason())
-				.withLoad(UNKNOWN_LOAD);
+				.withReport(ServerReport.UNKNOWN);
 		}
 		return CallAnswer.mayHaveRun(late ? HttpStatus.GATEWAY_TIMEOUT : HttpStatus.BAD_GATEWAY, failure.reason())
-			.withLoad(UNKNOWN_LOAD);
+			.withReport(ServerReport.UNKNOWN);
 	}
 
-	private void observe(RoutedCall call, EndpointLoad target, CallAnswer answer, double tookMillis) {
+	private void observe(RoutedCall call, Urgency urgency, EndpointLoad target, CallAnswer answer, double tookMillis) {
 		long now = this.clock.millis();
-		boolean answered = answer.load() != UNKNOWN_LOAD;
-		if (answered) {
-			target.hint(now, answer.load(), answer.serviceMillis());
+		ServerReport report = answer.report();
+		if (report.isKnown()) {
+			target.hint(now, report.load(), report.serviceMillis());
 		}
+		this.calledServices.reported(call.service().name(), call.rules().route(), urgency.rank(), report);
 		if (answer.verdict() != ExecutionVerdict.NOT_RUN && answer.isObservation()) {
 			target.finished(now, tookMillis, answer.isError());
 		}
-		else if (answer.verdict() == ExecutionVerdict.NOT_RUN && !answered) {
+		else if (answer.verdict() == ExecutionVerdict.NOT_RUN && !report.isKnown()) {
 			target.unreachable(now, UNREACHABLE, this.random);
 		}
 		else {
-			avoid(target, answer.avoidance(), call.rules().priority(), now);
+			avoid(target, answer.avoidance(), balancingRank(urgency), now);
 		}
 	}
 
@@ -206,10 +211,10 @@
 		}
 	}
 
-	private Optional<EndpointLoad> choose(RoutedCall call, Collection<EndpointLoad> tried) {
+	private Optional<EndpointLoad> choose(RoutedCall call, Urgency urgency, Collection<EndpointLoad> tried) {
 		ServiceConfiguration service = call.service();
 		BalancingContext context = new BalancingContext(this.self.failureDomain(), this.clock.millis(), tried,
-				this.random, call.rules().priority());
+				this.random, balancingRank(urgency));
 		List<String> versions = VersionChoice.order(this.withdrawn.split(service),
 				service.move().map(MoveParameters::from), this.random);
 		for (String version : versions) {
@@ -222,9 +227,13 @@
 		return Optional.empty();
 	}
 
+	private static int balancingRank(Urgency urgency) {
+		return urgency.nested() ? BalancingContext.NESTED_RANK : urgency.rank();
+	}
+
 	private static boolean isRetryable(CallAnswer answer) {
-		return answer.status() != HttpStatus.OVER_SHARE && answer.status() != HttpStatus.BAD_REQUEST
-				&& answer.status() != HttpStatus.CONFLICT;
+		return answer.avoidance().scope() != Avoidance.Scope.SERVICE && answer.status() != HttpStatus.OVER_SHARE
+				&& answer.status() != HttpStatus.BAD_REQUEST && answer.status() != HttpStatus.CONFLICT;
 	}
 
 	// Keeps the uncertainty of an earlier attempt: a refusal of the last attempt does not
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -15,6 +15,7 @@
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.ServiceLimits;
 import io.lavenderroad.node.http.Cancellation;
+import io.lavenderroad.policy.calls.NestedRoutes;
 import io.vavr.control.Either;
 
 /**
@@ -36,6 +37,8 @@
 	 */
 	private static final int AVOID_OTHER_MILLIS = 200;
 
+	private static final String DEPENDENCY_SHORT = "a service that the request calls is short of slots";
+
 	private final Clock clock;
 
 	private final MeshView view;
@@ -52,6 +55,10 @@
 
 	private final AdmissionFigures figures;
 
+	private final CalledServices calledServices;
+
+	private final NestedRoutes nestedRoutes = new NestedRoutes();
+
 	private final Map<RunningCall, Cancellation> running = new ConcurrentHashMap<>();
 
 	private final AtomicInteger keyed = new AtomicInteger();
@@ -59,7 +66,8 @@
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
-			LocalBackend monitor, KeyLedger keys, AdmissionFigures figures) {
+			LocalBackend monitor, KeyLedger keys, AdmissionFigures figures, CalledServices calledServices) {
+		this.calledServices = calledServices;
 		this.figures = figures;
 		this.monitor = monitor;
 		this.keys = keys;
@@ -106,9 +114,26 @@
 		}
 		// The run of a call that must not run twice goes on when its caller leaves.
 		Cancellation running = request.traits().idempotent() ? cancellation : new Cancellation();
-		CallAnswer answer = request.key().isEmpty() ? admit(request, deadlineMillis, cancellation, running)
-				: serveOnce(request, deadlineMillis, cancellation);
-		return answer.withLoad(load(), (int) this.admission.serviceMillis());
+		boolean seenNested = observe(request);
+		boolean nested = seenNested || request.traits().nested();
+		CallAnswer answer = request.key().isEmpty() ? admit(request, nested, deadlineMillis, cancellation, running)
+				: serveOnce(request, nested, deadlineMillis, cancellation);
+		return answer.withReport(report(request, seenNested));
+	}
+
+	private boolean observe(CallRequest request) {
+		synchronized (this.nestedRoutes) {
+			this.nestedRoutes.observe(request.route(), request.traits().callerService());
+			return this.nestedRoutes.isNested(request.route());
+		}
+	}
+
+	// A nested call may make calls itself, so the scarcest service on its path decides.
+	private ServerReport report(CallRequest request, boolean nested) {
+		int rank = request.traits().priority();
+		double share = nested
+				? Math.min(this.admission.startShare(rank), this.calledServices.startShare(request.route(), rank)) : 1;
+		return new ServerReport(load(), (int) this.admission.serviceMillis(), nested, share);
 	}
 
 	/**
@@ -153,16 +178,17 @@
 	 * answers is interrupted when its connection closes, which would close the
 	 * connections to the holders of the key as well.
 	 * @param request the call
+	 * @param nested whether it is made for a running request
 	 * @param deadlineMillis when the answer is due
 	 * @param cancellation ends the wait for a slot early
 	 * @return the outcome
 	 */
-	private CallAnswer serveOnce(CallRequest request, long deadlineMillis, Cancellation cancellation) {
+	private CallAnswer serveOnce(CallRequest request, boolean nested, long deadlineMillis, Cancellation cancellation) {
 		CompletableFuture<CallAnswer> result = new CompletableFuture<>();
 		this.keyed.incrementAndGet();
 		Thread.ofVirtual().start(() -> {
 			try {
-				result.complete(claimAndRun(request, deadlineMillis, cancellation));
+				result.complete(claimAndRun(request, nested, deadlineMillis, cancellation));
 			}
 			catch (RuntimeException ex) {
 				result.completeExceptionally(ex);
@@ -182,7 +208,8 @@
 		}
 	}
 
-	private CallAnswer claimAndRun(CallRequest request, long deadlineMillis, Cancellation cancellation) {
+	private CallAnswer claimAndRun(CallRequest request, boolean nested, long deadlineMillis,
+			Cancellation cancellation) {
 		if (this.admission.isDraining()) {
 			return Admission.drainRefusal();
 		}
@@ -194,7 +221,7 @@
 		try {
 			// Once it runs, the call is not cancelled with its caller: the customer will
 			// ask for its answer with the same key.
-			answer = admit(request, deadlineMillis, cancellation, new Cancellation());
+			answer = admit(request, nested, deadlineMillis, cancellation, new Cancellation());
 		}
 		finally {
 			claim.get().settle(answer);
@@ -202,12 +229,18 @@
 		return answer;
 	}
 
-	private CallAnswer admit(CallRequest request, long deadlineMillis, Cancellation waiting, Cancellation running) {
+	private CallAnswer admit(CallRequest request, boolean nested, long deadlineMillis, Cancellation waiting,
+			Cancellation running) {
+		int rank = request.traits().priority();
+		if (!nested && !this.calledServices.admits(request.route(), rank)) {
+			this.figures.refused(request.route(), DEPENDENCY_SHORT);
+			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, DEPENDENCY_SHORT).avoid(Avoidance.ofService());
+		}
 		long goal = request.traits().goalMillis();
 		long goalMillis = (goal > 0) ? Math.min(deadlineMillis, this.clock.millis() + goal) : deadlineMillis;
 		long arrivedNanos = System.nanoTime();
-		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(request.customer(),
-				request.traits().priority(), goalMillis, deadlineMillis, limits(), waiting);
+		SlotRequest slotRequest = new SlotRequest(request.customer(), rank, nested, goalMillis, deadlineMillis);
+		Either<CallAnswer, Admission.Slot> slot = this.admission.acquire(slotRequest, limits(), waiting);
 		if (slot.isLeft()) {
 			this.figures.refused(request.route(), slot.getLeft().reason());
 			return slot.getLeft();
@@ -227,6 +260,7 @@
 	private CallAnswer run(CallRequest request, long deadlineMillis, Cancellation cancellation, Admission.Slot slot) {
 		long startNanos = System.nanoTime();
 		double tookMillis = -1;
+		this.calledServices.started(request.route(), request.traits().priority());
 		try {
 			long remaining = deadlineMillis - this.clock.millis();
 			if (remaining <= 0) {
@@ -247,6 +281,7 @@
 			return answer;
 		}
 		finally {
+			this.calledServices.ended(request.route(), request.traits().priority());
 			slot.release(tookMillis);
 		}
 	}
--- a/node/src/main/java/io/lavenderroad/node/CallTraits.java
+++ b/node/src/main/java/io/lavenderroad/node/CallTraits.java
@@ -7,14 +7,16 @@
  * @param callerService service beside the node where the request entered
  * @param idempotent whether the request may be run again, so that its run may be
  * cancelled when its caller leaves
- * @param priority rank of the route, 0 for the most urgent
+ * @param nested whether the call is known to be made for a running request
+ * @param priority rank of the call, 0 for the most urgent
  * @param goalMillis time within which the answer is worth most, 0 if that has passed
  */
-record CallTraits(String requestId, String callerService, boolean idempotent, int priority, int goalMillis) {
+record CallTraits(String requestId, String callerService, boolean idempotent, boolean nested, int priority,
+		int goalMillis) {
 
 	/**
 	 * Traits of a call without any statement.
 	 */
-	static final CallTraits NONE = new CallTraits("", "", false, 0, 0);
+	static final CallTraits NONE = new CallTraits("", "", false, false, 0, 0);
 
 }
--- a/node/src/main/java/io/lavenderroad/node/KeyRecord.java
+++ b/node/src/main/java/io/lavenderroad/node/KeyRecord.java
@@ -33,7 +33,8 @@
 		if (outcome.verdict() != ExecutionVerdict.RAN) {
 			return new KeyRecord(this.claim, KeyState.UNKNOWN, null, this.createdMillis);
 		}
-		KeyRecord whole = new KeyRecord(this.claim, KeyState.DONE, outcome.withLoad(0), this.createdMillis);
+		KeyRecord whole = new KeyRecord(this.claim, KeyState.DONE, outcome.withReport(ServerReport.IDLE),
+				this.createdMillis);
 		return (whole.bytes() - FIXED_BYTES <= largestAnswerBytes) ? whole : withoutAnswer();
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -52,8 +52,10 @@
 		packer.packString(answer.reason());
 		Fields.packList(packer, answer.headers(), (text, target) -> target.packString(text));
 		Fields.packBytes(packer, answer.body());
-		packer.packInt(answer.load());
-		packer.packInt(answer.serviceMillis());
+		packer.packInt(answer.report().load());
+		packer.packInt(answer.report().serviceMillis());
+		packer.packBoolean(answer.report().nested());
+		packer.packDouble(answer.report().startShare());
 		packer.packInt(answer.avoidance().scope().ordinal());
 		packer.packInt(answer.avoidance().millis());
 		packer.packBoolean(answer.arrived());
@@ -61,8 +63,20 @@
 
 	static CallAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
 		return new CallAnswer(verdict(unpacker.unpackInt()), unpacker.unpackInt(), unpacker.unpackString(),
-				headers(unpacker), Fields.unpackBytes(unpacker), unpacker.unpackInt(), unpacker.unpackInt(),
-				avoidance(unpacker), unpacker.unpackBoolean());
+				headers(unpacker), Fields.unpackBytes(unpacker), report(unpacker), avoidance(unpacker),
+				unpacker.unpackBoolean());
+	}
+
+	private static ServerReport report(MessageUnpacker unpacker) throws IOException {
+		return new ServerReport(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackBoolean(),
+				share(unpacker.unpackDouble()));
+	}
+
+	private static double share(double value) {
+		if (!(value >= 0 && value <= 1)) {
+			throw new WireException("share " + value + " is outside 0 to 1");
+		}
+		return value;
 	}
 
 	private static Avoidance avoidance(MessageUnpacker unpacker) throws IOException {
@@ -89,6 +103,7 @@
 		packer.packString(request.traits().requestId());
 		packer.packString(request.traits().callerService());
 		packer.packBoolean(request.traits().idempotent());
+		packer.packBoolean(request.traits().nested());
 		packer.packInt(request.traits().priority());
 		packer.packInt(request.traits().goalMillis());
 	}
@@ -97,7 +112,8 @@
 		return new CallRequest(unpacker.unpackLong(), unpacker.unpackString(), unpacker.unpackString(),
 				unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString(), headers(unpacker),
 				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
-				unpacker.unpackInt(), new CallTraits(unpacker.unpackString(), unpacker.unpackString(),
+				unpacker.unpackInt(),
+				new CallTraits(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(),
 						unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt()));
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/NodeParts.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeParts.java
@@ -15,9 +15,11 @@
  * @param connections connections to other nodes
  * @param evidence own observations
  * @param withdrawn versions that this node has withdrawn
+ * @param calledServices services that the backend server beside the node calls
  * @param requestLog lines of single requests
  */
 record NodeParts(Clock clock, RandomGenerator random, Endpoint self, EndpointDirectory directory,
-		PeerConnections connections, EvidenceRecorder evidence, WithdrawnVersions withdrawn, RequestLog requestLog) {
+		PeerConnections connections, EvidenceRecorder evidence, WithdrawnVersions withdrawn,
+		CalledServices calledServices, RequestLog requestLog) {
 
 }
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -74,6 +74,8 @@
 
 	private final AdmissionFigures admissionFigures = new AdmissionFigures(this.metrics);
 
+	private final CalledServices calledServices;
+
 	private final long drainTimeoutMillis;
 
 	private final HttpListener callerListener;
@@ -136,11 +138,12 @@
 		KeyStore store = new KeyStore(builder.keyMemoryBytes, LARGEST_KEPT_ANSWER_BYTES);
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
+		this.calledServices = new CalledServices(this.clock);
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
-				this.keys, this.admissionFigures);
+				this.keys, this.admissionFigures, this.calledServices);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeParts parts = new NodeParts(this.clock, builder.random, self, this.directory, this.connections,
-				this.evidence, this.withdrawn, new RequestLog(this.clock));
+				this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
 		this.router = new CallRouter(parts, builder.balancing, this.callServer, builder.retryBurst);
 		this.callerApi = new CallerApi(parts, this.view, this.dialect, this.router, this.metrics);
 		this.callerListener = HttpListener.builder()
@@ -361,6 +364,7 @@
 		this.connections.closeIdle();
 		this.directory.prune();
 		this.admissionFigures.report();
+		this.calledServices.report();
 		Evidence recent;
 		this.evidenceLock.lock();
 		try {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
@@ -41,15 +41,22 @@
 	 */
 	static final long BURST_MILLIS = 100;
 
+	/**
+	 * A nested call goes before all others after this wait, so that more urgent calls
+	 * cannot hold it, and the slot of the request that makes it, for good.
+	 */
+	static final long OVERDUE_MILLIS = 40;
+
 	private static final double SERVICE_TIME_WEIGHT = 0.1;
 
 	private final Map<String, Integer> runningByCustomer = new HashMap<>();
 
 	/**
-	 * Waiting calls by rank, the most urgent first; in each rank customers with waiting
-	 * calls, the one that waits longest for a turn first.
+	 * Waiting calls by place: those of a more urgent rank first, and within a rank nested
+	 * calls before new ones. In each place customers with waiting calls, the one that
+	 * waits longest for a turn first.
 	 */
-	private final TreeMap<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> ranks = new TreeMap<>();
+	private final TreeMap<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> places = new TreeMap<>();
 
 	private int slots;
 
@@ -132,12 +139,37 @@
 			this.emptyMillis = nowMillis;
 		}
 		boolean free = this.running < this.slots && this.waiting == 0;
-		if (!free && nowMillis < deadlineMillis && waitsTooLong(customer, rank, nowMillis, goalMillis)) {
+		if (!free && nowMillis < deadlineMillis && waitsTooLong(ahead(customer, rank), nowMillis, goalMillis)) {
 			return AdmissionDecision.TOO_LATE;
 		}
 		return offer(call, customer, rank, nowMillis, deadlineMillis);
 	}
 
+	/**
+	 * Offers a nested call: one that a backend server makes for a request that it runs.
+	 * It waits as long as its deadline allows, since the work done for the request is
+	 * lost with it.
+	 * @param call the call
+	 * @param customer customer of the call
+	 * @param rank rank of the request for which it is made, 0 for the most urgent
+	 * @param nowMillis clock reading in milliseconds
+	 * @param deadlineMillis when the answer is due, on the same clock
+	 * @return the decision
+	 */
+	public AdmissionDecision offerNested(T call, String customer, int rank, long nowMillis, long deadlineMillis) {
+		if (this.waiting == 0) {
+			this.emptyMillis = nowMillis;
+		}
+		if (nowMillis >= deadlineMillis) {
+			return AdmissionDecision.TOO_LATE;
+		}
+		if (this.running < this.slots && this.waiting == 0) {
+			start(customer);
+			return AdmissionDecision.RUN;
+		}
+		return enqueue(call, customer, nestedPlace(rank), nowMillis, deadlineMillis);
+	}
+
 	/**
 	 * Offers a call.
 	 * @param call the call
@@ -162,29 +194,29 @@
 		if (nowMillis + expectedMillis(ahead(customer, rank)) > deadlineMillis) {
 			return AdmissionDecision.TOO_LATE;
 		}
-		if (this.waiting >= this.queueLength) {
-			return AdmissionDecision.FULL;
-		}
-		this.ranks.computeIfAbsent(rank, (key) -> new LinkedHashMap<>())
-			.computeIfAbsent(customer, (name) -> new ArrayDeque<>())
-			.add(new Waiting<>(call, deadlineMillis));
-		this.waiting++;
-		return AdmissionDecision.WAIT;
+		return enqueue(call, customer, place(rank), nowMillis, deadlineMillis);
 	}
 
 	/**
-	 * Makes room for a call of a more urgent rank, by taking the newest waiting call of
-	 * the least urgent one.
+	 * Makes room for a call of a more urgent rank, by taking the newest waiting new call
+	 * of the least urgent one.
 	 * @param rank rank of the call that was refused with {@code FULL}
 	 * @return the call that lost its place, to be refused, or empty if no waiting call is
 	 * less urgent
 	 */
 	public Optional<T> displaceLessUrgent(int rank) {
-		if (this.ranks.isEmpty() || this.ranks.lastKey() <= rank) {
-			return Optional.empty();
-		}
-		int least = this.ranks.lastKey();
-		return Optional.of(takeNewest(least, this.ranks.get(least).lastEntry().getKey()));
+		return displaceBehind(place(rank));
+	}
+
+	/**
+	 * Makes room for a nested call, by taking the newest waiting new call of the least
+	 * urgent rank.
+	 * @param rank rank of the nested call that was refused with {@code FULL}
+	 * @return the call that lost its place, to be refused, or empty if no waiting call is
+	 * less urgent
+	 */
+	public Optional<T> displaceByNested(int rank) {
+		return displaceBehind(nestedPlace(rank));
 	}
 
 	/**
@@ -204,9 +236,9 @@
 		if (largest == null || holding(largest) <= share() || holding(customer) + 1 >= holding(largest)) {
 			return Optional.empty();
 		}
-		for (Integer rank : this.ranks.descendingKeySet()) {
-			if (this.ranks.get(rank).containsKey(largest)) {
-				return Optional.of(takeNewest(rank, largest));
+		for (Integer place : this.places.descendingKeySet()) {
+			if (this.places.get(place).containsKey(largest)) {
+				return Optional.of(takeNewest(place, largest));
 			}
 		}
 		return Optional.empty();
@@ -248,9 +280,9 @@
 	 */
 	public List<T> clear() {
 		List<T> calls = new ArrayList<>(this.waiting);
-		this.ranks.values()
-			.forEach((rank) -> rank.values().forEach((queue) -> queue.forEach((entry) -> calls.add(entry.call()))));
-		this.ranks.clear();
+		this.places.values()
+			.forEach((place) -> place.values().forEach((queue) -> queue.forEach((entry) -> calls.add(entry.call()))));
+		this.places.clear();
 		this.waiting = 0;
 		return calls;
 	}
@@ -279,15 +311,58 @@
 		return this.serviceMillis;
 	}
 
+	// Nested calls keep their places: work has been done for them.
+	private Optional<T> displaceBehind(int place) {
+		for (Integer candidate : this.places.tailMap(place, false).descendingKeySet()) {
+			if (!isNested(candidate)) {
+				return Optional.of(takeNewest(candidate, this.places.get(candidate).lastEntry().getKey()));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private AdmissionDecision enqueue(T call, String customer, int place, long nowMillis, long deadlineMillis) {
+		if (this.waiting >= this.queueLength) {
+			return AdmissionDecision.FULL;
+		}
+		this.places.computeIfAbsent(place, (key) -> new LinkedHashMap<>())
+			.computeIfAbsent(customer, (name) -> new ArrayDeque<>())
+			.add(new Waiting<>(call, nowMillis, deadlineMillis));
+		this.waiting++;
+		return AdmissionDecision.WAIT;
+	}
+
+	private static int nestedPlace(int rank) {
+		return 2 * rank;
+	}
+
+	private static int place(int rank) {
+		return 2 * rank + 1;
+	}
+
+	private static boolean isNested(int place) {
+		return place % 2 == 0;
+	}
+
+	private int nextPlace(long nowMillis) {
+		for (Map.Entry<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> entry : this.places.entrySet()) {
+			long oldest = entry.getValue().firstEntry().getValue().getFirst().sinceMillis();
+			if (isNested(entry.getKey()) && nowMillis - oldest >= OVERDUE_MILLIS) {
+				return entry.getKey();
+			}
+		}
+		return this.places.firstKey();
+	}
+
 	private Optional<T> next(long nowMillis) {
 		// Whoever waits for an overdue call sees the deadline itself. So no call waits
 		// while a slot is free.
 		removeIf((name, entry) -> entry.deadlineMillis() <= nowMillis);
-		if (this.ranks.isEmpty()) {
+		if (this.places.isEmpty()) {
 			return Optional.empty();
 		}
-		int rank = this.ranks.firstKey();
-		LinkedHashMap<String, Deque<Waiting<T>>> byCustomer = this.ranks.get(rank);
+		int place = nextPlace(nowMillis);
+		LinkedHashMap<String, Deque<Waiting<T>>> byCustomer = this.places.get(place);
 		String chosen = fewestRunning(byCustomer.keySet());
 		Deque<Waiting<T>> calls = byCustomer.remove(chosen);
 		T call = calls.removeFirst().call();
@@ -297,7 +372,7 @@
 			byCustomer.put(chosen, calls);
 		}
 		else if (byCustomer.isEmpty()) {
-			this.ranks.remove(rank);
+			this.places.remove(place);
 		}
 		start(chosen);
 		return Optional.of(call);
@@ -316,8 +391,8 @@
 		return chosen;
 	}
 
-	private T takeNewest(int rank, String customer) {
-		LinkedHashMap<String, Deque<Waiting<T>>> byCustomer = this.ranks.get(rank);
+	private T takeNewest(int place, String customer) {
+		LinkedHashMap<String, Deque<Waiting<T>>> byCustomer = this.places.get(place);
 		Deque<Waiting<T>> calls = byCustomer.get(customer);
 		T newest = calls.removeLast().call();
 		this.waiting--;
@@ -325,13 +400,13 @@
 			byCustomer.remove(customer);
 		}
 		if (byCustomer.isEmpty()) {
-			this.ranks.remove(rank);
+			this.places.remove(place);
 		}
 		return newest;
 	}
 
 	private void removeIf(BiPredicate<String, Waiting<T>> condition) {
-		this.ranks.values().removeIf((byCustomer) -> {
+		this.places.values().removeIf((byCustomer) -> {
 			byCustomer.entrySet().removeIf((entry) -> {
 				int before = entry.getValue().size();
 				entry.getValue().removeIf((call) -> condition.test(entry.getKey(), call));
@@ -349,19 +424,19 @@
 
 	private Set<String> waitingCustomers() {
 		Set<String> customers = new LinkedHashSet<>();
-		this.ranks.values().forEach((byCustomer) -> customers.addAll(byCustomer.keySet()));
+		this.places.values().forEach((byCustomer) -> customers.addAll(byCustomer.keySet()));
 		return customers;
 	}
 
 	private boolean othersWait(String customer) {
-		return this.ranks.values()
+		return this.places.values()
 			.stream()
 			.anyMatch((byCustomer) -> byCustomer.size() > (byCustomer.containsKey(customer) ? 1 : 0));
 	}
 
 	private int holding(String customer) {
 		int count = this.runningByCustomer.getOrDefault(customer, 0);
-		for (LinkedHashMap<String, Deque<Waiting<T>>> byCustomer : this.ranks.values()) {
+		for (LinkedHashMap<String, Deque<Waiting<T>>> byCustomer : this.places.values()) {
 			Deque<Waiting<T>> calls = byCustomer.get(customer);
 			count += (calls != null) ? calls.size() : 0;
 		}
@@ -373,8 +448,7 @@
 		return (int) Math.max(1, places * this.customerShareBasisPoints / ServiceConfiguration.WHOLE_SHARE);
 	}
 
-	private boolean waitsTooLong(String customer, int rank, long nowMillis, long goalMillis) {
-		int ahead = ahead(customer, rank);
+	private boolean waitsTooLong(int ahead, long nowMillis, long goalMillis) {
 		if (nowMillis + expectedMillis(ahead) > goalMillis) {
 			return true;
 		}
@@ -384,11 +458,11 @@
 
 	private int ahead(String customer, int rank) {
 		int ahead = 0;
-		for (Map.Entry<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> entry : this.ranks.headMap(rank, true)
+		for (Map.Entry<Integer, LinkedHashMap<String, Deque<Waiting<T>>>> entry : this.places.headMap(place(rank), true)
 			.entrySet()) {
 			Deque<Waiting<T>> own = entry.getValue().get(customer);
 			int turn = (own != null) ? own.size() + 1 : 1;
-			boolean sameRank = entry.getKey() == rank;
+			boolean sameRank = entry.getKey() == place(rank);
 			for (Deque<Waiting<T>> calls : entry.getValue().values()) {
 				ahead += sameRank ? Math.min(calls.size(), turn) : calls.size();
 			}
@@ -405,7 +479,7 @@
 		return this.serviceMillis * (ahead + 1) / Math.max(1, this.slots);
 	}
 
-	private record Waiting<T>(T call, long deadlineMillis) {
+	private record Waiting<T>(T call, long sinceMillis, long deadlineMillis) {
 
 	}
 
--- a/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
@@ -11,11 +11,17 @@
  * @param nowMillis clock reading in milliseconds
  * @param tried endpoints that this call has already tried
  * @param random source of randomness
- * @param rank rank of the call, lower for more urgent ones
+ * @param rank rank of the call, lower for more urgent ones; {@link #NESTED_RANK} for a
+ * call that is made for a running request
  */
 public record BalancingContext(String failureDomain, long nowMillis, Collection<EndpointLoad> tried,
 		RandomGenerator random, int rank) {
 
+	/**
+	 * Rank of nested calls. They are sent also where new calls find no room.
+	 */
+	public static final int NESTED_RANK = -1;
+
 	public BalancingContext {
 		Objects.requireNonNull(failureDomain, "failureDomain");
 		Objects.requireNonNull(tried, "tried");
--- /dev/null
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/NestedAdmissionTests.java
@@ -0,0 +1,61 @@
+package io.lavenderroad.policy.calls;
+
+import java.util.Optional;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against runs that are lost because a call that they make is refused or kept
+ * waiting behind new calls.
+ */
+public class NestedAdmissionTests {
+
+	private static final long LATER = 10_000;
+
+	private AdmissionQueue<String> queue;
+
+	@BeforeMethod
+	public void fillTheSlot() {
+		this.queue = new AdmissionQueue<>(1, 3, 10_000);
+		this.queue.offer("first", "", 0, 0, LATER);
+		this.queue.release("", 100, 0);
+		Assert.assertEquals(this.queue.offer("running", "", 0, 0, LATER), AdmissionDecision.RUN);
+	}
+
+	@Test
+	public void nestedCallWaitsAlthoughItMayEndLate() {
+		this.queue.offer("new", "", 0, 0, LATER);
+		Assert.assertEquals(this.queue.offer("new and late", "", 2, 0, 150, LATER), AdmissionDecision.TOO_LATE);
+		Assert.assertEquals(this.queue.offerNested("nested", "", 2, 0, 150), AdmissionDecision.WAIT);
+	}
+
+	@Test
+	public void nestedCallGoesBeforeNewOnesOfItsRank() {
+		this.queue.offer("new", "", 2, 0, LATER);
+		this.queue.offerNested("nested", "", 2, 1, LATER);
+		this.queue.offer("urgent", "", 1, 2, LATER);
+		Assert.assertEquals(this.queue.release("", -1, 3), Optional.of("urgent"));
+		Assert.assertEquals(this.queue.release("", -1, 4), Optional.of("nested"));
+		Assert.assertEquals(this.queue.release("", -1, 5), Optional.of("new"));
+	}
+
+	@Test
+	public void nestedCallIsNotKeptWaitingByMoreUrgentOnes() {
+		this.queue.offerNested("nested", "", 2, 0, LATER);
+		this.queue.offer("urgent", "", 0, 1, LATER);
+		Assert.assertEquals(this.queue.release("", -1, AdmissionQueue.OVERDUE_MILLIS), Optional.of("nested"));
+	}
+
+	@Test
+	public void nestedCallTakesThePlaceOfANewOneInAFullQueue() {
+		this.queue.offer("one", "", 2, 0, LATER);
+		this.queue.offer("two", "", 2, 0, LATER);
+		this.queue.offer("three", "", 2, 0, LATER);
+		Assert.assertEquals(this.queue.offerNested("nested", "", 2, 0, LATER), AdmissionDecision.FULL);
+		Assert.assertEquals(this.queue.displaceByNested(2), Optional.of("three"));
+		Assert.assertEquals(this.queue.offerNested("nested", "", 2, 0, LATER), AdmissionDecision.WAIT);
+	}
+
+}
--- a/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
@@ -289,17 +289,36 @@
 
 	/**
 	 * How a try ended.
-	 *
-	 * @param verdict whether it ran
-	 * @param served whether it brought an answer
 	 */
-	private record Outcome(ExecutionVerdict verdict, boolean served) {
+	private enum Outcome {
 
-		private static final Outcome REFUSED = new Outcome(ExecutionVerdict.NOT_RUN, false);
+		/**
+		 * One server had no room.
+		 */
+		REFUSED,
+
+		/**
+		 * A service that the request calls has no room.
+		 */
+		SHED,
+
+		/**
+		 * The run failed.
+		 */
+		FAILED,
 
-		private static final Outcome FAILED = new Outcome(ExecutionVerdict.RAN, false);
+		/**
+		 * The run brought an answer.
+		 */
+		SERVED;
+
+		private boolean isRun() {
+			return this == FAILED || this == SERVED;
+		}
 
-		private static final Outcome SERVED = new Outcome(ExecutionVerdict.RAN, true);
+		private ExecutionVerdict verdict() {
+			return isRun() ? ExecutionVerdict.RAN : ExecutionVerdict.NOT_RUN;
+		}
 
 	}
 
@@ -333,7 +352,7 @@
 		private void ended(Outcome outcome) {
 			double took = OverloadPlay.this.now - this.startMillis;
 			Tally tally = OverloadPlay.this.tallies.get(this.kind);
-			if (outcome.served()) {
+			if (outcome == Outcome.SERVED) {
 				boolean inTarget = took <= this.kind.rules.targetLatencyMillis();
 				tally.inTarget += (this.counted && inTarget) ? 1 : 0;
 				tally.late += (this.counted && !inTarget && took <= this.kind.rules.timeoutMillis()) ? 1 : 0;
@@ -384,8 +403,12 @@
 			this.retry = new RetryDecision(kind.rules, kind.rules.mostAttempts(), budget);
 		}
 
+		private boolean isNested() {
+			return this.kind == RequestClass.POSITION;
+		}
+
 		private int rank() {
-			return this.kind.rules.priority();
+			return isNested() ? BalancingContext.NESTED_RANK : this.kind.rules.priority();
 		}
 
 		private void send() {
@@ -407,13 +430,23 @@
 		private void answered(EndpointLoad target, Node server, Outcome outcome, double tookMillis) {
 			long millis = (long) OverloadPlay.this.now;
 			target.hint(millis, server.load(), server.queue.serviceMillis());
+			if (isNested()) {
+				int rank = this.kind.rules.priority();
+				this.entry.dependencies.reported(this.kind.service.name(), rank, server.share.share(rank, millis),
+						millis);
+			}
+			if (outcome == Outcome.SHED) {
+				target.abandoned();
+				this.ended.accept(Outcome.REFUSED);
+				return;
+			}
 			if (outcome == Outcome.REFUSED) {
 				target.full(millis + AVOID_MILLIS / 2 + OverloadPlay.this.random.nextInt(AVOID_MILLIS), rank());
 			}
 			else {
-				target.finished(millis, tookMillis, !outcome.served());
+				target.finished(millis, tookMillis, outcome != Outcome.SERVED);
 			}
-			boolean again = !outcome.served() && this.retry.mayRetry(outcome.verdict(), outcome != Outcome.REFUSED);
+			boolean again = outcome != Outcome.SERVED && this.retry.mayRetry(outcome.verdict(), outcome.isRun());
 			if (again) {
 				send();
 			}
@@ -444,6 +477,14 @@
 
 		private final BalancingPolicy policy = new ShortestTime();
 
+		private final EntryShare share = new EntryShare();
+
+		private final NestedRoutes nestedRoutes = new NestedRoutes();
+
+		private final DependencyShare dependencies = new DependencyShare();
+
+		private final List<Run> running = new ArrayList<>();
+
 		private Node(int index, Service service, double speed) {
 			this.service = service;
 			this.speed = speed;
@@ -472,10 +513,19 @@
 		}
 
 		private void offer(Call call, Consumer<Outcome> ended) {
-			Run run = new Run(this, call, ended);
+			RequestClass kind = call.kind;
+			this.nestedRoutes.observe(kind.name(), call.entry.service.name());
+			boolean nested = this.nestedRoutes.isNested(kind.name());
+			if (!nested
+					&& !this.dependencies.admits(kind.name(), kind.rules.priority(), (long) OverloadPlay.this.now)) {
+				ended.accept(Outcome.SHED);
+				return;
+			}
+			Run run = new Run(this, call, nested, ended);
 			AdmissionDecision decision = decide(run);
 			if (decision == AdmissionDecision.FULL) {
-				Optional<Run> displaced = this.queue.displaceLessUrgent(call.kind.rules.priority());
+				Optional<Run> displaced = nested ? this.queue.displaceByNested(call.kind.rules.priority())
+						: this.queue.displaceLessUrgent(call.kind.rules.priority());
 				displaced.ifPresent(Run::refuse);
 				decision = displaced.isPresent() ? decide(run) : decision;
 			}
@@ -492,8 +542,10 @@
 
 		private AdmissionDecision decide(Run run) {
 			Call call = run.call;
-			return this.queue.offer(run, "", call.kind.rules.priority(), (long) OverloadPlay.this.now,
-					(long) call.goalMillis, (long) call.deadlineMillis);
+			int rank = call.kind.rules.priority();
+			long millis = (long) OverloadPlay.this.now;
+			return run.nested ? this.queue.offerNested(run, "", rank, millis, (long) call.deadlineMillis)
+					: this.queue.offer(run, "", rank, millis, (long) call.goalMillis, (long) call.deadlineMillis);
 		}
 
 	}
@@ -509,18 +561,27 @@
 
 		private final Consumer<Outcome> ended;
 
+		private final boolean nested;
+
+		private final double offeredMillis = OverloadPlay.this.now;
+
 		private boolean started;
 
 		private double startMillis;
 
 		private int callsLeft;
 
-		private Run(Node node, Call call, Consumer<Outcome> ended) {
+		private Run(Node node, Call call, boolean nested, Consumer<Outcome> ended) {
 			this.node = node;
 			this.call = call;
+			this.nested = nested;
 			this.ended = ended;
 		}
 
+		private CallingRoutes.RunningRoute route() {
+			return new CallingRoutes.RunningRoute(this.call.kind.name(), this.call.kind.rules.priority());
+		}
+
 		private void refuse() {
 			this.ended.accept(Outcome.REFUSED);
 		}
@@ -534,6 +595,11 @@
 		private void start() {
 			this.started = true;
 			this.startMillis = OverloadPlay.this.now;
+			this.node.running.add(this);
+			if (this.nested) {
+				this.node.share.waited(this.call.kind.rules.priority(), this.startMillis - this.offeredMillis,
+						this.call.kind.rules.goalMillis(), (long) this.startMillis);
+			}
 			this.callsLeft = this.call.kind.calls(OverloadPlay.this.random);
 			OverloadPlay.this.tallies.get(this.call.kind).runs++;
 			later(work(this.call.kind.workMillis) * this.node.speed, this::proceed);
@@ -549,11 +615,13 @@
 				return;
 			}
 			this.callsLeft--;
+			this.node.dependencies.callers()
+				.called(Service.CALLED.name(), this.node.running.stream().map(Run::route).toList());
 			new Call(RequestClass.POSITION, this.node, this.call.deadlineMillis, this::called).send();
 		}
 
 		private void called(Outcome outcome) {
-			if (outcome.served()) {
+			if (outcome == Outcome.SERVED) {
 				proceed();
 				return;
 			}
@@ -563,6 +631,7 @@
 
 		private void end(Outcome outcome) {
 			double took = OverloadPlay.this.now - this.startMillis;
+			this.node.running.remove(this);
 			this.node.queue.release("", took, (long) OverloadPlay.this.now).ifPresent(Run::start);
 			this.ended.accept(outcome);
 		}
