Decide on nested routes from running sums

NestedRoutes added up the calls of all routes for each call. With 1,000 calling services that is up to 256,000 additions for a call. It now keeps the sum and decides every 16 calls of a route. NestedRoutesTests as before.

--- a/policy/src/main/java/io/lavenderroad/policy/calls/NestedRoutes.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/NestedRoutes.java
@@ -30,9 +30,16 @@
 	 */
 	private static final double TOLERANCE = 0.01;
 
+	/**
+	 * Calls of a route after which it is decided again.
+	 */
+	private static final int DECIDE_AFTER = 16;
+
 	private static final int MOST_ROUTES = 256;
 
-	private final LinkedHashMap<String, Map<String, Double>> byRoute = new LinkedHashMap<>();
+	private final LinkedHashMap<String, Origins> byRoute = new LinkedHashMap<>();
+
+	private final Origins all = new Origins();
 
 	private int sinceHalved;
 
@@ -43,13 +50,21 @@
 	 */
 	public void observe(String route, String callerService) {
 		if (this.byRoute.size() >= MOST_ROUTES && !this.byRoute.containsKey(route)) {
-			this.byRoute.pollFirstEntry();
+			this.all.subtract(this.byRoute.pollFirstEntry().getValue());
+		}
+		Origins own = this.byRoute.computeIfAbsent(route, (missing) -> new Origins());
+		own.add(callerService);
+		this.all.add(callerService);
+		own.sinceDecided++;
+		if (own.sinceDecided >= DECIDE_AFTER) {
+			own.sinceDecided = 0;
+			own.nested = decide(own);
 		}
-		this.byRoute.computeIfAbsent(route, (missing) -> new HashMap<>()).merge(callerService, 1.0, Double::sum);
 		this.sinceHalved++;
 		if (this.sinceHalved >= HALVE_AFTER) {
-			this.byRoute.values().forEach((counts) -> counts.replaceAll((service, count) -> count / 2));
 			this.sinceHalved = 0;
+			this.byRoute.values().forEach(Origins::halve);
+			this.all.halve();
 		}
 	}
 
@@ -59,26 +74,47 @@
 	 * @return true if that is all but certain
 	 */
 	public boolean isNested(String route) {
-		Map<String, Double> own = this.byRoute.get(route);
-		if (own == null) {
-			return false;
-		}
-		Map<String, Double> others = new HashMap<>();
-		this.byRoute.forEach((name, counts) -> {
-			if (!name.equals(route)) {
-				counts.forEach((service, count) -> others.merge(service, count, Double::sum));
-			}
+		Origins own = this.byRoute.get(route);
+		return own != null && own.nested;
+	}
+
+	private boolean decide(Origins own) {
+		double otherCalls = this.all.calls - own.calls;
+		return this.all.byService.entrySet().stream().anyMatch((entry) -> {
+			double ownCalls = own.byService.getOrDefault(entry.getKey(), 0.0);
+			double expected = own.calls * (entry.getValue() - ownCalls) / Math.max(1, otherCalls);
+			return expected >= EXPECTED_CALLS && ownCalls <= TOLERANCE * own.calls;
 		});
-		double calls = sum(own);
-		double otherCalls = sum(others);
-		return others.entrySet()
-			.stream()
-			.anyMatch((entry) -> calls * entry.getValue() / otherCalls >= EXPECTED_CALLS
-					&& own.getOrDefault(entry.getKey(), 0.0) <= TOLERANCE * calls);
 	}
 
-	private static double sum(Map<String, Double> counts) {
-		return counts.values().stream().mapToDouble(Double::doubleValue).sum();
+	/**
+	 * Calls by the service beside the node where they entered.
+	 */
+	private static final class Origins {
+
+		private final Map<String, Double> byService = new HashMap<>();
+
+		private double calls;
+
+		private int sinceDecided;
+
+		private boolean nested;
+
+		private void add(String service) {
+			this.byService.merge(service, 1.0, Double::sum);
+			this.calls++;
+		}
+
+		private void subtract(Origins other) {
+			other.byService.forEach((service, count) -> this.byService.merge(service, -count, Double::sum));
+			this.calls -= other.calls;
+		}
+
+		private void halve() {
+			this.byService.replaceAll((service, count) -> count / 2);
+			this.calls /= 2;
+		}
+
 	}
 
 }
