Say soon which control members cannot be reached

With all control members down the tool gave up after 20 s with 'no connection (null)'. It now gives up after 5 s if no address accepted a connection, and names the addresses.

--- a/tool/src/main/java/io/lavenderroad/tool/ControlClient.java
+++ b/tool/src/main/java/io/lavenderroad/tool/ControlClient.java
@@ -23,6 +23,12 @@
 	 */
 	private static final long ROUND_PAUSE_MILLIS = 300;
 
+	/**
+	 * Time after which the client gives up if no address accepts connections. A member
+	 * that restarts listens again sooner.
+	 */
+	static final long UNREACHABLE_MILLIS = 5_000;
+
 	private static final int MISDIRECTED = 421;
 
 	private static final int UNAVAILABLE = 503;
@@ -122,8 +128,10 @@
 	}
 
 	private Result attemptAll(String method, String path, Optional<String> body, boolean resend) {
-		long endMillis = this.clock.millis() + this.timeLimitMillis;
+		long startMillis = this.clock.millis();
+		long endMillis = startMillis + this.timeLimitMillis;
 		boolean answerLost = false;
+		boolean reached = false;
 		String lastFailure = "";
 		while (true) {
 			Deque<String> round = firstAddresses();
@@ -138,6 +146,7 @@
 					return new Result(attempt.reply(), answerLost, lastFailure);
 				}
 				answerLost |= attempt.answerLost();
+				reached |= attempt.reached();
 				// That a member does not lead says less than the failure of the leader.
 				if (lastFailure.isEmpty() || attempt.leader().isEmpty()) {
 					lastFailure = address + ": " + attempt.failure();
@@ -147,6 +156,10 @@
 				}
 				attempt.leader().ifPresent(round::addFirst);
 			}
+			if (!reached && this.clock.millis() - startMillis >= UNREACHABLE_MILLIS) {
+				return new Result(Optional.empty(), false,
+						"none of " + String.join(", ", tried) + " accepts connections; last failure " + lastFailure);
+			}
 			if (this.clock.millis() + ROUND_PAUSE_MILLIS >= endMillis) {
 				return new Result(Optional.empty(), answerLost, lastFailure);
 			}
@@ -160,7 +173,8 @@
 			answer = this.transport.send(address, method, path, body);
 		}
 		catch (ConnectException ex) {
-			return Attempt.failed(false, "no connection (" + ex.getMessage() + ")", Optional.empty());
+			String reason = Optional.ofNullable(ex.getMessage()).orElse("connection refused");
+			return Attempt.unreachable("no connection (" + reason + ")");
 		}
 		catch (IOException | IllegalArgumentException ex) {
 			return Attempt.failed(ex instanceof IOException, "no answer (" + ex.getMessage() + ")", Optional.empty());
@@ -178,7 +192,7 @@
 			case TIMEOUT, INTERNAL_ERROR -> Attempt.failed(true, json.text("reason"), Optional.empty());
 			default -> {
 				this.leader = address;
-				yield new Attempt(Optional.of(new Reply(answer.status(), json, answer.body())), false, "",
+				yield new Attempt(Optional.of(new Reply(answer.status(), json, answer.body())), true, false, "",
 						Optional.empty());
 			}
 		};
@@ -233,10 +247,15 @@
 
 	}
 
-	private record Attempt(Optional<Reply> reply, boolean answerLost, String failure, Optional<String> leader) {
+	private record Attempt(Optional<Reply> reply, boolean reached, boolean answerLost, String failure,
+			Optional<String> leader) {
 
 		static Attempt failed(boolean answerLost, String failure, Optional<String> leader) {
-			return new Attempt(Optional.empty(), answerLost, failure, leader);
+			return new Attempt(Optional.empty(), true, answerLost, failure, leader);
+		}
+
+		static Attempt unreachable(String failure) {
+			return new Attempt(Optional.empty(), false, false, failure, Optional.empty());
 		}
 
 	}
