Refute with single calls that a route is nested

After the loss of all processes the only VM of dispatch was too busy to pass on its callers' requests of that route. So the route seemed to come from order-desk alone, passed for nested there, was neither bounded in its wait nor refused before its run, and the nodes told each other so for 10 s.

A call expires with the request that makes it or before. So a call that outlives every request that runs beside the node where it enters is certainly new, and one in a hundred refutes the route. The admitting node states what it knows with three words, and a word against counts at once; only where it does not know yet counts what the calling node has heard. The absence of a service takes 20 expected calls in place of 9. Each change of mind is logged.

NestedRoutesTests.routeOfCallersThatCannotUseTheNodesOfAServiceIsNotNested and CalledServicesTests.callThatOutlivesEveryRunningRequestIsNew guard it.

--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -91,7 +91,7 @@
 				(name) -> new RetryBudget(this.retryBurst));
 		budget.call(call.service().limits().retryBudgetBasisPoints());
 		Urgency urgency = this.calledServices.entered(call.service().name(), call.rules().route(),
-				call.rules().priority());
+				call.rules().priority(), call.deadlineMillis());
 		RetryDecision retry = new RetryDecision(call.rules(), call.attemptBudget() + 1, budget);
 		List<EndpointLoad> tried = new ArrayList<>(2);
 		ExecutionVerdict earlier = ExecutionVerdict.NOT_RUN;
@@ -163,7 +163,7 @@
 	private CallAnswer send(RoutedCall call, Urgency urgency, Endpoint endpoint, int attemptBudget, long remaining) {
 		long goal = Math.clamp(call.goalMillis() - this.clock.millis(), 0, Integer.MAX_VALUE);
 		CallTraits traits = new CallTraits(call.requestId(), this.self.service(), call.rules().idempotent(),
-				urgency.nested(), urgency.rank(), (int) goal);
+				urgency.origin(), urgency.rank(), (int) goal);
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
 				call.rules().route(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
 				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget, traits);
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -15,8 +15,10 @@
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.ServiceLimits;
 import io.lavenderroad.node.http.Cancellation;
+import io.lavenderroad.policy.calls.CallOrigin;
 import io.lavenderroad.policy.calls.NestedRoutes;
 import io.vavr.control.Either;
+import org.tinylog.Logger;
 
 /**
  * Runs calls at the backend server beside this node.
@@ -114,26 +116,38 @@
 		}
 		// The run of a call that must not run twice goes on when its caller leaves.
 		Cancellation running = request.traits().idempotent() ? cancellation : new Cancellation();
-		boolean seenNested = observe(request);
-		boolean nested = seenNested || request.traits().nested();
+		CallOrigin routeOrigin = observe(request);
+		boolean nested = isNested(routeOrigin, request.traits().origin());
 		CallAnswer answer = request.key().isEmpty() ? admit(request, nested, deadlineMillis, cancellation, running)
 				: serveOnce(request, nested, deadlineMillis, cancellation);
-		return answer.withReport(report(request, seenNested));
+		return answer.withReport(report(request, routeOrigin));
 	}
 
-	private boolean observe(CallRequest request) {
+	private CallOrigin observe(CallRequest request) {
+		CallTraits traits = request.traits();
 		synchronized (this.nestedRoutes) {
-			this.nestedRoutes.observe(request.route(), request.traits().callerService());
-			return this.nestedRoutes.isNested(request.route());
+			CallOrigin before = this.nestedRoutes.origin(request.route());
+			this.nestedRoutes.observe(request.route(), traits.callerService(), traits.origin() == CallOrigin.CALLER);
+			CallOrigin now = this.nestedRoutes.origin(request.route());
+			if (now != before) {
+				Logger.info("node: Calls of route {} are made by {}, was {}.", request.route(), now, before);
+			}
+			return now;
 		}
 	}
 
+	// The node where the call entered decides while this one has seen too few.
+	private static boolean isNested(CallOrigin route, CallOrigin call) {
+		return call != CallOrigin.CALLER
+				&& (route == CallOrigin.SERVER || (route == CallOrigin.UNKNOWN && call == CallOrigin.SERVER));
+	}
+
 	// A nested call may make calls itself, so the scarcest service on its path decides.
-	private ServerReport report(CallRequest request, boolean nested) {
+	private ServerReport report(CallRequest request, CallOrigin origin) {
 		int rank = request.traits().priority();
-		double share = nested
+		double share = (origin == CallOrigin.SERVER)
 				? Math.min(this.admission.startShare(rank), this.calledServices.startShare(request.route(), rank)) : 1;
-		return new ServerReport(load(), (int) this.admission.serviceMillis(), nested, share);
+		return new ServerReport(load(), (int) this.admission.serviceMillis(), origin, share);
 	}
 
 	/**
@@ -260,7 +274,7 @@
 	private CallAnswer run(CallRequest request, long deadlineMillis, Cancellation cancellation, Admission.Slot slot) {
 		long startNanos = System.nanoTime();
 		double tookMillis = -1;
-		this.calledServices.started(request.route(), request.traits().priority());
+		this.calledServices.started(request.route(), request.traits().priority(), deadlineMillis);
 		try {
 			long remaining = deadlineMillis - this.clock.millis();
 			if (remaining <= 0) {
@@ -281,7 +295,7 @@
 			return answer;
 		}
 		finally {
-			this.calledServices.ended(request.route(), request.traits().priority());
+			this.calledServices.ended(request.route(), request.traits().priority(), deadlineMillis);
 			slot.release(tookMillis);
 		}
 	}
--- a/node/src/main/java/io/lavenderroad/node/CalledServices.java
+++ b/node/src/main/java/io/lavenderroad/node/CalledServices.java
@@ -2,9 +2,11 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.locks.ReentrantLock;
 
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.policy.calls.CallOrigin;
 import io.lavenderroad.policy.calls.CallingRoutes;
 import io.lavenderroad.policy.calls.CallingRoutes.RunningRoute;
 import io.lavenderroad.policy.calls.DependencyShare;
@@ -18,10 +20,21 @@
 final class CalledServices {
 
 	/**
-	 * How long a route counts as nested after the last node said so. Nodes that have just
-	 * started do not know it yet.
+	 * How long the word of a node counts on who makes the calls of a route. Nodes that
+	 * have just started do not know it yet.
 	 */
-	private static final long NESTED_MILLIS = 10_000;
+	private static final long ORIGIN_MILLIS = 10_000;
+
+	/**
+	 * Age of this node from which on it knows every request that runs at the backend
+	 * server: the server may have been running requests before this process started.
+	 */
+	private static final long KNOWS_ALL_MILLIS = 5_000;
+
+	/**
+	 * Rounding and delay of a deadline on its way through the backend server.
+	 */
+	private static final long DEADLINE_MARGIN_MILLIS = 50;
 
 	private static final double PERCENT = 100;
 
@@ -34,24 +47,33 @@
 	private final Map<RunningRoute, Integer> running = new HashMap<>();
 
 	/**
-	 * Routes of which a node said that they are called for running requests only, with
-	 * the time of its last word.
+	 * Deadlines of the running requests, with their number.
 	 */
-	private final Map<String, Long> nestedRoutes = new HashMap<>();
+	private final TreeMap<Long, Integer> deadlines = new TreeMap<>();
+
+	/**
+	 * What nodes said last of who makes the calls of a route.
+	 */
+	private final Map<String, SaidOrigin> origins = new HashMap<>();
+
+	private final long startMillis;
 
 	CalledServices(Clock clock) {
 		this.clock = clock;
+		this.startMillis = clock.millis();
 	}
 
 	/**
 	 * Records that a request starts at the backend server.
 	 * @param route name of its route
 	 * @param rank rank of its route
+	 * @param deadlineMillis when its answer is due
 	 */
-	void started(String route, int rank) {
+	void started(String route, int rank, long deadlineMillis) {
 		this.lock.lock();
 		try {
 			this.running.merge(new RunningRoute(route, rank), 1, Integer::sum);
+			this.deadlines.merge(deadlineMillis, 1, Integer::sum);
 		}
 		finally {
 			this.lock.unlock();
@@ -62,12 +84,14 @@
 	 * Records that a request has ended at the backend server.
 	 * @param route name of its route
 	 * @param rank rank of its route
+	 * @param deadlineMillis when its answer was due
 	 */
-	void ended(String route, int rank) {
+	void ended(String route, int rank, long deadlineMillis) {
 		this.lock.lock();
 		try {
 			this.running.computeIfPresent(new RunningRoute(route, rank),
 					(key, count) -> (count > 1) ? count - 1 : null);
+			this.deadlines.computeIfPresent(deadlineMillis, (key, count) -> (count > 1) ? count - 1 : null);
 		}
 		finally {
 			this.lock.unlock();
@@ -80,18 +104,19 @@
 	 * @param service the service that is called
 	 * @param route name of the route
 	 * @param routeRank rank of the route
-	 * @return whether it is nested, and its rank
+	 * @param deadlineMillis when the answer is due
+	 * @return who made it, and its rank
 	 */
-	Urgency entered(String service, String route, int routeRank) {
+	Urgency entered(String service, String route, int routeRank, long deadlineMillis) {
 		this.lock.lock();
 		try {
-			Long saidMillis = this.nestedRoutes.get(route);
-			if (saidMillis == null || this.clock.millis() - saidMillis > NESTED_MILLIS) {
-				return new Urgency(false, routeRank);
+			CallOrigin origin = origin(route, deadlineMillis);
+			if (origin != CallOrigin.SERVER) {
+				return new Urgency(origin, routeRank);
 			}
 			CallingRoutes callers = this.shares.callers();
 			callers.called(service, this.running.keySet());
-			return new Urgency(true, callers.callerRank(service).orElse(routeRank));
+			return new Urgency(CallOrigin.SERVER, callers.callerRank(service).orElse(routeRank));
 		}
 		finally {
 			this.lock.unlock();
@@ -108,8 +133,10 @@
 	void reported(String service, String route, int rank, ServerReport report) {
 		this.lock.lock();
 		try {
-			if (report.nested()) {
-				this.nestedRoutes.put(route, this.clock.millis());
+			if (report.origin() != CallOrigin.UNKNOWN) {
+				this.origins.put(route, new SaidOrigin(report.origin(), this.clock.millis()));
+			}
+			if (report.origin() == CallOrigin.SERVER) {
 				this.shares.reported(service, rank, report.startShare(), this.clock.millis());
 			}
 		}
@@ -170,13 +197,34 @@
 		}
 	}
 
+	// A call that a running request makes expires with that request or before it.
+	private CallOrigin origin(String route, long deadlineMillis) {
+		long now = this.clock.millis();
+		boolean impossible = this.deadlines.isEmpty()
+				|| this.deadlines.lastKey() < deadlineMillis - DEADLINE_MARGIN_MILLIS;
+		if (impossible && now - this.startMillis >= KNOWS_ALL_MILLIS) {
+			return CallOrigin.CALLER;
+		}
+		SaidOrigin said = this.origins.get(route);
+		return (said != null && said.origin() == CallOrigin.SERVER && now - said.millis() <= ORIGIN_MILLIS)
+				? CallOrigin.SERVER : CallOrigin.UNKNOWN;
+	}
+
 	/**
 	 * Place of a call among others.
 	 *
-	 * @param nested whether it is made for a running request
+	 * @param origin who made it, as far as known
 	 * @param rank its rank, 0 for the most urgent
 	 */
-	record Urgency(boolean nested, int rank) {
+	record Urgency(CallOrigin origin, int rank) {
+
+		boolean nested() {
+			return this.origin == CallOrigin.SERVER;
+		}
+
+	}
+
+	private record SaidOrigin(CallOrigin origin, long millis) {
 
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -8,6 +8,7 @@
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageType;
 import io.lavenderroad.core.wire.WireException;
+import io.lavenderroad.policy.calls.CallOrigin;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -24,6 +25,8 @@
 
 	private static final List<ExecutionVerdict> VERDICTS = List.of(ExecutionVerdict.values());
 
+	private static final List<CallOrigin> ORIGINS = List.of(CallOrigin.values());
+
 	private static final List<Avoidance.Scope> SCOPES = List.of(Avoidance.Scope.values());
 
 	private static final List<MessageType<?>> CALL_TYPES = List.of(
@@ -54,7 +57,7 @@
 		Fields.packBytes(packer, answer.body());
 		packer.packInt(answer.report().load());
 		packer.packInt(answer.report().serviceMillis());
-		packer.packBoolean(answer.report().nested());
+		packer.packInt(answer.report().origin().ordinal());
 		packer.packDouble(answer.report().startShare());
 		packer.packInt(answer.avoidance().scope().ordinal());
 		packer.packInt(answer.avoidance().millis());
@@ -62,13 +65,13 @@
 	}
 
 	static CallAnswer unpackAnswer(MessageUnpacker unpacker) throws IOException {
-		return new CallAnswer(verdict(unpacker.unpackInt()), unpacker.unpackInt(), unpacker.unpackString(),
+		return new CallAnswer(constant(VERDICTS, unpacker), unpacker.unpackInt(), unpacker.unpackString(),
 				headers(unpacker), Fields.unpackBytes(unpacker), report(unpacker), avoidance(unpacker),
 				unpacker.unpackBoolean());
 	}
 
 	private static ServerReport report(MessageUnpacker unpacker) throws IOException {
-		return new ServerReport(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackBoolean(),
+		return new ServerReport(unpacker.unpackInt(), unpacker.unpackInt(), constant(ORIGINS, unpacker),
 				share(unpacker.unpackDouble()));
 	}
 
@@ -80,11 +83,7 @@
 	}
 
 	private static Avoidance avoidance(MessageUnpacker unpacker) throws IOException {
-		int ordinal = unpacker.unpackInt();
-		if (ordinal < 0 || ordinal >= SCOPES.size()) {
-			throw new WireException("scope " + ordinal + " is outside 0 to " + (SCOPES.size() - 1));
-		}
-		return new Avoidance(SCOPES.get(ordinal), unpacker.unpackInt());
+		return new Avoidance(constant(SCOPES, unpacker), unpacker.unpackInt());
 	}
 
 	private static void packRequest(CallRequest request, MessagePacker packer) throws IOException {
@@ -103,7 +102,7 @@
 		packer.packString(request.traits().requestId());
 		packer.packString(request.traits().callerService());
 		packer.packBoolean(request.traits().idempotent());
-		packer.packBoolean(request.traits().nested());
+		packer.packInt(request.traits().origin().ordinal());
 		packer.packInt(request.traits().priority());
 		packer.packInt(request.traits().goalMillis());
 	}
@@ -114,7 +113,7 @@
 				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
 				unpacker.unpackInt(),
 				new CallTraits(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(),
-						unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt()));
+						constant(ORIGINS, unpacker), unpacker.unpackInt(), unpacker.unpackInt()));
 	}
 
 	private static List<String> headers(MessageUnpacker unpacker) throws IOException {
@@ -125,11 +124,13 @@
 		return headers;
 	}
 
-	private static ExecutionVerdict verdict(int ordinal) {
-		if (ordinal < 0 || ordinal >= VERDICTS.size()) {
-			throw new WireException("verdict " + ordinal + " is outside 0 to " + (VERDICTS.size() - 1));
+	private static <E extends Enum<E>> E constant(List<E> constants, MessageUnpacker unpacker) throws IOException {
+		int ordinal = unpacker.unpackInt();
+		if (ordinal < 0 || ordinal >= constants.size()) {
+			throw new WireException(constants.getFirst().getDeclaringClass().getSimpleName() + " " + ordinal
+					+ " is outside 0 to " + (constants.size() - 1));
 		}
-		return VERDICTS.get(ordinal);
+		return constants.get(ordinal);
 	}
 
 }
--- a/node/src/test/java/io/lavenderroad/node/CalledServicesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/CalledServicesTests.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.lavenderroad.node.CalledServices.Urgency;
+import io.lavenderroad.policy.calls.CallOrigin;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -13,7 +14,9 @@
  */
 public class CalledServicesTests {
 
-	private static final ServerReport SHORT = new ServerReport(30, 50, true, 0.5);
+	private static final ServerReport SHORT = new ServerReport(30, 50, CallOrigin.SERVER, 0.5);
+
+	private static final long DEADLINE = 100_000;
 
 	private AtomicLong now;
 
@@ -23,14 +26,14 @@
 	public void runChecks() {
 		this.now = new AtomicLong();
 		this.services = new CalledServices(this.now::get);
-		this.services.started("check", 2);
-		this.services.started("order", 1);
-		this.services.ended("order", 1);
+		this.services.started("check", 2, DEADLINE);
+		this.services.started("order", 1, DEADLINE);
+		this.services.ended("order", 1, DEADLINE);
 	}
 
 	@Test
 	public void callIsNewUntilANodeSaysThatItIsNested() {
-		Assert.assertEquals(enter(), new Urgency(false, 0));
+		Assert.assertEquals(enter(), new Urgency(CallOrigin.UNKNOWN, 0));
 		this.services.reported("dispatch", "position", 0, SHORT);
 		Assert.assertTrue(enter().nested());
 	}
@@ -45,7 +48,7 @@
 	@Test
 	public void nestedCallIsAsUrgentAsTheRequestThatMakesIt() {
 		learn();
-		Assert.assertEquals(enter(), new Urgency(true, 2));
+		Assert.assertEquals(enter(), new Urgency(CallOrigin.SERVER, 2));
 	}
 
 	@Test
@@ -60,6 +63,30 @@
 		Assert.assertTrue(this.services.admits("order", 1));
 	}
 
+	@Test
+	public void callThatOutlivesEveryRunningRequestIsNew() {
+		learn();
+		this.now.set(6_000);
+		this.services.reported("dispatch", "position", 0, SHORT);
+		Assert.assertEquals(this.services.entered("dispatch", "position", 0, DEADLINE + 100).origin(),
+				CallOrigin.CALLER);
+		Assert.assertEquals(enter().origin(), CallOrigin.SERVER);
+	}
+
+	@Test
+	public void nodeThatHasJustStartedDoesNotKnowEveryRunningRequest() {
+		learn();
+		Assert.assertEquals(this.services.entered("dispatch", "position", 0, DEADLINE + 100).origin(),
+				CallOrigin.SERVER);
+	}
+
+	@Test
+	public void wordThatCallersMakeTheCallsCountsAtOnce() {
+		learn();
+		this.services.reported("dispatch", "position", 0, new ServerReport(1, 50, CallOrigin.CALLER, 1));
+		Assert.assertFalse(enter().nested());
+	}
+
 	@Test
 	public void oldWordIsForgotten() {
 		learn();
@@ -76,7 +103,7 @@
 	}
 
 	private Urgency enter() {
-		return this.services.entered("dispatch", "position", 0);
+		return this.services.entered("dispatch", "position", 0, DEADLINE);
 	}
 
 }
--- a/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
@@ -7,6 +7,7 @@
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageCatalog;
+import io.lavenderroad.policy.calls.CallOrigin;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -30,7 +31,7 @@
 		KeyRecord record = new KeyRecord(claim, KeyState.DONE, CallAnswer.ran(200, List.of("A", "b"), new byte[9]), 7);
 		List<Object> messages = List.of(
 				new CallRequest(1, "s", "v1", "r", "POST", "/", List.of("A", "b"), new byte[8], "c", "k", 100, 2,
-						new CallTraits("i", "catalogue", true, false, 1, 50)),
+						new CallTraits("i", "catalogue", true, CallOrigin.SERVER, 1, 50)),
 				record.answer(), new CancelCall(3), new KeyMessages.ClaimKey(claim),
 				new KeyMessages.ClaimResult(true, record), new KeyMessages.SettleKey(claim, record.answer()),
 				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)));
--- a/policy/src/main/java/io/lavenderroad/policy/calls/NestedRoutes.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/NestedRoutes.java
@@ -9,15 +9,18 @@
  * not by callers. Such a call enters at the node beside the server that makes it, so all
  * calls of the route come from nodes of the services that make it, while callers send
  * theirs to the nodes of every service. A route counts as nested once the absence of a
- * service that sends other calls here cannot be chance. Not safe for use by many threads.
+ * service that sends other calls here cannot be chance. Calls that entered where no
+ * running request can have made them prove the opposite. Not safe for use by many
+ * threads.
  */
 public final class NestedRoutes {
 
 	/**
 	 * Calls of another service that were expected and did not come before a route counts
-	 * as nested: by chance that happens once in about 8,000 cases.
+	 * as nested. The calls of a node that works badly are missing together, so this is
+	 * far more than chance alone would need.
 	 */
-	static final double EXPECTED_CALLS = 9;
+	static final double EXPECTED_CALLS = 20;
 
 	/**
 	 * Calls after which all counts are halved, so that changed routes are recognized.
@@ -47,18 +50,20 @@
 	 * Counts a call.
 	 * @param route name of the route
 	 * @param callerService service beside the node where the call entered
+	 * @param certainlyNew whether no request that ran there can have made it
 	 */
-	public void observe(String route, String callerService) {
+	public void observe(String route, String callerService, boolean certainlyNew) {
 		if (this.byRoute.size() >= MOST_ROUTES && !this.byRoute.containsKey(route)) {
 			this.all.subtract(this.byRoute.pollFirstEntry().getValue());
 		}
 		Origins own = this.byRoute.computeIfAbsent(route, (missing) -> new Origins());
 		own.add(callerService);
+		own.certainlyNew += certainlyNew ? 1 : 0;
 		this.all.add(callerService);
 		own.sinceDecided++;
 		if (own.sinceDecided >= DECIDE_AFTER) {
 			own.sinceDecided = 0;
-			own.nested = decide(own);
+			own.origin = decide(own);
 		}
 		this.sinceHalved++;
 		if (this.sinceHalved >= HALVE_AFTER) {
@@ -69,22 +74,30 @@
 	}
 
 	/**
-	 * Tells whether a route is called by backend servers only.
+	 * Tells who makes the calls of a route.
 	 * @param route name of the route
-	 * @return true if that is all but certain
+	 * @return the origin, as far as known
 	 */
-	public boolean isNested(String route) {
+	public CallOrigin origin(String route) {
 		Origins own = this.byRoute.get(route);
-		return own != null && own.nested;
+		return (own != null) ? own.origin : CallOrigin.UNKNOWN;
 	}
 
-	private boolean decide(Origins own) {
-		double otherCalls = this.all.calls - own.calls;
-		return this.all.byService.entrySet().stream().anyMatch((entry) -> {
-			double ownCalls = own.byService.getOrDefault(entry.getKey(), 0.0);
-			double expected = own.calls * (entry.getValue() - ownCalls) / Math.max(1, otherCalls);
-			return expected >= EXPECTED_CALLS && ownCalls <= TOLERANCE * own.calls;
-		});
+	private CallOrigin decide(Origins own) {
+		if (own.certainlyNew > TOLERANCE * own.calls) {
+			return CallOrigin.CALLER;
+		}
+		boolean everyServiceCalls = true;
+		for (Map.Entry<String, Double> entry : this.all.byService.entrySet()) {
+			double calls = own.byService.getOrDefault(entry.getKey(), 0.0);
+			double others = (entry.getValue() - calls) / Math.max(1, this.all.calls - own.calls);
+			boolean absent = calls <= TOLERANCE * own.calls;
+			if (absent && own.calls * others >= EXPECTED_CALLS) {
+				return CallOrigin.SERVER;
+			}
+			everyServiceCalls &= !absent;
+		}
+		return everyServiceCalls ? CallOrigin.CALLER : CallOrigin.UNKNOWN;
 	}
 
 	/**
@@ -98,7 +111,9 @@
 
 		private int sinceDecided;
 
-		private boolean nested;
+		private double certainlyNew;
+
+		private CallOrigin origin = CallOrigin.UNKNOWN;
 
 		private void add(String service) {
 			this.byService.merge(service, 1.0, Double::sum);
@@ -113,6 +128,7 @@
 		private void halve() {
 			this.byService.replaceAll((service, count) -> count / 2);
 			this.calls /= 2;
+			this.certainlyNew /= 2;
 		}
 
 	}
--- a/policy/src/test/java/io/lavenderroad/policy/calls/NestedRoutesTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/NestedRoutesTests.java
@@ -27,47 +27,56 @@
 	@Test
 	public void routeCalledFromTheNodesOfOneServiceOnlyIsNested() {
 		play(400);
-		Assert.assertTrue(this.routes.isNested("position"));
-		Assert.assertFalse(this.routes.isNested("charge"));
-		Assert.assertFalse(this.routes.isNested("unknown"));
+		Assert.assertEquals(this.routes.origin("position"), CallOrigin.SERVER);
+		Assert.assertNotEquals(this.routes.origin("charge"), CallOrigin.SERVER);
+		Assert.assertNotEquals(this.routes.origin("unknown"), CallOrigin.SERVER);
 	}
 
 	@Test
 	public void fewCallsProveNothing() {
 		play(10);
-		Assert.assertFalse(this.routes.isNested("position"));
+		Assert.assertNotEquals(this.routes.origin("position"), CallOrigin.SERVER);
 	}
 
 	@Test
 	public void routeOfCallersIsNeverTakenForNested() {
 		for (int round = 0; round < 5_000; round++) {
 			play(1);
-			Assert.assertFalse(this.routes.isNested("charge"), "after " + round + " calls");
+			Assert.assertNotEquals(this.routes.origin("charge"), CallOrigin.SERVER, "after " + round + " calls");
 		}
 	}
 
+	@Test
+	public void routeOfCallersThatCannotUseTheNodesOfAServiceIsNotNested() {
+		for (int call = 0; call < 1_000; call++) {
+			this.routes.observe("check", "order-desk", call % 20 == 0);
+			this.routes.observe("order", NODES[this.random.nextInt(NODES.length)], false);
+		}
+		Assert.assertEquals(this.routes.origin("check"), CallOrigin.CALLER);
+	}
+
 	@Test
 	public void onlyServiceOfAMeshHasNoNestedRoutes() {
 		for (int call = 0; call < 1_000; call++) {
-			this.routes.observe("browse", "catalogue");
-			this.routes.observe("order", "catalogue");
+			this.routes.observe("browse", "catalogue", false);
+			this.routes.observe("order", "catalogue", false);
 		}
-		Assert.assertFalse(this.routes.isNested("browse"));
+		Assert.assertNotEquals(this.routes.origin("browse"), CallOrigin.SERVER);
 	}
 
 	@Test
 	public void routeThatCallersUseFromNowOnIsNoLongerNested() {
 		play(400);
 		for (int call = 0; call < 400; call++) {
-			this.routes.observe("position", NODES[this.random.nextInt(NODES.length)]);
+			this.routes.observe("position", NODES[this.random.nextInt(NODES.length)], false);
 		}
-		Assert.assertFalse(this.routes.isNested("position"));
+		Assert.assertNotEquals(this.routes.origin("position"), CallOrigin.SERVER);
 	}
 
 	private void play(int calls) {
 		for (int call = 0; call < calls; call++) {
-			this.routes.observe("position", "order-desk");
-			this.routes.observe("charge", NODES[this.random.nextInt(NODES.length)]);
+			this.routes.observe("position", "order-desk", false);
+			this.routes.observe("charge", NODES[this.random.nextInt(NODES.length)], false);
 		}
 	}
 
--- a/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/OverloadPlay.java
@@ -514,8 +514,8 @@
 
 		private void offer(Call call, Consumer<Outcome> ended) {
 			RequestClass kind = call.kind;
-			this.nestedRoutes.observe(kind.name(), call.entry.service.name());
-			boolean nested = this.nestedRoutes.isNested(kind.name());
+			this.nestedRoutes.observe(kind.name(), call.entry.service.name(), false);
+			boolean nested = this.nestedRoutes.origin(kind.name()) == CallOrigin.SERVER;
 			if (!nested
 					&& !this.dependencies.admits(kind.name(), kind.rules.priority(), (long) OverloadPlay.this.now)) {
 				ended.accept(Outcome.SHED);
