--- a/review/src/review/ReplacedMember.java
+++ b/review/src/review/ReplacedMember.java
@@ -6,16 +6,18 @@
 
 /**
  * One of five control members is replaced as planned: an empty one starts at another address, and the old one gets
- * SIGTERM a second later. Once the successor has had more than {@code catch_up_s}, two members lose their disks and
+ * SIGTERM once the successor has had {@code catch_up_s}. Once the successor has had more than {@code catch_up_s}, two members lose their disks and
  * come back, which is what the deployment tolerates.
  */
 final class ReplacedMember {
 
+	private static final int CATCH_UP_MILLIS = 4_000;
+
 	/**
-	 * Time from the start of the successor to the loss of the disks: {@code catch_up_s} of 4, and 1.5 s more.
+	 * Time from the start of the successor to the loss of the disks.
 	 */
 	private static final int SUCCESSOR_AGE_MILLIS = Integer
-		.parseInt(System.getenv().getOrDefault("SUCCESSOR_AGE_MILLIS", "5500"));
+		.parseInt(System.getenv().getOrDefault("SUCCESSOR_AGE_MILLIS", "6500"));
 
 	private static final int WATCH_MILLIS = 45_000;
 
@@ -42,7 +44,7 @@
 			if (trouble) {
 				Mesh.Machine successor = mesh.addControl("c");
 				mesh.start(successor, false);
-				Mesh.sleep(1_000);
+				Mesh.sleep(CATCH_UP_MILLIS + 100);
 				mesh.terminate(gone);
 				mesh.controls.remove(gone);
 				if (!mesh.awaitEnd(gone, Mesh.GRACE_SECONDS * 1_000)) {
