--- a/review/src/review/LeavingClients.java
+++ b/review/src/review/LeavingClients.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -31,9 +32,15 @@
 	private static final int INTERVAL_MILLIS = Integer
 		.parseInt(System.getenv().getOrDefault("INTERVAL_MILLIS", "70"));
 
-	private static final int PLAY_MILLIS = 85_000;
+	private static final int PLAY_MILLIS = 80_000;
 
-	private static final int ORDER_CLIENTS = 40;
+	private static final int ORDER_CLIENTS = 24;
+
+	private static final int ORDER_WORK_MILLIS = 1_500;
+
+	private static final int ORDER_DEADLINE_MILLIS = 4_500;
+
+	private static final String TIMED_OUT = "the deadline passed";
 
 	private static final int ALLOWED_LOSSES = 3;
 
@@ -73,7 +80,7 @@
 			}
 			mesh.replace(0, Configuration.of(1, List.of("catalogue"),
 					List.of(new Configuration.Route("read", "/read/", true, 2_000, "catalogue"),
-							new Configuration.Route("order", "/order/", false, 2_000, "catalogue"))));
+							new Configuration.Route("order", "/order/", false, 5_000, "catalogue"))));
 			mesh.awaitReady(mesh.nodes, 20_000);
 			Mesh.sleep(4_000);
 			return new LeavingClients(record, mesh).play(workers, trouble);
@@ -94,13 +101,13 @@
 		this.record.line("%d clients have sent %d requests each%s; the process of %s %s", this.left.get(), DEPTH,
 				trouble ? " and left" : "", entry.name(), running ? "runs" : "has ended by itself");
 		this.sending.set(false);
-		Mesh.sleep(2_500);
+		Mesh.sleep(ORDER_DEADLINE_MILLIS);
 		this.mesh.recordLog(entry, "OutOfMemory|Terminating|Closed a new caller");
 		int lost = 0;
 		for (Worker worker : workers) {
 			for (Worker.Run run : worker.runs) {
 				String outcome = this.outcomes.get(run.requestId());
-				if (outcome != null && !outcome.matches("[0-9]+")) {
+				if (outcome != null && !outcome.matches("[0-9]+") && !outcome.equals(TIMED_OUT)) {
 					lost++;
 					this.record.line("%s ran at worker %s from %.3f, and its client got: %s", run.requestId(), run.worker(),
 							run.startSeconds(), outcome);
@@ -116,20 +123,25 @@
 			String id = "";
 			try (Socket socket = new Socket()) {
 				socket.connect(entry.outbound(), 1_000);
-				socket.setSoTimeout(2_100);
+				socket.setSoTimeout(ORDER_DEADLINE_MILLIS + 200);
 				while (this.sending.get()) {
 					id = "order-" + this.requestNumber.incrementAndGet();
 					byte[] body = "order".getBytes(StandardCharsets.UTF_8);
-					Http.write(socket.getOutputStream(), Http.request("POST", "/order/work/250", Configuration.HOST,
-							Map.of("X-Request-Id", id, "X-Deadline-Milliseconds", "1900"), body.length), body);
+					Http.write(socket.getOutputStream(), Http.request("POST", "/order/work/" + ORDER_WORK_MILLIS,
+							Configuration.HOST,
+							Map.of("X-Request-Id", id, "X-Deadline-Milliseconds", "" + ORDER_DEADLINE_MILLIS), body.length),
+							body);
 					Http.Message answer = Http.read(socket.getInputStream());
 					this.outcomes.put(id, (answer != null) ? String.valueOf(answer.status())
 							: "the connection was closed without an answer");
-					if (answer == null || answer.header("Connection").equals("close")) {
+					if (answer == null || answer.status() != 200 || answer.header("Connection").equals("close")) {
 						break;
 					}
 				}
 			}
+			catch (SocketTimeoutException ex) {
+				this.outcomes.put(id, TIMED_OUT);
+			}
 			catch (IOException ex) {
 				this.outcomes.put(id, String.valueOf(ex.getMessage()));
 			}
