--- a/review/src/review/DeregisteredWorker.java
+++ b/review/src/review/DeregisteredWorker.java
@@ -29,6 +29,14 @@
 
 	private static final int SEND_INTERVAL_MILLIS = 40;
 
+	/**
+	 * With {@code VARIANT=overtaken} no node is restarted: three heartbeats are late, and the next one and the
+	 * deregistration overtake them.
+	 */
+	private static final boolean OVERTAKEN = "overtaken".equals(System.getenv("VARIANT"));
+
+	private static final int OVERTAKEN_HEARTBEATS = 3;
+
 	private final Recorder record;
 
 	private final Mesh mesh;
@@ -72,6 +80,9 @@
 	private boolean play(Worker leaving, Mesh.Machine machine, boolean trouble) throws Exception {
 		Thread.ofVirtual().start(() -> sendOrders(this.mesh.nodes.getFirst()));
 		Mesh.sleep(1_000);
+		if (OVERTAKEN) {
+			return playOvertaken(leaving, machine, trouble);
+		}
 		double startedSeconds = trouble ? restart(machine, leaving) : 0;
 		leaving.stopAnnouncing();
 		long number = leaving.sequence.incrementAndGet();
@@ -89,6 +100,34 @@
 					(System.nanoTime() - sentNanos) / 1e9,
 					leaving.send("Heartbeat", leaving.heartbeat("ready", number)));
 		}
+		return leave(leaving, machine, acknowledgedSeconds, startedSeconds);
+	}
+
+	private boolean playOvertaken(Worker leaving, Mesh.Machine machine, boolean trouble) throws Exception {
+		leaving.stopAnnouncing();
+		long first = leaving.sequence.addAndGet(OVERTAKEN_HEARTBEATS + 1) - OVERTAKEN_HEARTBEATS;
+		if (!trouble) {
+			sendHeartbeats(leaving, first);
+		}
+		leaving.send("Heartbeat", leaving.heartbeat("ready", first + OVERTAKEN_HEARTBEATS));
+		double acknowledgedSeconds = deregister(leaving);
+		if (trouble) {
+			sendHeartbeats(leaving, first);
+		}
+		return leave(leaving, machine, acknowledgedSeconds, 0);
+	}
+
+	// One heartbeat in each interval, as the worker sends them.
+	private void sendHeartbeats(Worker worker, long first) {
+		for (long number = first; number < first + OVERTAKEN_HEARTBEATS; number++) {
+			Mesh.sleep(Mesh.HEARTBEAT_MILLIS);
+			this.record.line("heartbeat %d arrives and is answered with %d", number,
+					worker.send("Heartbeat", worker.heartbeat("ready", number)));
+		}
+	}
+
+	private boolean leave(Worker leaving, Mesh.Machine machine, double acknowledgedSeconds, double startedSeconds)
+			throws Exception {
 		Mesh.sleep(EXIT_AFTER_MILLIS - Math.round((this.record.seconds() - acknowledgedSeconds) * 1_000));
 		this.record.line("worker %s exits", leaving.id);
 		leaving.close();
@@ -131,7 +170,7 @@
 	private void sendOrder(Mesh.Machine entry) {
 		String id = entry.name() + "-" + this.requestNumber.incrementAndGet();
 		try {
-			Http.Message answer = Http.exchange(entry.outbound(), "POST", "/order/work/100", Configuration.HOST,
+			Http.Message answer = Http.exchange(entry.outbound(), "POST", "/order/millis/100", Configuration.HOST,
 					Map.of("X-Request-Id", id, "X-Deadline-Milliseconds", "1900"),
 					"order".getBytes(StandardCharsets.UTF_8), 2_100);
 			this.outcomes.put(id, String.valueOf(answer.status()));
--- a/review/src/review/LateStop.java
+++ b/review/src/review/LateStop.java
@@ -91,7 +91,7 @@
 		double sentSeconds = this.record.seconds();
 		String outcome;
 		try {
-			outcome = String.valueOf(Http.exchange(entry.outbound(), "POST", "/order/work/" + WORK_MILLIS,
+			outcome = String.valueOf(Http.exchange(entry.outbound(), "POST", "/order/millis/" + WORK_MILLIS,
 					Configuration.HOST, Map.of("X-Request-Id", id, "X-Deadline-Milliseconds", "" + DEADLINE_MILLIS),
 					"order".getBytes(StandardCharsets.UTF_8), DEADLINE_MILLIS + 100)
 				.status());
--- a/review/src/review/LeavingClients.java
+++ b/review/src/review/LeavingClients.java
@@ -127,7 +127,7 @@
 				while (this.sending.get()) {
 					id = "order-" + this.requestNumber.incrementAndGet();
 					byte[] body = "order".getBytes(StandardCharsets.UTF_8);
-					Http.write(socket.getOutputStream(), Http.request("POST", "/order/work/" + ORDER_WORK_MILLIS,
+					Http.write(socket.getOutputStream(), Http.request("POST", "/order/millis/" + ORDER_WORK_MILLIS,
 							Configuration.HOST,
 							Map.of("X-Request-Id", id, "X-Deadline-Milliseconds", "" + ORDER_DEADLINE_MILLIS), body.length),
 							body);
@@ -156,7 +156,7 @@
 			ByteArrayOutputStream page = new ByteArrayOutputStream();
 			for (int index = 0; index < DEPTH; index++) {
 				int work = (index == 0) ? FIRST_WORK_MILLIS : 2;
-				page.write(Http.request("GET", "/read/bytes/" + ANSWER_BYTES + "/work/" + work, Configuration.HOST,
+				page.write(Http.request("GET", "/read/bytes/" + ANSWER_BYTES + "/millis/" + work, Configuration.HOST,
 						Map.of("X-Request-Id", "read-" + this.requestNumber.incrementAndGet(), "X-Deadline-Milliseconds",
 								"1900"),
 						0)
--- a/review/src/review/SameVersionMove.java
+++ b/review/src/review/SameVersionMove.java
@@ -109,7 +109,7 @@
 		int refused = 0;
 		for (Mesh.Machine entry : mesh.nodes) {
 			try {
-				Http.Message answer = Http.exchange(entry.outbound(), "GET", "/stock/work/5", Configuration.HOST,
+				Http.Message answer = Http.exchange(entry.outbound(), "GET", "/stock/millis/5", Configuration.HOST,
 						Map.of("X-Request-Id", id + "-" + entry.name(), "X-Deadline-Milliseconds", "1900"),
 						new byte[0], 2_100);
 				refused += (answer.status() == 200) ? 0 : 1;
--- a/review/src/review/Worker.java
+++ b/review/src/review/Worker.java
@@ -15,8 +15,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Stand-in for the worker beside a node. It runs {@code /.../work/MILLIS} for that time, answers with its signature,
- * refuses a request for another instance with 421 and announces itself once in each interval.
+ * Stand-in for the worker beside a node. It works on a request for MILLIS if the path contains {@code /millis/MILLIS},
+ * answers with its signature and with N bytes if the path contains {@code /bytes/N}, refuses a request for another
+ * instance with 421 and announces itself once in each interval.
  */
 final class Worker implements AutoCloseable {
 
@@ -165,7 +166,7 @@
 	}
 
 	private static int workMillis(String target) {
-		return number(target, "/work/", 5);
+		return number(target, "/millis/", 5);
 	}
 
 	private static int bodyBytes(String target) {
