Let a replaced control member leave before its process ends

Cause: the old voter counted until it had been silent for 6 s, looked for once a second. With it and two lost ids three of six voters were left, no quorum for good. Ruled out: a successor that is no voter yet (it was promoted 2 s after its start), and refused joins (there was no leader). Change: a member that ends asks the leader to remove it if the group has more voters than its target, and votes until that is committed. JoinDecision is now MembershipDecision, as it decides on leaving, too.

--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -395,6 +395,18 @@
 		return this.state.withLock(() -> this.changes.join(request));
 	}
 
+	LeaveResponse handleLeave(LeaveRequest request) {
+		return this.state.withLock(() -> this.changes.leave(request));
+	}
+
+	/**
+	 * Returns whether this member is a voter that the group may not need any more.
+	 * @return true if the member should leave the group before its process ends
+	 */
+	boolean mayBeSurplus() {
+		return this.state.withLock(this.changes::mayBeSurplus);
+	}
+
 	void handleCommitNotice(CommitNotice notice) {
 		this.state.withLock(() -> {
 			if (notice.term() == this.state.term && this.state.role == MemberRole.FOLLOWER) {
--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMessages.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMessages.java
@@ -43,7 +43,11 @@
 					(message, packer) -> packer.packString(message.id()).packString(message.address()),
 					(unpacker) -> new JoinRequest(unpacker.unpackString(), unpacker.unpackString())),
 			new MessageType<>(109, JoinResponse.class, ControlMessages::packJoinResponse,
-					(unpacker) -> new JoinResponse(unpacker.unpackBoolean(), Fields.unpackOptionalText(unpacker))));
+					(unpacker) -> new JoinResponse(unpacker.unpackBoolean(), Fields.unpackOptionalText(unpacker))),
+			new MessageType<>(110, LeaveRequest.class, (message, packer) -> packer.packString(message.id()),
+					(unpacker) -> new LeaveRequest(unpacker.unpackString())),
+			new MessageType<>(111, LeaveResponse.class, ControlMessages::packLeaveResponse,
+					(unpacker) -> new LeaveResponse(unpacker.unpackBoolean(), Fields.unpackOptionalText(unpacker))));
 
 	private static final Set<Class<?>> CLASSES = TYPES.stream().map(MessageType::type).collect(Collectors.toSet());
 
@@ -73,6 +77,11 @@
 		Fields.packOptionalText(packer, message.leaderAddress());
 	}
 
+	private static void packLeaveResponse(LeaveResponse message, MessagePacker packer) throws IOException {
+		packer.packBoolean(message.released());
+		Fields.packOptionalText(packer, message.leaderAddress());
+	}
+
 	private static void packVoteRequest(VoteRequest message, MessagePacker packer) throws IOException {
 		packer.packLong(message.term());
 		packer.packString(message.candidateId());
--- a/control/src/main/java/io/lavenderroad/control/raft/GroupJoin.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/GroupJoin.java
@@ -1,6 +1,5 @@
 package io.lavenderroad.control.raft;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashSet;
@@ -12,10 +11,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
-import io.lavenderroad.core.wire.CallFailure;
-import io.lavenderroad.core.wire.Connection;
 import io.lavenderroad.core.wire.WireOptions;
-import io.vavr.control.Either;
 import org.tinylog.Logger;
 
 /**
@@ -30,11 +26,9 @@
 	 */
 	private static final long LEADERLESS_MILLIS = 3_000;
 
-	private static final long CALL_TIMEOUT_MILLIS = 1_000;
-
 	private final ControlMember<?> member;
 
-	private final WireOptions options;
+	private final GroupClient client;
 
 	private final RandomGenerator random;
 
@@ -53,7 +47,7 @@
 	public GroupJoin(ControlMember<?> member, WireOptions options, RandomGenerator random, Supplier<List<String>> seeds,
 			JoinRequest request) {
 		this.member = Objects.requireNonNull(member, "member");
-		this.options = options;
+		this.client = new GroupClient(member, options);
 		this.random = random;
 		this.seeds = seeds;
 		this.request = request;
@@ -91,21 +85,7 @@
 	}
 
 	private Optional<JoinResponse> sendRequest(String address) {
-		int colon = address.lastIndexOf(':');
-		InetSocketAddress target = new InetSocketAddress(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)));
-		Either<CallFailure, Connection> opened = Connection.open(target, this.options, this.member.handler());
-		if (opened.isLeft()) {
-			Logger.debug("control: {} cannot connect to {} for a join request: {}.", this.request.id(), address,
-					opened.getLeft().reason());
-			return Optional.empty();
-		}
-		try (Connection connection = opened.get()) {
-			return connection.call(this.request, CALL_TIMEOUT_MILLIS, JoinResponse.class)
-				.peekLeft((failure) -> Logger.debug("control: {} did not respond to a join request: {}.", address,
-						failure.reason()))
-				.toJavaOptional();
-		}
+		return this.client.call(address, this.request, JoinResponse.class);
 	}
 
 }
--- a/control/src/main/java/io/lavenderroad/control/raft/MemberChanges.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/MemberChanges.java
@@ -20,7 +20,7 @@
 	/**
 	 * Interval between checks for surplus voters.
 	 */
-	private static final long SURPLUS_CHECK_INTERVAL_MILLIS = 1_000;
+	private static final long SURPLUS_CHECK_INTERVAL_MILLIS = 250;
 
 	private final MemberState state;
 
@@ -71,6 +71,34 @@
 		return new JoinResponse(member, Optional.empty());
 	}
 
+	/**
+	 * Handles the request of a process that ends, and begins its removal if the group has
+	 * more voters than its target.
+	 * @param request the request
+	 * @return whether the process may end; on a follower the address of the leader
+	 */
+	LeaveResponse leave(LeaveRequest request) {
+		if (this.state.role != MemberRole.LEADER) {
+			return new LeaveResponse(false, this.state.leader().map(Member::address));
+		}
+		Optional<MemberChange> removal = decision().changeForLeave(request.id());
+		removal.ifPresent(this::beginAutomaticChange);
+		return new LeaveResponse(removal.isEmpty() && !isChanging(), Optional.empty());
+	}
+
+	/**
+	 * Returns whether this member is a voter that the group may not need any more.
+	 * @return true if the group has more voters than its target, or is about to change
+	 */
+	boolean mayBeSurplus() {
+		return this.state.history.latest().isVoter(this.state.id) && (decision().hasSurplus() || isChanging());
+	}
+
+	private boolean isChanging() {
+		return this.state.history.latest().change().isPresent()
+				|| this.state.history.latestIndex() > this.state.commitIndex;
+	}
+
 	/**
 	 * Removes an unreachable voter if the group has more voters than its target. Called
 	 * on the leader.
@@ -89,8 +117,8 @@
 		beginChange(change, outcome);
 	}
 
-	private JoinDecision decision() {
-		return new JoinDecision(this.state.history.latest(), this.state.options.targetVoters(), (id) -> {
+	private MembershipDecision decision() {
+		return new MembershipDecision(this.state.history.latest(), this.state.options.targetVoters(), (id) -> {
 			PeerProgress peer = this.state.peers.get(id);
 			return (peer != null) ? this.state.now() - peer.lastContactMillis : 0;
 		});
@@ -108,7 +136,7 @@
 		if (this.state.commitIndex < this.state.termStartIndex) {
 			return Optional.of("the leader has not yet committed an entry of its term");
 		}
-		if (set.change().isPresent() || this.state.history.latestIndex() > this.state.commitIndex) {
+		if (isChanging()) {
 			return Optional.of("another member change is in progress");
 		}
 		if (change.added().isPresent() && set.find(change.added().get().id()).isPresent()) {
--- a/control/src/main/java/io/lavenderroad/control/raft/MemberTasks.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/MemberTasks.java
@@ -120,6 +120,7 @@
 			case AppendRequest append -> this.member.handleAppend(append);
 			case SnapshotChunk chunk -> this.member.handleSnapshot(chunk);
 			case JoinRequest join -> this.member.handleJoin(join);
+			case LeaveRequest leave -> this.member.handleLeave(leave);
 			default ->
 				throw new LavenderroadException("control member does not answer " + request.getClass().getSimpleName());
 		};
--- a/control/src/test/java/io/lavenderroad/control/raft/JoinDecisionTests.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/MembershipDecisionTests.java
@@ -11,13 +11,13 @@
  * Guards against a process that lost its disk and continues as the same voter, and
  * against a group that grows with each replaced VM.
  */
-public class JoinDecisionTests {
+public class MembershipDecisionTests {
 
-	private static final long LOST_AFTER = JoinDecision.LOST_AFTER_MILLIS;
+	private static final long LOST_AFTER = MembershipDecision.LOST_AFTER_MILLIS;
 
 	@Test
 	public void processWithALostDiskReplacesTheMemberAtItsAddress() {
-		JoinDecision decision = decision(Map.of());
+		MembershipDecision decision = decision(Map.of());
 		Assert.assertEquals(decision.changeForJoin(new JoinRequest("a-2", "10.0.0.1:1")),
 				MemberChange.replace("a", "a-2", "10.0.0.1:1"));
 	}
@@ -34,13 +34,14 @@
 	public void onlyALostSurplusVoterIsRemoved() {
 		Map<String, Long> unreachable = Map.of("b", LOST_AFTER);
 		Assert.assertEquals(decision(unreachable).surplusRemoval(), Optional.empty());
-		Assert.assertEquals(new JoinDecision(members(), 2, (id) -> 0).surplusRemoval(), Optional.empty());
-		Assert.assertEquals(new JoinDecision(members(), 2, (id) -> unreachable.getOrDefault(id, 0L)).surplusRemoval(),
+		Assert.assertEquals(new MembershipDecision(members(), 2, (id) -> 0).surplusRemoval(), Optional.empty());
+		Assert.assertEquals(
+				new MembershipDecision(members(), 2, (id) -> unreachable.getOrDefault(id, 0L)).surplusRemoval(),
 				Optional.of(MemberChange.remove("b")));
 	}
 
-	private static JoinDecision decision(Map<String, Long> millisSinceResponse) {
-		return new JoinDecision(members(), 3, (id) -> millisSinceResponse.getOrDefault(id, 0L));
+	private static MembershipDecision decision(Map<String, Long> millisSinceResponse) {
+		return new MembershipDecision(members(), 3, (id) -> millisSinceResponse.getOrDefault(id, 0L));
 	}
 
 	private static MemberSet members() {
--- a/control/src/test/java/io/lavenderroad/control/raft/SimulatedGroup.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/SimulatedGroup.java
@@ -55,6 +55,8 @@
 
 	private final Random random;
 
+	private final MemberOptions options;
+
 	private final MemberSet initial;
 
 	private final Map<String, Node> nodes = new TreeMap<>();
@@ -76,13 +78,26 @@
 	private long sequence;
 
 	SimulatedGroup(long seed, String... voters) {
+		this(seed, OPTIONS, voters);
+	}
+
+	SimulatedGroup(long seed, MemberOptions options, String... voters) {
 		this.random = new Random(seed);
-		this.initial = MemberSet.of(List.of(voters).stream().map((id) -> Member.voter(id, "127.0.0.1:1")).toList());
+		this.options = options;
+		this.initial = MemberSet.of(List.of(voters).stream().map((id) -> Member.voter(id, id + ":1")).toList());
 		for (String voter : voters) {
 			startNew(voter, this.initial);
 		}
 	}
 
+	long now() {
+		return this.now;
+	}
+
+	boolean isRunning(String id) {
+		return this.nodes.containsKey(id) && this.nodes.get(id).running;
+	}
+
 	RandomGenerator random() {
 		return this.random;
 	}
@@ -256,7 +271,7 @@
 		node.member = ControlMember.<RecordingStateMachine>builder()
 			.id(node.id)
 			.initialMembers(node.members)
-			.options(OPTIONS)
+			.options(this.options)
 			.clock(() -> this.now)
 			.random(new Random(this.random.nextLong()))
 			.log(node.log)
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -17,6 +17,7 @@
 import io.lavenderroad.control.raft.ControlMember;
 import io.lavenderroad.control.raft.ControlMessages;
 import io.lavenderroad.control.raft.GroupJoin;
+import io.lavenderroad.control.raft.GroupLeave;
 import io.lavenderroad.control.raft.JoinRequest;
 import io.lavenderroad.control.raft.Member;
 import io.lavenderroad.control.raft.MemberOptions;
@@ -62,6 +63,13 @@
 
 	private static final long SHUTDOWN_TIMEOUT_MILLIS = 5_000;
 
+	/**
+	 * Share of the shutdown timeout for leaving the group. It covers an election.
+	 */
+	private static final long LEAVE_TIMEOUT_MILLIS = 3_000;
+
+	private final Clock clock;
+
 	private final DurableLog log;
 
 	private final ControlMember<RaftCommandLog.StateMachineAdapter> member;
@@ -84,6 +92,8 @@
 
 	private final Optional<PeriodicTask> joinTask;
 
+	private final Optional<GroupLeave> leave;
+
 	private volatile DaemonSettings settings;
 
 	/**
@@ -94,13 +104,14 @@
 
 	private ControlRole(DaemonSettings settings, Kernel kernel) throws IOException {
 		Clock clock = Clock.system();
+		this.clock = clock;
 		RandomGenerator random = new Random();
 		MeshStateMachine mesh = new MeshStateMachine();
 		this.settings = settings;
 		this.identity = MemberIdentity.loadOrCreate(settings, clock);
 		this.peerAddresses = initialPeers(settings);
-		WireOptions options = WireOptionsFactory.create(settings, this.identity.id(), clock, ControlMessages.types(),
-				DistributionMessages.types());
+		WireOptions options = WireOptionsFactory.create(settings, this.identity.id(), clock,
+				ControlMessages.types(), DistributionMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
 		RaftCommandLog commands = new RaftCommandLog(this.member, settings.httpAddress().getPort());
@@ -147,6 +158,8 @@
 		this.peersTask = PeriodicTask.start("peers", PEER_UPDATE_INTERVAL_MILLIS, this::updatePeers);
 		this.joinTask = settings.group()
 			.map((group) -> PeriodicTask.start("join", JOIN_INTERVAL_MILLIS, join(options, random)));
+		this.leave = settings.group()
+			.map((group) -> new GroupLeave(this.member, clock, options, this.identity.id()));
 	}
 
 	@Override
@@ -164,7 +177,9 @@
 		this.peersTask.close();
 		this.joinTask.ifPresent(PeriodicTask::close);
 		this.api.close();
-		this.member.shutdown(SHUTDOWN_TIMEOUT_MILLIS);
+		long end = this.clock.millis() + SHUTDOWN_TIMEOUT_MILLIS;
+		this.leave.ifPresent((action) -> action.leave(LEAVE_TIMEOUT_MILLIS));
+		this.member.shutdown(end - this.clock.millis());
 		this.root.close();
 		this.server.close();
 		this.admin.close();
