Refuse requests that could outlast a stopping node

Cause: a stopping node accepted callers until its own backend server was idle; nothing compared the deadline of a request with the end of the process. Ruled out: answers that were ready and not written (the workers still ran the orders). Change: StopSchedule. In the first half of the grace period all requests are accepted, later those whose deadline is before the end of the process; others get 503, not run. The end is stated when the stop begins and close() waits until then.

--- a/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
+++ b/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
@@ -108,6 +108,26 @@
 		Assert.assertEquals(chunked.statusCode(), 200);
 	}
 
+	/**
+	 * Guards against requests that a stopping node accepts late in its grace period and
+	 * cuts without an answer when the process ends.
+	 */
+	@Test
+	public void stoppingNodeRefusesRequestsThatCouldOutlastIt() throws Exception {
+		this.mesh.configure((service) -> service
+			.routes(List.of(new Route("orders", "POST", "/orders", false, 120_000, 64 * 1024))));
+		this.mesh.member("entry").proxy().leave(0, 60_000);
+		HttpResponse<String> late = send("POST", "/orders", "text", Map.of("Request-Id", "late"));
+		Assert.assertEquals(late.statusCode(), 503);
+		Assert.assertEquals(header(late, "Mesh-Verdict"), "not-run");
+		Assert.assertFalse(header(late, "Retry-After").isEmpty());
+		Assert.assertEquals(starts("late"), 0);
+		Assert.assertEquals(
+				send("POST", "/orders", "text", Map.of("Request-Id", "short", "Mesh-Deadline-Millis", "20000"))
+					.statusCode(),
+				200);
+	}
+
 	@Test
 	public void requestThatMayHaveRunIsNotRetried() throws Exception {
 		this.mesh.start("second", "v1", "soweto", Behaviour.DEFAULT, 12, UnaryOperator.identity());
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -110,8 +110,8 @@
 		this.settings = settings;
 		this.identity = MemberIdentity.loadOrCreate(settings, clock);
 		this.peerAddresses = initialPeers(settings);
-		WireOptions options = WireOptionsFactory.create(settings, this.identity.id(), clock,
-				ControlMessages.types(), DistributionMessages.types());
+		WireOptions options = WireOptionsFactory.create(settings, this.identity.id(), clock, ControlMessages.types(),
+				DistributionMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
 		RaftCommandLog commands = new RaftCommandLog(this.member, settings.httpAddress().getPort());
@@ -158,8 +158,7 @@
 		this.peersTask = PeriodicTask.start("peers", PEER_UPDATE_INTERVAL_MILLIS, this::updatePeers);
 		this.joinTask = settings.group()
 			.map((group) -> PeriodicTask.start("join", JOIN_INTERVAL_MILLIS, join(options, random)));
-		this.leave = settings.group()
-			.map((group) -> new GroupLeave(this.member, clock, options, this.identity.id()));
+		this.leave = settings.group().map((group) -> new GroupLeave(this.member, clock, options, this.identity.id()));
 	}
 
 	@Override
--- a/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
@@ -292,14 +292,16 @@
 	 *
 	 * @param notReadyMillis how long a node that reports itself as not ready still admits
 	 * calls, so that callers can switch to other nodes
+	 * @param acceptAllMillis how long a node accepts requests that could outlast its
+	 * process
 	 * @param timeoutMillis maximum time until the process ends
 	 */
-	public record ShutdownSettings(long notReadyMillis, long timeoutMillis) {
+	public record ShutdownSettings(long notReadyMillis, long acceptAllMillis, long timeoutMillis) {
 
 		/**
 		 * Waits for requests in flight as long as the longest timeout of a route.
 		 */
-		public static final ShutdownSettings DEFAULT = new ShutdownSettings(0, 30_000);
+		public static final ShutdownSettings DEFAULT = new ShutdownSettings(0, 0, 30_000);
 
 		/**
 		 * Fraction of the grace period in which callers can detect that the node is not
@@ -307,6 +309,12 @@
 		 */
 		private static final double NOT_READY_FRACTION = 0.4;
 
+		/**
+		 * Fraction of the grace period in which requests are accepted whatever their
+		 * deadline. Later ones must end before the process does.
+		 */
+		private static final double ACCEPT_ALL_FRACTION = 0.5;
+
 		/**
 		 * Fraction of the grace period after which the process ends, even with requests
 		 * in flight.
@@ -320,7 +328,7 @@
 		 */
 		public static ShutdownSettings forGracePeriod(long gracePeriodMillis) {
 			return new ShutdownSettings((long) (gracePeriodMillis * NOT_READY_FRACTION),
-					(long) (gracePeriodMillis * TIMEOUT_FRACTION));
+					(long) (gracePeriodMillis * ACCEPT_ALL_FRACTION), (long) (gracePeriodMillis * TIMEOUT_FRACTION));
 		}
 
 	}
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -101,7 +101,6 @@
 			.registration(registration.orElse(null))
 			.retryBurst(settings.calls().retryBurst())
 			.connectWaitMillis(CONNECT_WAIT_MILLIS)
-			.drainTimeoutMillis(Math.max(0, settings.shutdown().timeoutMillis() - settings.shutdown().notReadyMillis()))
 			.clock(this.clock)
 			.random(random)
 			.announcer(this.distribution::announce)
@@ -136,7 +135,7 @@
 	@Override
 	public void reportNotReady() {
 		this.shuttingDown = true;
-		this.proxy.leave();
+		this.proxy.leave(this.settings.shutdown().acceptAllMillis(), this.settings.shutdown().timeoutMillis());
 		this.distribution.detachChildren();
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/CallerApi.java
+++ b/node/src/main/java/io/lavenderroad/node/CallerApi.java
@@ -64,6 +64,8 @@
 
 	private final AtomicLong bodyBytes = new AtomicLong();
 
+	private volatile StopSchedule stopSchedule = StopSchedule.NEVER;
+
 	private volatile boolean stopping;
 
 	CallerApi(NodeComponents components, MeshView view, CallDialect dialect, CallRouter router, NodeMetrics metrics) {
@@ -88,6 +90,14 @@
 		}
 	}
 
+	/**
+	 * Refuses new calls from now on that could outlast the process.
+	 * @param schedule end of the process
+	 */
+	void stopAt(StopSchedule schedule) {
+		this.stopSchedule = schedule;
+	}
+
 	/**
 	 * Refuses new calls from now on.
 	 */
@@ -234,6 +244,9 @@
 		}
 		long now = this.clock.millis();
 		long deadline = now + Math.min(terms.deadlineMillis().orElse(rules.timeoutMillis()), rules.timeoutMillis());
+		if (!this.stopSchedule.accepts(now, deadline)) {
+			return Either.left(refusal(HttpStatus.UNAVAILABLE, "node stops before the deadline of the request"));
+		}
 		int budget = Math.min(terms.attemptBudget().orElse(DEFAULT_ATTEMPT_BUDGET), rules.maximumAttempts() - 1);
 		return Either.right(new RoutedCall(terms.requestId(), target.service(), rules, request.method(),
 				request.target(), request.headers().endToEnd(this.dialect::forwards).pairs(), request.body(),
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -108,6 +108,8 @@
 
 	private final AtomicBoolean closed = new AtomicBoolean();
 
+	private volatile StopSchedule stopSchedule = StopSchedule.NEVER;
+
 	/**
 	 * Guards the evidence that has been recorded but not yet returned or evaluated.
 	 */
@@ -232,18 +234,26 @@
 	}
 
 	/**
-	 * Asks callers to switch to another node: each connection is closed after its next
-	 * answer. New requests are still served.
+	 * Begins a stop and asks callers to switch to another node: each connection is closed
+	 * after its next answer. New requests are still served, at first all of them, then
+	 * those whose deadline is before the end of the process.
+	 * @param acceptAllMillis time from now for which all requests are accepted
+	 * @param endMillis time from now after which {@link #close()} no longer waits for
+	 * calls in flight
 	 */
-	public void leave() {
+	public void leave(long acceptAllMillis, long endMillis) {
+		long now = this.clock.millis();
+		this.stopSchedule = new StopSchedule(now + acceptAllMillis, now + endMillis);
+		this.callerApi.stopAt(this.stopSchedule);
 		this.callerListener.leave();
 	}
 
 	/**
 	 * Stops gracefully: drains, waits for the calls in flight at the backend server,
 	 * transfers the idempotency keys to other nodes, then stops accepting callers and
-	 * waits for their calls. The drain timeout limits all waits together. The frame
-	 * server must be closed after this, because it carries the answers.
+	 * waits for their calls. All waits together end at the end of the process that was
+	 * stated when the stop began, otherwise after the drain timeout. The frame server
+	 * must be closed after this, because it carries the answers.
 	 */
 	@Override
 	public void close() {
@@ -251,8 +261,9 @@
 			return;
 		}
 		drain();
-		long end = this.clock.millis() + this.drainTimeoutMillis;
-		this.admission.awaitIdle(this.drainTimeoutMillis);
+		long end = (this.stopSchedule != StopSchedule.NEVER) ? this.stopSchedule.endMillis()
+				: this.clock.millis() + this.drainTimeoutMillis;
+		this.admission.awaitIdle(Math.max(0, end - this.clock.millis()));
 		boolean served = awaitZero(this.callServer::inFlight, end);
 		if (this.dialect.supportsIdempotencyKeys() && !this.keys.transferRecords()) {
 			Logger.warn("node: Could not transfer all idempotency keys to other nodes.");
@@ -261,8 +272,8 @@
 		// API, so it stops last.
 		this.callerApi.stop();
 		if (!awaitZero(this.callerListener::unansweredRequests, end) || !served) {
-			Logger.warn("node: Stopping with calls still in flight after the drain timeout of {} ms.",
-					this.drainTimeoutMillis);
+			Logger.warn("node: Stopping with calls still in flight; {} answers to callers are not written.",
+					this.callerListener.unansweredRequests());
 		}
 		stop();
 	}
