Remember deregistrations of backend servers, known or not

Cause: the deregistration of an unknown backend server was ignored, and any three superseded announcements with time between them counted as a sign of life. Change: EndedStarts keeps each deregistration by id and start, or by the time of day for 30 s if no start is stated. Superseded announcements count only once they arrive more than 30 s after the current one. Cost: a possible entry of another writer keeps a backend server out for 30 s, was 5 s.

--- a/core/src/main/java/io/lavenderroad/core/Clock.java
+++ b/core/src/main/java/io/lavenderroad/core/Clock.java
@@ -24,4 +24,13 @@
 		return () -> startMillis + (System.nanoTime() - startNanos) / 1_000_000;
 	}
 
+	/**
+	 * Returns the time of day of the machine, which may be set forward or back. It is
+	 * only for comparison with times that another process on the machine states.
+	 * @return the clock
+	 */
+	static Clock timeOfDay() {
+		return System::currentTimeMillis;
+	}
+
 }
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -162,7 +162,7 @@
 
 	private BackendRegistration registration(BackendSettings backend) {
 		long announcementTimeoutMillis = (long) MAXIMUM_MISSED_ANNOUNCEMENTS * backend.announceIntervalMillis();
-		return new BackendRegistration(this.clock, backend.service(), announcementTimeoutMillis,
+		return new BackendRegistration(this.clock, Clock.timeOfDay(), backend.service(), announcementTimeoutMillis,
 				this.distribution::announce);
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/BackendAnnouncement.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendAnnouncement.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.node;
 
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Announcement of a backend server about itself.
@@ -17,12 +18,41 @@
 public record BackendAnnouncement(String backendId, long startedMillis, long sequence, String service, String version,
 		int slots, boolean leaving, long remainingColdMillis) {
 
+	/**
+	 * Difference by which the time of day may have been set since a start.
+	 */
+	static final long MAXIMUM_CLOCK_STEP_MILLIS = 60_000;
+
+	/**
+	 * Sequence numbers need not begin with 1 or be consecutive.
+	 */
+	private static final long MAXIMUM_SEQUENCE_AT_START = 1_000_000;
+
+	private static final long MINIMUM_INTERVAL_MILLIS = 1;
+
 	public BackendAnnouncement {
 		Objects.requireNonNull(backendId, "backendId");
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(version, "version");
 	}
 
+	/**
+	 * Returns why the announcement cannot be from a backend server on this VM: its start
+	 * is in the future, or its sequence number is beyond what it can have sent since.
+	 * @param timeOfDayMillis time of day of this VM, milliseconds since the epoch
+	 * @return the reason, or empty if the announcement is possible
+	 */
+	Optional<String> implausibility(long timeOfDayMillis) {
+		if (this.startedMillis > timeOfDayMillis + MAXIMUM_CLOCK_STEP_MILLIS) {
+			return Optional.of("start " + this.startedMillis + " is in the future");
+		}
+		long age = Math.max(0, timeOfDayMillis - this.startedMillis);
+		if (this.sequence > MAXIMUM_SEQUENCE_AT_START + age / MINIMUM_INTERVAL_MILLIS) {
+			return Optional.of("sequence number " + this.sequence + " is too large for a start " + age + " ms ago");
+		}
+		return Optional.empty();
+	}
+
 	/**
 	 * Returns whether this announcement supersedes another one: the later start wins, and
 	 * within one start the larger sequence number.
--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -15,8 +15,9 @@
  * A local backend server that registers itself by announcements. It gets no requests
  * before its first announcement, nor after it has announced that it is leaving; leaving
  * takes effect immediately and is final until the backend server starts again. Late
- * announcements of earlier starts are ignored, unless they continue while the current
- * ones have stopped. The lock guards all fields.
+ * announcements of earlier starts are ignored, unless they continue for long after the
+ * current ones have stopped. A deregistration ends a start for good, also if this node
+ * did not know the backend server. The lock guards all fields.
  */
 public final class BackendRegistration implements LocalBackend {
 
@@ -26,8 +27,15 @@
 	 */
 	private static final int TIMEOUT_TO_MINIMUM_GAP = 8;
 
+	/**
+	 * How late an announcement may arrive, for example after a partition.
+	 */
+	static final long MAXIMUM_DELAY_MILLIS = 30_000;
+
 	private final Clock clock;
 
+	private final Clock timeOfDay;
+
 	private final String service;
 
 	private final long announcementTimeoutMillis;
@@ -38,6 +46,8 @@
 
 	private final SupersededAnnouncements superseded;
 
+	private final EndedStarts ended;
+
 	private Runnable onLeaving = () -> {
 	};
 
@@ -61,68 +71,105 @@
 	/**
 	 * Creates a registration without a backend server.
 	 * @param clock source of time
+	 * @param timeOfDay time of day, by which backend servers state their start
 	 * @param service service that the local backend server must serve
 	 * @param announcementTimeoutMillis time without an announcement after which the
 	 * backend server gets no new requests
 	 * @param announcer publishes the backend server to the mesh
 	 */
-	public BackendRegistration(Clock clock, String service, long announcementTimeoutMillis, Announcer announcer) {
+	public BackendRegistration(Clock clock, Clock timeOfDay, String service, long announcementTimeoutMillis,
+			Announcer announcer) {
 		this.clock = clock;
+		this.timeOfDay = timeOfDay;
 		this.service = service;
 		this.announcementTimeoutMillis = announcementTimeoutMillis;
 		this.announcer = announcer;
-		this.superseded = new SupersededAnnouncements(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP);
+		this.superseded = new SupersededAnnouncements(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP,
+				MAXIMUM_DELAY_MILLIS);
+		this.ended = new EndedStarts(clock, timeOfDay, MAXIMUM_DELAY_MILLIS);
 	}
 
 	/**
 	 * Applies an announcement. It has taken effect when this method returns.
 	 * @param announcement the announcement
+	 * @return the reason if the announcement is refused, because no backend server on
+	 * this VM can have sent it
 	 */
-	public void announce(BackendAnnouncement announcement) {
+	public Optional<String> announce(BackendAnnouncement announcement) {
+		Optional<String> refusalReason = announcement.implausibility(this.timeOfDay.millis());
+		if (refusalReason.isPresent()) {
+			Logger.warn("node: Refused announcement {} of {}: {}.", announcement.sequence(), announcement.backendId(),
+					refusalReason.get());
+			return refusalReason;
+		}
 		this.lock.lock();
 		try {
-			if (!announcement.service().equals(this.service)) {
-				Logger.warn("node: Ignored an announcement of {} for service {}; this node serves {}.",
-						announcement.backendId(), announcement.service(), this.service);
-				return;
-			}
-			if (this.current != null && !announcement.replaces(this.current)) {
-				Logger.info("node: Ignored announcement {} of {} started at {}; superseded by {} of {} started at {}.",
-						announcement.sequence(), announcement.backendId(), announcement.startedMillis(),
-						this.current.sequence(), this.current.backendId(), this.current.startedMillis());
-				if (!this.superseded.record(announcement, this.clock.millis())) {
-					return;
-				}
-				Logger.warn("node: Discarded announcement {} of {} started at {}; {} started at {} goes on announcing.",
-						this.current.sequence(), this.current.backendId(), this.current.startedMillis(),
-						announcement.backendId(), announcement.startedMillis());
-				this.current = null;
-			}
-			this.superseded.reset();
-			apply(announcement);
+			applyNewer(announcement);
+			return Optional.empty();
 		}
 		finally {
 			this.lock.unlock();
 		}
 	}
 
+	private void applyNewer(BackendAnnouncement announcement) {
+		if (!announcement.service().equals(this.service)) {
+			Logger.warn("node: Ignored an announcement of {} for service {}; this node serves {}.",
+					announcement.backendId(), announcement.service(), this.service);
+			return;
+		}
+		if (this.ended.contains(announcement)) {
+			Logger.info("node: Ignored announcement {} of {} started at {}; that start has deregistered.",
+					announcement.sequence(), announcement.backendId(), announcement.startedMillis());
+			return;
+		}
+		if (this.current != null && !announcement.replaces(this.current) && !outlives(announcement)) {
+			return;
+		}
+		this.superseded.reset();
+		apply(announcement);
+	}
+
+	private boolean outlives(BackendAnnouncement announcement) {
+		Logger.info("node: Ignored announcement {} of {} started at {}; superseded by {} of {} started at {}.",
+				announcement.sequence(), announcement.backendId(), announcement.startedMillis(),
+				this.current.sequence(), this.current.backendId(), this.current.startedMillis());
+		if (!this.superseded.record(announcement, this.clock.millis(), this.lastAnnouncementMillis)) {
+			return false;
+		}
+		Logger.warn("node: Discarded announcement {} of {} started at {}; {} started at {} goes on announcing.",
+				this.current.sequence(), this.current.backendId(), this.current.startedMillis(),
+				announcement.backendId(), announcement.startedMillis());
+		this.current = null;
+		return true;
+	}
+
 	/**
-	 * Deregisters a backend server at its own request.
+	 * Deregisters a backend server at its own request. The start that it ends is not
+	 * registered again, whether or not it was registered.
 	 * @param backendId id of the backend server
 	 * @param startedMillis start of the backend server in milliseconds since the epoch,
 	 * if stated
 	 */
 	public void deregister(String backendId, OptionalLong startedMillis) {
+		long latestStartMillis = this.timeOfDay.millis() + BackendAnnouncement.MAXIMUM_CLOCK_STEP_MILLIS;
+		if (startedMillis.isPresent() && startedMillis.getAsLong() > latestStartMillis) {
+			Logger.warn("node: Ignored the deregistration of {}; its start {} is in the future.", backendId,
+					startedMillis.getAsLong());
+			return;
+		}
 		this.lock.lock();
 		try {
 			boolean registered = this.current != null && this.current.backendId().equals(backendId)
 					&& startedMillis.orElse(this.current.startedMillis()) >= this.current.startedMillis();
 			if (!registered) {
-				Logger.info("node: Ignored the deregistration of {}; it is not the registered backend server.",
+				Logger.info("node: Recorded the deregistration of {}; it is not the registered backend server.",
 						backendId);
+				this.ended.record(backendId, startedMillis);
 				return;
 			}
 			Logger.info("node: Backend server {} has deregistered.", backendId);
+			this.ended.record(backendId, OptionalLong.of(startedMillis.orElse(this.current.startedMillis())));
 			this.deregistered = true;
 			publish();
 		}
--- a/node/src/main/java/io/lavenderroad/node/SupersededAnnouncements.java
+++ b/node/src/main/java/io/lavenderroad/node/SupersededAnnouncements.java
@@ -3,9 +3,9 @@
 /**
  * Detects that the current announcement cannot be from the running backend server: an
  * announcement by another writer, with a start or sequence number beyond those of the
- * backend server, supersedes all later ones of the backend server itself. A backend
- * server announces itself regularly, whereas delayed announcements arrive together or
- * beside those that supersede them.
+ * backend server, supersedes all later ones of the backend server itself. Only
+ * announcements that arrive so long after the current one that they cannot have been sent
+ * before it are evidence. Earlier ones may be delayed, however many there are.
  */
 final class SupersededAnnouncements {
 
@@ -16,6 +16,8 @@
 
 	private final long minimumGapMillis;
 
+	private final long maximumDelayMillis;
+
 	private BackendAnnouncement last;
 
 	private long lastMillis;
@@ -26,18 +28,24 @@
 	 * Creates a detector.
 	 * @param minimumGapMillis minimum time between two announcements that count; shorter
 	 * than the time between the announcements of a backend server
+	 * @param maximumDelayMillis how late an announcement may arrive
 	 */
-	SupersededAnnouncements(long minimumGapMillis) {
+	SupersededAnnouncements(long minimumGapMillis, long maximumDelayMillis) {
 		this.minimumGapMillis = minimumGapMillis;
+		this.maximumDelayMillis = maximumDelayMillis;
 	}
 
 	/**
 	 * Records a superseded announcement.
 	 * @param announcement the announcement
 	 * @param now milliseconds of the clock
+	 * @param currentMillis arrival of the current announcement
 	 * @return true if its sender must be the running backend server
 	 */
-	boolean record(BackendAnnouncement announcement, long now) {
+	boolean record(BackendAnnouncement announcement, long now, long currentMillis) {
+		if (now - currentMillis <= this.maximumDelayMillis) {
+			return false;
+		}
 		if (this.last == null || !isSameStart(announcement)) {
 			start(announcement, now);
 		}
--- a/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
+++ b/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
@@ -20,6 +20,8 @@
 
 	private long nowMillis;
 
+	private long timeOfDayMillis;
+
 	private Endpoint published;
 
 	private BackendRegistration registration;
@@ -27,10 +29,11 @@
 	@BeforeMethod
 	void start() {
 		this.nowMillis = 50_000;
+		this.timeOfDayMillis = 50_000;
 		this.published = new Endpoint("node-1", 1, 0, EndpointState.DRAINING, "catalogue", "", "gauteng", "germiston",
 				"127.0.0.1:1", 1, 100, "");
-		this.registration = new BackendRegistration(() -> this.nowMillis, "catalogue", 6_000,
-				(change) -> this.published = change.apply(this.published));
+		this.registration = new BackendRegistration(() -> this.nowMillis, () -> this.timeOfDayMillis, "catalogue",
+				6_000, (change) -> this.published = change.apply(this.published));
 	}
 
 	@Test
@@ -102,6 +105,93 @@
 		Assert.assertFalse(this.registration.serves("catalogue", "v1"), "delayed ones beside newer ones");
 	}
 
+	/**
+	 * Guards against the same delayed announcements after the backend server has stopped
+	 * announcing itself: their number says nothing.
+	 */
+	@Test
+	public void delayedAnnouncementsAloneDoNotUndoThatABackendServerLeaves() {
+		this.registration.announce(announcement("i-1", 10, 9, true));
+		announceRegularly(1, 8);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+	}
+
+	/**
+	 * Guards against a restarted node that acknowledges the deregistration of a backend
+	 * server which it does not know yet, and registers it again by a delayed
+	 * announcement.
+	 */
+	@Test
+	public void deregistrationOfAnUnknownBackendServerEndsItsStart() {
+		this.registration.deregister("i-1", OptionalLong.of(10));
+		announceRegularly(1, 8);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"), "the start that has ended");
+		this.registration.announce(announcement("i-1", 11, 1, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"), "a later start under the same id");
+	}
+
+	@Test
+	public void deregistrationWithoutAStartEndsAllStartsUpToNow() {
+		this.registration.deregister("i-1", OptionalLong.empty());
+		announceRegularly(1, 8);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"), "a start before the deregistration");
+		this.registration.announce(announcement("i-1", 50_001, 1, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"), "a start after it");
+	}
+
+	@Test
+	public void startAfterTheTimeOfDayWasSetBackIsUsedOnceNoDelayedAnnouncementCanArrive() {
+		this.registration.deregister("i-1", OptionalLong.empty());
+		this.timeOfDayMillis -= 5_000;
+		this.registration.announce(announcement("i-1", 46_000, 1, false));
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		this.nowMillis += BackendRegistration.MAXIMUM_DELAY_MILLIS;
+		this.registration.announce(announcement("i-1", 46_000, 2, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+	}
+
+	/**
+	 * Guards against announcements that are late, overtaken by the deregistration, and
+	 * taken for a sign that the backend server goes on.
+	 */
+	@Test
+	public void delayedAnnouncementsAfterADeregistrationChangeNothing() {
+		this.registration.announce(announcement("i-1", 10, 4, false));
+		this.registration.deregister("i-1", OptionalLong.of(10));
+		announceRegularly(1, 3);
+		announceRegularly(5, 40);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		Assert.assertEquals(this.published.state(), EndpointState.DRAINING);
+	}
+
+	@Test
+	public void announcementsThatNoBackendServerOnThisVmCanHaveSentAreRefused() {
+		Assert.assertTrue(this.registration.announce(announcement("i-1", 1L << 50, 1, false)).isPresent());
+		Assert.assertTrue(this.registration.announce(announcement("i-1", 10, 1L << 50, false)).isPresent());
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		this.registration.deregister("i-1", OptionalLong.of(1L << 50));
+		Assert.assertTrue(this.registration.announce(announcement("i-1", 10, 1, false)).isEmpty());
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+	}
+
+	/**
+	 * Guards against an entry by another writer with values that a backend server could
+	 * send, which keeps the running one out for good.
+	 */
+	@Test
+	public void backendServerThatGoesOnAnnouncingOutlivesAPossibleEntryByAnotherWriter() {
+		for (BackendAnnouncement entry : List.of(announcement("i-1", 10, 1_000, true),
+				announcement("i-9", 40_000, 1, false))) {
+			start();
+			announceRegularly(1, 4);
+			this.registration.announce(entry);
+			int delayed = (int) (BackendRegistration.MAXIMUM_DELAY_MILLIS / ANNOUNCEMENT_MILLIS);
+			announceRegularly(5, 4 + delayed + SupersededAnnouncements.MINIMUM_ANNOUNCEMENTS);
+			Assert.assertTrue(this.registration.serves("catalogue", "v1"), entry.toString());
+			Assert.assertEquals(this.registration.backendId(), "i-1");
+		}
+	}
+
 	@Test
 	public void unresponsiveBackendServerGetsNoWorkUntilItsNextAnnouncement() {
 		this.registration.announce(announcement("i-1", 10, 1, false));
