End reader and writer of a caller's connection together

Cause: the reader waited for room in a bounded queue whose only consumer, the writer, had ended; the end mark was dropped if the queue was full. Change: ResponseQueue, which releases either side when the other one ends and cancels what was not written. A draining connection is closed after the last request that was read in place of after the next response. Gauges for open readers, writers and bodies.

--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -157,6 +157,9 @@
 				: null;
 		builder.metricSets.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
+		this.metrics.gauge("caller_connections_reading", this.callerListener::readingConnections);
+		this.metrics.gauge("caller_connections_answering", this.callerListener::answeringConnections);
+		this.metrics.gauge("caller_body_bytes", this.callerListener::bodyBytes);
 		this.metrics.gauge("key_records", store::size);
 		this.metrics.gauge("key_bytes", store::bytes);
 		this.metrics.gauge("heap_bytes", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -8,13 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
+import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import io.lavenderroad.model.CallerLimits;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -63,12 +59,7 @@
 
 	private final Socket socket;
 
-	private final BlockingQueue<PendingResponse> pendingResponses = new LinkedBlockingQueue<>(
-			MAXIMUM_PIPELINED_REQUESTS);
-
-	private final Queue<Cancellation> pendingCancellations = new ConcurrentLinkedQueue<>();
-
-	private final AtomicInteger requestsInProgress = new AtomicInteger();
+	private final ResponseQueue responses = new ResponseQueue(MAXIMUM_PIPELINED_REQUESTS);
 
 	private final SessionInputBufferImpl input;
 
@@ -96,7 +87,7 @@
 	}
 
 	int unansweredRequests() {
-		return this.requestsInProgress.get();
+		return this.responses.size();
 	}
 
 	void close() {
@@ -147,7 +138,7 @@
 				}
 			}
 			catch (SocketTimeoutException ex) {
-				boolean idle = this.requestsInProgress.get() == 0
+				boolean idle = this.responses.size() == 0
 						&& this.listener.clock().millis() - this.lastActivityMillis >= idleTimeout;
 				if (idle) {
 					return false;
@@ -200,12 +191,12 @@
 				body, this.socket.getInetAddress(), this.socket.getLocalAddress(), new Cancellation());
 		boolean http10OrOlder = head.getVersion() != null && head.getVersion().lessEquals(HttpVersion.HTTP_1_0);
 		boolean last = http10OrOlder || headers.closesConnection();
-		this.pendingCancellations.add(request.departure());
-		this.requestsInProgress.incrementAndGet();
 		CompletableFuture<OutgoingResponse> response = new CompletableFuture<>();
+		if (!this.responses.add(new PendingResponse(request.method(), response, last, request.departure()))) {
+			return false;
+		}
 		CompletableFuture<?> predecessor = SAFE_METHODS.contains(request.method()) ? COMPLETED : this.previousResponse;
 		this.previousResponse = response;
-		this.pendingResponses.put(new PendingResponse(request.method(), response, last));
 		Thread.ofVirtual().name("answer request").start(() -> run(request, predecessor, response));
 		return !last;
 	}
@@ -232,11 +223,11 @@
 		Logger.info("node: Rejected a request from caller {} with status {}: {}.", this.socket.getRemoteSocketAddress(),
 				status, reason);
 		byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
-		this.requestsInProgress.incrementAndGet();
 		HeaderFields headers = (status == HttpStatus.SC_SERVICE_UNAVAILABLE)
 				? HeaderFields.of(List.of("Retry-After", MEMORY_RETRY_AFTER_SECONDS)) : HeaderFields.NONE;
 		OutgoingResponse response = new OutgoingResponse(status, headers, body, true);
-		this.pendingResponses.put(new PendingResponse("", CompletableFuture.completedFuture(response), true));
+		this.responses
+			.add(new PendingResponse("", CompletableFuture.completedFuture(response), true, new Cancellation()));
 		return false;
 	}
 
@@ -250,21 +241,20 @@
 	}
 
 	private void endReading() {
-		this.pendingCancellations.forEach(Cancellation::cancel);
+		List<PendingResponse> unwritten = this.responses.endReading();
+		unwritten.forEach((pending) -> pending.departure().cancel());
 		this.listener.remove(this);
-		if (this.requestsInProgress.get() == 0) {
+		if (unwritten.isEmpty()) {
 			close();
 		}
-		this.pendingResponses.offer(PendingResponse.END);
 	}
 
 	private void writeResponses() {
 		try {
 			OutputStream stream = this.socket.getOutputStream();
-			boolean open = true;
-			while (open) {
-				PendingResponse pending = this.pendingResponses.take();
-				open = pending != PendingResponse.END && writeNext(pending, stream);
+			Optional<PendingResponse> next = this.responses.awaitNext();
+			while (next.isPresent() && writeNext(next.get(), stream)) {
+				next = this.responses.awaitNext();
 			}
 		}
 		catch (IOException ex) {
@@ -274,6 +264,7 @@
 			Thread.currentThread().interrupt();
 		}
 		finally {
+			this.responses.close();
 			close();
 			this.listener.removeAnswered(this);
 		}
@@ -281,14 +272,28 @@
 
 	private boolean writeNext(PendingResponse pending, OutputStream stream) throws IOException {
 		OutgoingResponse response = pending.response().join();
-		boolean last = pending.last() || response.close() || this.listener.isDraining();
+		boolean last = isLast(pending, response);
 		write(pending.method(), response, last, stream);
-		this.pendingCancellations.poll();
 		this.lastActivityMillis = this.listener.clock().millis();
-		this.requestsInProgress.decrementAndGet();
+		this.responses.removeWritten();
 		return !last;
 	}
 
+	/**
+	 * Returns whether the connection is closed after a response. While the listener
+	 * drains, requests that were read are still answered, since some of them may run.
+	 * @param pending the response
+	 * @param response its content
+	 * @return true if no further response is written
+	 */
+	private boolean isLast(PendingResponse pending, OutgoingResponse response) {
+		if (pending.last() || response.close()) {
+			this.responses.close();
+			return true;
+		}
+		return this.listener.isDraining() && this.responses.closeIfNoneFollows();
+	}
+
 	private OutgoingResponse handle(IncomingRequest request) {
 		try {
 			return this.listener.handler().handle(request);
@@ -321,17 +326,4 @@
 		this.output.flush(stream);
 	}
 
-	/**
-	 * A response that the writer thread has yet to write.
-	 *
-	 * @param method method of the request
-	 * @param response completed with the response when it is ready
-	 * @param last whether the connection is closed after the response
-	 */
-	private record PendingResponse(String method, CompletableFuture<OutgoingResponse> response, boolean last) {
-
-		private static final PendingResponse END = new PendingResponse("", null, true);
-
-	}
-
 }
--- a/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
@@ -86,8 +86,8 @@
 	}
 
 	/**
-	 * Starts draining: closes each connection after its next response, so that callers
-	 * connect elsewhere. New connections are still accepted.
+	 * Starts draining: closes each connection after the responses to the requests that
+	 * were read, so that callers connect elsewhere. New connections are still accepted.
 	 */
 	public void leave() {
 		this.draining = true;
@@ -124,6 +124,30 @@
 		return this.answering.stream().mapToInt(HttpConnection::unansweredRequests).sum();
 	}
 
+	/**
+	 * Returns the number of connections whose requests are being read.
+	 * @return count
+	 */
+	public int readingConnections() {
+		return this.connections.size();
+	}
+
+	/**
+	 * Returns the number of connections on which responses may still be written.
+	 * @return count
+	 */
+	public int answeringConnections() {
+		return this.answering.size();
+	}
+
+	/**
+	 * Returns the total size of the request bodies that are being read.
+	 * @return the number of bytes
+	 */
+	public long bodyBytes() {
+		return this.bodyMemory.reservedBytes();
+	}
+
 	boolean isDraining() {
 		return this.draining;
 	}
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 import io.lavenderroad.model.CallerLimits;
 import org.testng.Assert;
@@ -35,6 +37,8 @@
 
 	private final List<String> bodies = new CopyOnWriteArrayList<>();
 
+	private final List<Socket> halfClosed = new ArrayList<>();
+
 	private CountDownLatch release;
 
 	private CountDownLatch disconnected;
@@ -109,11 +113,7 @@
 			await(this.release);
 			Assert.assertEquals(this.listener.unansweredRequests(), 1, "the caller has read nothing");
 			Assert.assertTrue(socket.getInputStream().readAllBytes().length > LARGE_BYTES);
-			long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-			while (this.listener.unansweredRequests() > 0 && System.nanoTime() < end) {
-				Thread.onSpinWait();
-			}
-			Assert.assertEquals(this.listener.unansweredRequests(), 0);
+			awaitZero(this.listener::unansweredRequests);
 		}
 	}
 
@@ -134,10 +134,64 @@
 		}
 	}
 
+	/**
+	 * Guards against a closed connection that cuts pipelined requests which already run.
+	 */
+	@Test
+	public void drainingListenerAnswersAllRequestsThatItHasRead() throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n" + "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+					+ "GET /leave-and-release HTTP/1.1\r\nHost: h\r\n\r\n");
+			String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			Assert.assertTrue(answers.contains("/wait "), answers);
+			Assert.assertTrue(answers.contains("/a "), answers);
+			Assert.assertTrue(answers.endsWith("/leave-and-release "), answers);
+			Assert.assertEquals(answers.indexOf("Connection: close"), answers.lastIndexOf("Connection: close"));
+		}
+	}
+
+	/**
+	 * Guards against readers and writers of connections that stay behind, with the
+	 * requests that they hold, until the process runs out of memory.
+	 */
+	@Test
+	public void nothingStaysBehindOfCallersThatLeave() throws Exception {
+		String wait = "GET /depart HTTP/1.1\r\nHost: h\r\n\r\n";
+		List<String> sent = List.of("", "GET / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nab", wait,
+				wait.repeat(17), wait.repeat(64), "GET /a HTTP/1.1\r\nHost: h\r\n\r\n".repeat(40));
+		for (int client = 0; client < 1_001; client++) {
+			Socket socket = connect();
+			send(socket, sent.get(client % sent.size()));
+			switch (client % 3) {
+				case 0 -> socket.shutdownOutput();
+				case 1 -> socket.setSoLinger(true, 0);
+				default -> socket.getOutputStream().flush();
+			}
+			if (client % 3 > 0) {
+				socket.close();
+			}
+			else {
+				this.halfClosed.add(socket);
+			}
+		}
+		this.disconnected.countDown();
+		awaitZero(this.listener::readingConnections);
+		awaitZero(this.listener::answeringConnections);
+		Assert.assertEquals(this.listener.unansweredRequests(), 0);
+		Assert.assertEquals(this.listener.bodyBytes(), 0);
+		for (Socket socket : this.halfClosed) {
+			socket.close();
+		}
+	}
+
 	private OutgoingResponse answer(IncomingRequest request) {
 		switch (request.path()) {
 			case "/wait" -> await(this.release);
 			case "/release" -> this.release.countDown();
+			case "/leave-and-release" -> {
+				this.listener.leave();
+				this.release.countDown();
+			}
 			case "/depart" -> {
 				request.departure().onCancel(this.disconnected::countDown);
 				await(this.disconnected);
@@ -177,6 +231,14 @@
 		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 	}
 
+	private static void awaitZero(IntSupplier count) {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+		while (count.getAsInt() > 0 && System.nanoTime() < end) {
+			Thread.onSpinWait();
+		}
+		Assert.assertEquals(count.getAsInt(), 0);
+	}
+
 	private static void await(CountDownLatch latch) {
 		try {
 			Assert.assertTrue(latch.await(WAIT_SECONDS, TimeUnit.SECONDS));
