Finish a move to the serving version at once, check versions before they commit

Cause: a move from a version to itself wrote one entry of the split over the other, and no version was checked as nodes check it before it was committed. Change: such a move is recorded as done and changes no configuration. All commands replace the configuration through MeshState.replaceConfiguration, which refuses one that nodes would reject before anything else of the command has changed.

--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
@@ -53,9 +53,9 @@
 		if (command.declaredVersion() <= state.declared.version) {
 			return refused(state, "version " + command.declaredVersion() + " is not above " + state.declared.version);
 		}
+		state.replaceConfiguration(
+				state.configuration.next(state.configuration.version() + 1, withVersions(state, command.edit())));
 		command.edit().removedServices().forEach((service) -> endMove(state, service, command.atMillis()));
-		state.configuration = state.configuration.next(state.configuration.version() + 1,
-				withVersions(state, command.edit()));
 		state.declared.replace(command);
 		state.record(new HistoryEntry(state.configuration.version(), command.atMillis(), DECLARATION,
 				String.valueOf(command.declaredVersion()), "", historyLines(command.edit())));
@@ -79,7 +79,12 @@
 		if (newest.isPresent() && !newest.get().status().isFinal()) {
 			return refused(state, "move " + newest.get().id() + " is in progress");
 		}
-		startMove(state, service.get(), from, command);
+		if (from.equals(command.target())) {
+			recordFinishedMove(state, from, command);
+		}
+		else {
+			startMove(state, service.get(), from, command);
+		}
 		return applied(state);
 	}
 
@@ -89,9 +94,9 @@
 			return new CommandOutcome(Kind.STALE, state.configuration.version(),
 					"service " + command.service() + " is gone or has a version");
 		}
+		state.replaceConfiguration(state.configuration.next(state.configuration.version() + 1,
+				List.of(withSingleVersion(service.get(), command.version())), List.of()));
 		state.currentVersions.put(command.service(), command.version());
-		state.configuration = state.configuration.next(state.configuration.version() + 1,
-				List.of(withSingleVersion(service.get(), command.version())), List.of());
 		return applied(state);
 	}
 
@@ -110,18 +115,32 @@
 	}
 
 	private static void startMove(MeshState state, ServiceConfiguration service, String from, BeginMove command) {
-		long version = state.configuration.version() + 1;
-		String id = service.name() + "-" + command.target() + "-" + version;
-		MoveParameters parameters = new MoveParameters(id, from, command.target(),
-				command.atMillis() + command.durationMillis() - reserveMillis(command), ThinEvidence.PROCEED,
-				MoveParameters.DEFAULT_POLICY);
+		MoveParameters parameters = parameters(state, from, command);
 		ServiceConfiguration next = service.toBuilder()
 			.versions(List.of(from, command.target()))
 			.split(Map.of(from, ServiceConfiguration.FULL_SHARE_BASIS_POINTS))
 			.move(parameters)
 			.build();
-		state.configuration = state.configuration.next(version, List.of(next), List.of());
-		state.moves.put(id, MoveState.started(service.name(), parameters, command.atMillis()));
+		state.replaceConfiguration(
+				state.configuration.next(state.configuration.version() + 1, List.of(next), List.of()));
+		state.moves.put(parameters.id(), MoveState.started(service.name(), parameters, command.atMillis()));
+	}
+
+	/**
+	 * Records a move to the version that serves all traffic already. It changes nothing
+	 * and is finished at once.
+	 */
+	private static void recordFinishedMove(MeshState state, String from, BeginMove command) {
+		MoveState started = MoveState.started(command.service(), parameters(state, from, command), command.atMillis());
+		state.endMove(MoveTransitions.finished(started, MoveStatus.DONE, command.atMillis(),
+				"the version serves all traffic already", "", ""));
+	}
+
+	private static MoveParameters parameters(MeshState state, String from, BeginMove command) {
+		String id = command.service() + "-" + command.target() + "-" + (state.configuration.version() + 1);
+		return new MoveParameters(id, from, command.target(),
+				command.atMillis() + command.durationMillis() - reserveMillis(command), ThinEvidence.PROCEED,
+				MoveParameters.DEFAULT_POLICY);
 	}
 
 	// The duration counts from this command, but the operator may have sent the order
--- a/control/src/main/java/io/lavenderroad/control/state/MeshState.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshState.java
@@ -127,6 +127,21 @@
 	 * the moves that ended first are removed first.
 	 * @param move the move
 	 */
+	/**
+	 * Replaces the configuration. Nodes check the same; they would reject an incomplete
+	 * version although its command was acknowledged.
+	 * @param next the next configuration
+	 * @throws IncompleteConfigurationException if nodes would reject it; the state is
+	 * unchanged then
+	 */
+	void replaceConfiguration(MeshConfiguration next) {
+		List<String> problems = next.missingResources();
+		if (!problems.isEmpty()) {
+			throw new IncompleteConfigurationException(String.join("; ", problems));
+		}
+		this.configuration = next;
+	}
+
 	void endMove(MoveState move) {
 		this.moves.remove(move.id());
 		this.moves.put(move.id(), move);
--- a/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
@@ -38,6 +38,7 @@
 import io.lavenderroad.model.rendering.ParameterType;
 import io.lavenderroad.model.rendering.RenderedService;
 import org.msgpack.core.MessagePackException;
+import org.tinylog.Logger;
 
 /**
  * Deterministic, replicated state machine of the mesh. The same commands in the same
@@ -329,6 +330,16 @@
 			return refused(ex.getMessage());
 		}
 		this.state.latestCommandMillis = Math.max(this.state.latestCommandMillis, command.atMillis());
+		try {
+			return applyCommand(command);
+		}
+		catch (IncompleteConfigurationException ex) {
+			Logger.error("control: Refused command {}: {}.", command.getClass().getSimpleName(), ex.getMessage());
+			return refused(ex.getMessage());
+		}
+	}
+
+	private CommandOutcome applyCommand(Command command) {
 		return switch (command) {
 			case ApplyChange apply -> applyChange(apply);
 			case StepMove step -> applyStep(step);
@@ -389,12 +400,12 @@
 
 	private void applyPlan(ApplyChange apply, MeshPlan plan) {
 		Change change = apply.change();
+		Difference difference = Difference.between(this.state.configuration, plan.configuration());
+		this.state.replaceConfiguration(plan.configuration());
 		change.removed().forEach(this.state.documents::remove);
 		this.state.documents.putAll(change.put());
 		apply.removedServices().forEach(this.state.requested::remove);
 		this.state.requested.putAll(apply.services());
-		Difference difference = Difference.between(this.state.configuration, plan.configuration());
-		this.state.configuration = plan.configuration();
 		this.state.lastChangeVersion = version();
 		this.state.lastChangeId = change.changeId();
 		this.state.lastChangeOperator = change.operator();
@@ -425,8 +436,8 @@
 		}
 		MoveState next = MoveTransitions.stepped(move, step.shareBasisPoints(), step.rampComplete(), step.atMillis(),
 				step.reason());
-		this.state.moves.put(next.id(), next);
 		updateSplit(next);
+		this.state.moves.put(next.id(), next);
 		recordMove(next, "", next.parameters().to() + " gets " + ParameterType.percent(next.shareBasisPoints()) + ": "
 				+ step.reason());
 		return new CommandOutcome(Kind.APPLIED, version(), "");
@@ -457,11 +468,11 @@
 	}
 
 	private CommandOutcome finish(MoveState move, String operator) {
+		updateSplit(move);
 		this.state.endMove(move);
 		if (move.status() == MoveStatus.DONE && this.state.currentVersions.containsKey(move.service())) {
 			this.state.currentVersions.put(move.service(), move.parameters().to());
 		}
-		updateSplit(move);
 		recordMove(move, operator, describe(move));
 		return new CommandOutcome(Kind.APPLIED, version(), "");
 	}
@@ -512,7 +523,8 @@
 			.split(split)
 			.move(move.status().isFinal() ? null : move.parameters())
 			.build();
-		this.state.configuration = this.state.configuration.next(version() + 1, List.of(next), Collections.emptyList());
+		this.state
+			.replaceConfiguration(this.state.configuration.next(version() + 1, List.of(next), Collections.emptyList()));
 	}
 
 	private MeshPlan planLocked(long atMillis, String changeId, SortedMap<String, RenderedService> services,
--- a/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
@@ -160,6 +160,24 @@
 				"a resent order must not try a version again that was taken back");
 	}
 
+	/**
+	 * Guards against a split that does not add up, which nodes reject together with every
+	 * later version.
+	 */
+	@Test
+	public void moveToTheVersionThatServesAlreadyIsFinishedAtOnceAndChangesNothing() {
+		MoveOrders orders = new MoveOrders(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
+		this.service.replace(declared(1, 0, "1", route("a", "/a/", "catalogue")));
+		orders.recordInitialVersion("catalogue", "v1");
+		long version = this.mesh.configuration().version();
+		Assert.assertTrue(orders.begin("catalogue", "v1", 12_000).get().applied());
+		MoveState move = orders.newest("catalogue").get().orElseThrow();
+		Assert.assertEquals(move.status(), MoveStatus.DONE);
+		Assert.assertEquals(this.mesh.configuration().version(), version);
+		Assert.assertEquals(this.mesh.configuration().service("catalogue").orElseThrow().split(), Map.of("v1", 10_000));
+		Assert.assertTrue(orders.begin("catalogue", "v2", 12_000).get().applied(), "no move is in progress");
+	}
+
 	@Test
 	public void serviceDeclaredAgainKeepsItsVersion() {
 		MoveOrders orders = new MoveOrders(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
