Pass the request target on byte for byte

Cause: the request class of the HTTP library reads a target as a URI and takes the first segment after two slashes for a host, when reading from callers and when writing to backend servers. Change: RawTargetRequest keeps the target; RequestTarget accepts paths and absolute URIs of the same host and refuses the rest with 400 and a reason. Tests: RequestTargetTests, HttpListenerTests.targetIsHandledAsItWasSent and BackendExchangeTests.targetIsSentAsItIs; with the reading of the library the latter two failed ("expected POST //orders/7/cancel but found POST /7/cancel").

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -20,7 +20,6 @@
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
-import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.tinylog.Logger;
 
 /**
@@ -164,7 +163,7 @@
 	}
 
 	private void write(BackendRequest request) throws IOException, HttpException {
-		BasicClassicHttpRequest head = new BasicClassicHttpRequest(request.method(), request.target());
+		RawTargetRequest head = new RawTargetRequest(request.method(), request.target());
 		request.headers().forEach(head::addHeader);
 		if (request.body().length > 0 || !definesNoContent(request.method())) {
 			head.addHeader("Content-Length", request.body().length);
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.lavenderroad.model.CallerLimits;
+import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
@@ -160,8 +161,8 @@
 		this.socket.setSoTimeout(limits.headerTimeoutMillis());
 		Http1Config config = Http1Config.custom().setMaxHeaderCount(limits.maximumHeaderBytes() / 4).build();
 		try {
-			ClassicHttpRequest head = new DefaultHttpRequestParser(config).parse(this.input,
-					new MessageHeadInputStream(stream, limits.maximumHeaderBytes() + BUFFER_BYTES));
+			ClassicHttpRequest head = new DefaultHttpRequestParser(config, null, RawTargetRequest.FACTORY)
+				.parse(this.input, new MessageHeadInputStream(stream, limits.maximumHeaderBytes() + BUFFER_BYTES));
 			return accept(head, stream, limits);
 		}
 		catch (SocketTimeoutException ex) {
@@ -181,14 +182,20 @@
 
 	private boolean accept(ClassicHttpRequest head, InputStream stream, CallerLimits limits)
 			throws IOException, HttpException, InterruptedException {
+		Either<String, RequestTarget> target = RequestTarget.parse(head.getRequestUri());
+		HeaderFields headers = HeaderFields.ofHeaders(head.getHeaders());
+		if (target.isLeft() || namesOtherHost(target.get(), headers)) {
+			return reject(HttpStatus.SC_BAD_REQUEST,
+					target.isLeft() ? target.getLeft() : "the request target names another host than the Host field");
+		}
 		byte[] body = MessageBody.readRequest(head, this.input, stream, limits.maximumBodyBytes(),
 				this.listener.bodyMemory());
 		if (body == null) {
 			return reject(HttpStatus.SC_REQUEST_TOO_LONG, "the body is over " + limits.maximumBodyBytes() + " bytes");
 		}
-		HeaderFields headers = HeaderFields.ofHeaders(head.getHeaders());
-		IncomingRequest request = new IncomingRequest(head.getMethod(), head.getRequestUri(), withHost(head, headers),
-				body, this.socket.getInetAddress(), this.socket.getLocalAddress(), new Cancellation());
+		IncomingRequest request = new IncomingRequest(head.getMethod(), target.get().path(),
+				withHost(target.get(), headers), body, this.socket.getInetAddress(), this.socket.getLocalAddress(),
+				new Cancellation());
 		boolean http10OrOlder = head.getVersion() != null && head.getVersion().lessEquals(HttpVersion.HTTP_1_0);
 		boolean last = http10OrOlder || headers.closesConnection();
 		CompletableFuture<OutgoingResponse> response = new CompletableFuture<>();
@@ -207,15 +214,19 @@
 		response.complete(handle(request));
 	}
 
-	// The parser removes the host of an absolute request target from the target and
-	// stores it as the authority, apart from the Host field.
-	private static HeaderFields withHost(ClassicHttpRequest head, HeaderFields headers) {
-		if (headers.first("Host").isPresent() || head.getAuthority() == null) {
+	private static boolean namesOtherHost(RequestTarget target, HeaderFields headers) {
+		Optional<String> host = headers.first("Host");
+		return target.authority().isPresent() && host.isPresent()
+				&& !target.authority().get().equalsIgnoreCase(host.get());
+	}
+
+	private static HeaderFields withHost(RequestTarget target, HeaderFields headers) {
+		if (headers.first("Host").isPresent() || target.authority().isEmpty()) {
 			return headers;
 		}
 		List<String> pairs = new ArrayList<>(headers.pairs());
 		pairs.add("Host");
-		pairs.add(head.getAuthority().toString());
+		pairs.add(target.authority().get());
 		return HeaderFields.of(pairs);
 	}
 
--- a/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
@@ -45,6 +45,8 @@
 
 	private volatile String answer;
 
+	private volatile String requestLine;
+
 	@BeforeMethod
 	void start() throws IOException {
 		this.connections.set(0);
@@ -169,6 +171,20 @@
 				BackendFailure.Kind.UNREACHABLE);
 	}
 
+	/**
+	 * Guards against a path whose first segment is read as a host and dropped.
+	 */
+	@Test
+	public void targetIsSentAsItIs() {
+		this.answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+		for (String target : List.of("//orders/7/cancel", "/a//b%2F?c=//d", "///", "/a/../b", "/[:")) {
+			BackendRequest request = new BackendRequest("POST", target, HeaderFields.of(List.of("Host", "h")),
+					new byte[0], (response) -> ResponseMatch.UNNAMED, (response) -> false);
+			Assert.assertTrue(this.exchange.run(request, TIMEOUT_MILLIS, new Cancellation()).isRight());
+			Assert.assertEquals(this.requestLine, "POST " + target + " HTTP/1.1");
+		}
+	}
+
 	private Either<BackendFailure, BackendResponse> run(String id) {
 		return this.exchange.run(request(id), TIMEOUT_MILLIS, new Cancellation());
 	}
@@ -219,7 +235,7 @@
 		}
 	}
 
-	private static boolean readHead(Socket socket) throws IOException {
+	private boolean readHead(Socket socket) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
 			int next = socket.getInputStream().read();
@@ -228,6 +244,7 @@
 			}
 			head.append((char) next);
 		}
+		this.requestLine = head.substring(0, head.indexOf("\r\n"));
 		return true;
 	}
 
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -134,6 +134,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a path whose first segment is read as a host and dropped.
+	 */
+	@Test
+	public void targetIsHandledAsItWasSent() throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, "GET //a/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+			String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			Assert.assertTrue(answer.endsWith("//a/b "), answer);
+		}
+		Assert.assertEquals(status("GET http://other/a HTTP/1.1\r\nHost: h\r\n\r\n"), "400");
+		Assert.assertEquals(status("GET a HTTP/1.1\r\nHost: h\r\n\r\n"), "400");
+		Assert.assertEquals(status("GET http://h/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"), "200");
+	}
+
 	/**
 	 * Guards against a closed connection that cuts pipelined requests which already run.
 	 */
