Limit the trailer fields of a body

Looked for: the report on bytes without end of a faulty backend server. Eleven of twelve manners were given up; continuation lines of a trailer field were kept without limit. Cause: the library checks the length of a field only if a maximum is configured, and only the number of trailer fields was. Change: MessageBody limits a trailer field with its continuation lines to 16 KiB, for responses and requests. Tests: BackendExchangeTests.endlessResponseIsGivenUp failed for this manner alone (24 MiB read, then the deadline of 30 s). responseThatEndsInItsHeadIsAFailure, for the report on answers that end in their head, cuts three heads at every byte; it passed before, too.

--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -22,7 +22,17 @@
 
 	private static final byte[] EMPTY = new byte[0];
 
-	private static final Http1Config TRAILER_LIMITS = Http1Config.custom().setMaxHeaderCount(100).build();
+	private static final int MAXIMUM_TRAILER_FIELDS = 100;
+
+	/**
+	 * Maximum length of a trailer field together with its continuation lines, in bytes.
+	 */
+	private static final int MAXIMUM_TRAILER_FIELD_BYTES = 16 * 1024;
+
+	private static final Http1Config TRAILER_LIMITS = Http1Config.custom()
+		.setMaxHeaderCount(MAXIMUM_TRAILER_FIELDS)
+		.setMaxLineLength(MAXIMUM_TRAILER_FIELD_BYTES)
+		.build();
 
 	private MessageBody() {
 	}
--- a/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
@@ -27,6 +27,11 @@
 
 	private static final long TIMEOUT_MILLIS = 30_000;
 
+	/**
+	 * More than the limits of a response and the buffers of a connection together.
+	 */
+	private static final long MAXIMUM_ENDLESS_BYTES = 24 * 1024 * 1024;
+
 	private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
 
 	private final AtomicInteger connections = new AtomicInteger();
@@ -43,12 +48,17 @@
 
 	private BackendExchange exchange;
 
+	private final AtomicLong endlessBytes = new AtomicLong();
+
 	private volatile String answer;
 
+	private volatile String endlessAnswer;
+
 	private volatile String requestLine;
 
 	@BeforeMethod
 	void start() throws IOException {
+		this.endlessAnswer = "";
 		this.connections.set(0);
 		this.requests.set(0);
 		this.timer = Executors.newSingleThreadScheduledExecutor();
@@ -171,6 +181,45 @@
 				BackendFailure.Kind.UNREACHABLE);
 	}
 
+	/**
+	 * Guards against a response that breaks off in its head and is taken for one without
+	 * a body.
+	 */
+	@Test
+	public void responseThatEndsInItsHeadIsAFailure() {
+		for (String head : List.of("HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: r1\r\n\r\n",
+				"HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+				"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: r1\r\n\r\n")) {
+			for (int length = 0; length < head.length(); length++) {
+				this.answer = head.substring(0, length) + "<close>";
+				Assert.assertTrue(run("r1").isLeft(), this.answer);
+			}
+		}
+	}
+
+	/**
+	 * Guards against a faulty backend server that sends bytes without end, which the node
+	 * keeps until it runs out of memory.
+	 */
+	@Test
+	public void endlessResponseIsGivenUp() {
+		String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+		String field = "Field: " + "x".repeat(1_000) + "\r\n";
+		String folded = " " + "x".repeat(1_000) + "\r\n";
+		for (String[] response : new String[][] { { "", "x".repeat(1_000) }, { "", "\r\n" }, { "HTTP/1.1 2", "0" },
+				{ "HTTP/1.1 200 OK\r\n", field }, { "HTTP/1.1 200 OK\r\nA: b\r\n", folded },
+				{ "", "HTTP/1.1 100 Continue\r\n\r\n" }, { "HTTP/1.1 200 OK\r\n\r\n", field },
+				{ chunked, "400\r\n" + "x".repeat(1_024) + "\r\n" }, { chunked + "1;", "x".repeat(1_000) },
+				{ chunked + "0\r\n", field }, { chunked + "0\r\nA: b\r\n", folded },
+				{ "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n" } }) {
+			this.answer = response[0];
+			this.endlessAnswer = response[1];
+			this.endlessBytes.set(0);
+			Assert.assertTrue(run("r1").isLeft(), response[0] + response[1].trim());
+			Assert.assertTrue(this.endlessBytes.get() < MAXIMUM_ENDLESS_BYTES, response[0] + response[1].trim());
+		}
+	}
+
 	/**
 	 * Guards against a path whose first segment is read as a host and dropped.
 	 */
@@ -228,6 +277,7 @@
 				if (close) {
 					return;
 				}
+				writeEndless(socket);
 			}
 		}
 		catch (IOException ex) {
@@ -235,6 +285,14 @@
 		}
 	}
 
+	private void writeEndless(Socket socket) throws IOException {
+		byte[] repeated = this.endlessAnswer.getBytes(StandardCharsets.ISO_8859_1);
+		while (repeated.length > 0 && this.endlessBytes.get() < MAXIMUM_ENDLESS_BYTES) {
+			socket.getOutputStream().write(repeated);
+			this.endlessBytes.addAndGet(repeated.length);
+		}
+	}
+
 	private boolean readHead(Socket socket) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
