Keep a backend server in use when only a caller has gone

Cause: CallServer took every answer that the backend server had not received for a failed connection: also "caller has gone" and a target without a slash. A connect timeout that the deadline had shortened to some milliseconds counted in the same way. Change: BackendClient reports only a failed connection; a deadline that passes before a connection is open is a failure kind of its own (NOT_CONNECTED), which says nothing about the backend server.

--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -47,9 +47,11 @@
 	 * none
 	 * @param remainingMillis time until the deadline
 	 * @param cancellation ends the exchange early
+	 * @param onUnreachable runs if the backend server accepts no connection
 	 * @return the outcome
 	 */
-	CallAnswer run(CallRequest request, String backendId, long remainingMillis, Cancellation cancellation) {
+	CallAnswer run(CallRequest request, String backendId, long remainingMillis, Cancellation cancellation,
+			Runnable onUnreachable) {
 		if (!request.target().startsWith("/")) {
 			return CallAnswer.notRun(HttpStatus.BAD_REQUEST, "path does not start with a slash");
 		}
@@ -61,7 +63,11 @@
 		HeaderFields fields = this.dialect.backendFields(HeaderFields.of(request.headers()), terms);
 		BackendRequest sent = new BackendRequest(request.method(), request.target(), fields, request.body(),
 				(answer) -> this.dialect.match(fields, answer), this::isNotRun);
-		return this.exchange.run(sent, remainingMillis, cancellation).fold(BackendClient::failure, this::answer);
+		Either<BackendFailure, BackendResponse> response = this.exchange.run(sent, remainingMillis, cancellation);
+		if (response.isLeft() && response.getLeft().kind() == BackendFailure.Kind.UNREACHABLE) {
+			onUnreachable.run();
+		}
+		return response.fold(BackendClient::failure, this::answer);
 	}
 
 	/**
@@ -96,6 +102,7 @@
 		return switch (failure.kind()) {
 			case UNREACHABLE -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, failure.reason())
 				.withAvoidance(Avoidance.ofAllCalls(AVOID_UNREACHABLE_MILLIS));
+			case NOT_CONNECTED -> CallAnswer.notRun(HttpStatus.GATEWAY_TIMEOUT, failure.reason());
 			case OVERDUE -> CallAnswer.mayHaveRun(HttpStatus.GATEWAY_TIMEOUT, failure.reason());
 			case CANCELLED -> CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY, failure.reason());
 			case BROKEN -> CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY,
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -293,10 +293,8 @@
 			if (!this.localBackend.serves(request.service(), request.version())) {
 				return Admission.drainRefusal();
 			}
-			CallAnswer answer = this.backend.run(request, this.localBackend.backendId(), remaining, cancellation);
-			if (!answer.received()) {
-				this.localBackend.unreachable();
-			}
+			CallAnswer answer = this.backend.run(request, this.localBackend.backendId(), remaining, cancellation,
+					this.localBackend::unreachable);
 			// A timeout is a lower bound of the service time; other failures carry no
 			// information on it.
 			if (answer.status() < HttpStatus.INTERNAL_ERROR || answer.status() == HttpStatus.GATEWAY_TIMEOUT) {
--- a/node/src/main/java/io/lavenderroad/node/http/BackendExchange.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendExchange.java
@@ -64,7 +64,11 @@
 			connection = (idle != null) ? idle
 					: this.pool.open((int) Math.clamp(remainingMillis, 1, CONNECT_TIMEOUT_MILLIS));
 		}
-		catch (ConnectException | SocketTimeoutException ex) {
+		catch (SocketTimeoutException ex) {
+			return Either.left((remainingMillis < CONNECT_TIMEOUT_MILLIS) ? BackendFailure.NOT_CONNECTED
+					: BackendFailure.UNREACHABLE);
+		}
+		catch (ConnectException ex) {
 			return Either.left(BackendFailure.UNREACHABLE);
 		}
 		catch (IOException ex) {
--- a/node/src/main/java/io/lavenderroad/node/http/BackendFailure.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendFailure.java
@@ -13,6 +13,9 @@
 	static final BackendFailure UNREACHABLE = new BackendFailure(Kind.UNREACHABLE,
 			"backend server refused the connection");
 
+	static final BackendFailure NOT_CONNECTED = new BackendFailure(Kind.NOT_CONNECTED,
+			"deadline passed before a connection was open");
+
 	static final BackendFailure OVERDUE = new BackendFailure(Kind.OVERDUE,
 			"deadline passed while the call was running");
 
@@ -34,6 +37,12 @@
 		 */
 		UNREACHABLE,
 
+		/**
+		 * The deadline passed before a connection was open, so the request was not sent.
+		 * This says nothing about the backend server.
+		 */
+		NOT_CONNECTED,
+
 		/**
 		 * The response was not complete before the deadline.
 		 */
