Install the handler of SIGHUP before anything else

It was installed after the role had started. Change: ReloadSignal is installed before the settings are read; a signal and a change of the file that come while the role starts are applied after the start. What remains is the time before main runs, in which the Java runtime ends on SIGHUP. Test: ReloadSignalTests. It needs the new class; before, the signal would have ended the process of the tests.

--- a/daemon/src/main/java/io/lavenderroad/daemon/Main.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -90,16 +90,17 @@
 
 	private int runDaemon(String file) {
 		Kernel kernel = Kernel.load();
-		return read(file, kernel).fold(this::report, (settings) -> start(Path.of(file), settings, kernel));
+		SettingsReloader reloader = new SettingsReloader(Path.of(file), kernel);
+		return read(file, kernel).fold(this::report, (settings) -> start(settings, kernel, reloader));
 	}
 
-	private int start(Path file, DaemonSettings settings, Kernel kernel) {
+	private int start(DaemonSettings settings, Kernel kernel, SettingsReloader reloader) {
 		LogConfiguration.apply(settings.log());
 		try {
 			Role role = kernel.find(Role.EXTENSION_POINT, settings.role()).orElseThrow();
 			RunningRole running = role.start(settings, kernel);
 			CountDownLatch stopped = stopOnSignal(running, settings);
-			SettingsReloader.start(file, kernel, running);
+			reloader.start(running);
 			// Logged after the handlers of signals are installed, so that a process that
 			// waits for this line may send signals.
 			Logger.info("daemon: Started {} {} of cluster {} at {}.", settings.role(), settings.id(),
--- a/daemon/src/main/java/io/lavenderroad/daemon/SettingsReloader.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/SettingsReloader.java
@@ -4,12 +4,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 
 import io.lavenderroad.core.kernel.Kernel;
 import org.tinylog.Logger;
-import sun.misc.Signal;
 
 /**
  * Reloads the settings file on SIGHUP and when its content has changed. Invalid settings
@@ -23,31 +20,34 @@
 
 	private final Kernel kernel;
 
-	private final RunningRole running;
+	private final ReloadSignal signal = ReloadSignal.install();
 
-	private final Semaphore reloadSignal = new Semaphore(0);
+	private RunningRole running;
 
 	private byte[] lastContent;
 
-	private SettingsReloader(Path file, Kernel kernel, RunningRole running) {
+	/**
+	 * Creates a reloader, which keeps signals and changes of the file from now on until
+	 * it is started.
+	 * @param file settings file
+	 * @param kernel knows the roles that settings may name
+	 */
+	SettingsReloader(Path file, Kernel kernel) {
 		this.file = file;
 		this.kernel = kernel;
-		this.running = running;
 		this.lastContent = readContent();
 	}
 
-	static void start(Path file, Kernel kernel, RunningRole running) {
-		SettingsReloader reloader = new SettingsReloader(file, kernel, running);
-		Signal.handle(new Signal("HUP"), (received) -> reloader.reloadSignal.release());
-		Thread.ofVirtual().name("settings").start(reloader);
+	void start(RunningRole startedRole) {
+		this.running = startedRole;
+		Thread.ofVirtual().name("settings").start(this);
 	}
 
 	@Override
 	public void run() {
 		try {
 			while (true) {
-				boolean signalled = this.reloadSignal.tryAcquire(POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-				reloadIfChanged(signalled);
+				reloadIfChanged(this.signal.await(POLL_INTERVAL_MILLIS));
 			}
 		}
 		catch (InterruptedException ex) {
