Announce a node with an incarnation above that of its earlier process

Change: a process that gets an announcement with a smaller incarnation than its entry sends the entry back; the node takes an incarnation above it and attaches again, so that its reports count, too. Both use existing messages. Test: RelayTreeTests.nodeThatRestartsWithAnEarlierClockIsUsedAgain, below the root and below a relay; both cases failed without the change (not met in 60 s) and pass.

--- a/distribution/src/main/java/io/lavenderroad/distribution/Children.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/Children.java
@@ -149,7 +149,10 @@
 					this.parent.progressFromSubtree();
 				}
 			}
-			case EndpointUpdate update -> this.parent.endpointsFromSubtree(update.endpoints(), child.hop().id());
+			case EndpointUpdate update -> {
+				this.parent.endpointsFromSubtree(update.endpoints(), child.hop().id());
+				sendNewerIncarnations(child, update.endpoints());
+			}
 			case RegistryRequest request -> child.requested(request.services());
 			case Leaving leaving ->
 				Logger.debug("distribution: Child {} is leaving: {}.", child.hop().id(), leaving.reason());
@@ -158,6 +161,21 @@
 		}
 	}
 
+	// Sends the entries of earlier processes that a child announces with a smaller
+	// incarnation. The clock of the VM was ahead when the earlier process started; the
+	// node has to announce itself with a larger incarnation.
+	private void sendNewerIncarnations(Child child, List<Endpoint> announced) {
+		List<Endpoint> newer = announced.stream()
+			.flatMap((endpoint) -> this.parent.registry()
+				.find(endpoint.nodeId())
+				.filter((present) -> present.incarnation() > endpoint.incarnation())
+				.stream())
+			.toList();
+		if (!newer.isEmpty()) {
+			child.send(new EndpointUpdate(newer));
+		}
+	}
+
 	/**
 	 * Handles a report. Its evidence is added only if the report was not added before.
 	 * @param connection connection of the child
--- a/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/LocalMesh.java
@@ -131,6 +131,20 @@
 		return node;
 	}
 
+	/**
+	 * Creates a node whose clock was behind when it started. It is not started yet.
+	 * @param id id of the node
+	 * @param failureDomain its failure domain
+	 * @param service service of its local backend server
+	 * @param behindMillis by how much its clock was behind
+	 * @return the node
+	 */
+	Node nodeWithClockBehind(String id, String failureDomain, String service, long behindMillis) {
+		Node node = new Node(id, failureDomain, service, nextIncarnation() - behindMillis, seeds(), this.clock);
+		this.nodes.add(node);
+		return node;
+	}
+
 	List<String> seeds() {
 		return this.roots.stream().map((root) -> root.address).toList();
 	}
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -504,6 +504,7 @@
 	}
 
 	private void endpointsFromParent(List<Endpoint> endpoints) {
+		exceedIncarnations(endpoints);
 		List<Endpoint> merged = this.registry.merge(endpoints, false, this.clock.millis());
 		if (!merged.isEmpty()) {
 			this.children.announce(merged, null);
@@ -520,6 +521,28 @@
 		}
 	}
 
+	/**
+	 * Takes an incarnation above that of an earlier process of this node, whose clock was
+	 * ahead, since other processes ignore smaller ones. The node attaches again, because
+	 * its parent counts reports by the incarnation that it attached with.
+	 * @param endpoints entries of the parent
+	 */
+	private void exceedIncarnations(List<Endpoint> endpoints) {
+		Endpoint local = localEndpoint();
+		endpoints.stream()
+			.filter((endpoint) -> endpoint.nodeId().equals(local.nodeId()))
+			.mapToLong(Endpoint::incarnation)
+			.filter((incarnation) -> incarnation > local.incarnation() && incarnation < Long.MAX_VALUE)
+			.max()
+			.ifPresent((incarnation) -> {
+				Logger.warn("distribution: Node {} was known with incarnation {}; its own {} becomes {}.",
+						local.nodeId(), incarnation, local.incarnation(), incarnation + 1);
+				announce((endpoint) -> endpoint.withIncarnation(incarnation + 1), true);
+				this.uplink.session()
+					.ifPresent((session) -> session.connection().close("attaching with a larger incarnation"));
+			});
+	}
+
 	private void compareRegistry(ParentSession session, Map<String, Long> parentDigests) {
 		Map<String, Long> local = this.registry.digests((service) -> true);
 		Set<String> services = new TreeSet<>(local.keySet());
--- a/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
+++ b/distribution/src/test/java/io/lavenderroad/distribution/RelayTreeTests.java
@@ -73,6 +73,29 @@
 		DistributionTests.await(() -> root.distribution().registry().unexpired("a").size() == NODES - 1);
 	}
 
+	/**
+	 * Guards against a node that the others ignore, because its clock was set back since
+	 * its earlier process started.
+	 */
+	@Test(dataProvider = "losses")
+	public void nodeThatRestartsWithAnEarlierClockIsUsedAgain(boolean belowARelay) {
+		Root root = startTree(1);
+		Node old = belowARelay ? this.mesh.nodes()
+			.stream()
+			.filter((node) -> node.distribution().status().path().size() > 1)
+			.findFirst()
+			.orElseThrow() : relay();
+		old.kill();
+		Node next = this.mesh.nodeWithClockBehind(old.id, "d", "a", 5_000).start();
+		DistributionTests.await(() -> root.distribution()
+			.registry()
+			.unexpired("a")
+			.stream()
+			.anyMatch((endpoint) -> endpoint.frameAddress().equals(next.address)));
+		change(3);
+		DistributionTests.await(() -> next.version() == this.configuration.version());
+	}
+
 	@Test
 	public void relayShutdownDetachesNoNode() {
 		this.mesh = new LocalMesh(slowClock()).withRelays();
--- a/model/src/main/java/io/lavenderroad/model/Endpoint.java
+++ b/model/src/main/java/io/lavenderroad/model/Endpoint.java
@@ -6,7 +6,8 @@
  * One announced backend server.
  *
  * @param nodeId id of the node on the VM of the backend server
- * @param incarnation start time of the node process, milliseconds since the epoch
+ * @param incarnation start time of the node process, milliseconds since the epoch, or
+ * more if an earlier process of the node had a larger one
  * @param sequence number of this announcement within the incarnation
  * @param state state of the backend server
  * @param service service that it serves
@@ -99,6 +100,16 @@
 				this.region, this.failureDomain, this.frameAddress, newSlots, this.capacity, this.attachedTo);
 	}
 
+	/**
+	 * Returns a copy of this announcement with another incarnation.
+	 * @param newIncarnation the incarnation
+	 * @return the copy
+	 */
+	public Endpoint withIncarnation(long newIncarnation) {
+		return new Endpoint(this.nodeId, newIncarnation, this.sequence, this.state, this.service, this.version,
+				this.region, this.failureDomain, this.frameAddress, this.slots, this.capacity, this.attachedTo);
+	}
+
 	/**
 	 * Returns the next announcement of the same node.
 	 * @param newState the state
