--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
@@ -126,10 +126,8 @@
 		state.moves.put(parameters.id(), MoveState.started(service.name(), parameters, command.atMillis()));
 	}
 
-	/**
-	 * Records a move to the version that serves all traffic already. It changes nothing
-	 * and is finished at once.
-	 */
+	// Records a move to the version that serves all traffic already. It changes nothing
+	// and is finished at once.
 	private static void recordFinishedMove(MeshState state, String from, BeginMove command) {
 		MoveState started = MoveState.started(command.service(), parameters(state, from, command), command.atMillis());
 		state.endMove(MoveTransitions.finished(started, MoveStatus.DONE, command.atMillis(),
--- a/node/src/main/java/io/lavenderroad/node/http/RawTargetRequest.java
+++ b/node/src/main/java/io/lavenderroad/node/http/RawTargetRequest.java
@@ -36,7 +36,7 @@
 
 	/**
 	 * Creates a request without header fields.
-	 * @param method HTTP method
+	 * @param method method of the request
 	 * @param target request target, sent unchanged
 	 */
 	RawTargetRequest(String method, String target) {
