Read the rest of a rejected request before closing its connection

Cause, traced: the connection was closed right after the response to a rejected request (400, 408, 413, 431, 503). A caller that still sends gets a reset and may lose the response. The race stood there before; load only made it show. Change: after such a response the sending side ends, and what the caller still sends is ignored for up to 2 s until it closes. Other connections close as before.

--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.lavenderroad.model.CallerLimits;
 import io.vavr.control.Either;
@@ -47,6 +49,12 @@
 
 	private static final int BUFFER_BYTES = 4 * 1024;
 
+	/**
+	 * How long the rest of a rejected request is read and ignored. A connection that is
+	 * closed with unread bytes is reset, and its caller may lose the response.
+	 */
+	private static final long LINGER_MILLIS = 2_000;
+
 	/**
 	 * Value of {@code Retry-After} if a request body exceeds the common memory budget.
 	 */
@@ -72,6 +80,10 @@
 	 */
 	private CompletableFuture<OutgoingResponse> previousResponse = COMPLETED;
 
+	private final CountDownLatch readerEnded = new CountDownLatch(1);
+
+	private volatile boolean rejected;
+
 	private volatile long lastActivityMillis;
 
 	HttpConnection(HttpListener listener, Socket socket) {
@@ -237,6 +249,7 @@
 		HeaderFields headers = (status == HttpStatus.SC_SERVICE_UNAVAILABLE)
 				? HeaderFields.of(List.of("Retry-After", MEMORY_RETRY_AFTER_SECONDS)) : HeaderFields.NONE;
 		OutgoingResponse response = new OutgoingResponse(status, headers, body, true);
+		this.rejected = true;
 		this.responses
 			.add(new PendingResponse("", CompletableFuture.completedFuture(response), true, new Cancellation()));
 		return false;
@@ -255,6 +268,7 @@
 		List<PendingResponse> unwritten = this.responses.endReading();
 		unwritten.forEach((pending) -> pending.departure().cancel());
 		this.listener.remove(this);
+		this.readerEnded.countDown();
 		if (unwritten.isEmpty()) {
 			close();
 		}
@@ -267,6 +281,9 @@
 			while (next.isPresent() && writeNext(next.get(), stream)) {
 				next = this.responses.awaitNext();
 			}
+			if (this.rejected) {
+				linger();
+			}
 		}
 		catch (IOException ex) {
 			Logger.debug("node: Writing a response to a caller failed: {}.", ex.getMessage());
@@ -281,6 +298,13 @@
 		}
 	}
 
+	private void linger() throws IOException, InterruptedException {
+		this.socket.shutdownOutput();
+		if (!this.readerEnded.await(LINGER_MILLIS, TimeUnit.MILLISECONDS)) {
+			Logger.debug("node: Caller {} still sends a rejected request.", this.socket.getRemoteSocketAddress());
+		}
+	}
+
 	private boolean writeNext(PendingResponse pending, OutputStream stream) throws IOException {
 		OutgoingResponse response = pending.response().join();
 		boolean last = isLast(pending, response);
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -106,6 +106,28 @@
 		Assert.assertEquals(this.bodies, List.of());
 	}
 
+	/**
+	 * Guards against a reset in place of the response, if a caller still sends the
+	 * request that was rejected.
+	 */
+	@Test
+	public void callerThatStillSendsGetsTheResponseToItsRejectedRequest() throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+			BufferedReader reader = new BufferedReader(
+					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+			Assert.assertTrue(reader.readLine().contains(" 413 "));
+			for (int block = 0; block < 100; block++) {
+				send(socket, "x".repeat(10_000));
+			}
+			String last = "";
+			for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+				last = line;
+			}
+			Assert.assertEquals(last, "the body is over 1000 bytes");
+		}
+	}
+
 	@Test
 	public void requestCountsAsUnansweredUntilItsResponseIsWritten() throws Exception {
 		try (Socket socket = connect()) {
