--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -64,7 +64,7 @@
 	private static final long SHUTDOWN_TIMEOUT_MILLIS = 5_000;
 
 	/**
-	 * Share of the shutdown timeout for leaving the group. It covers an election.
+	 * Part of the shutdown timeout for leaving the group. It covers an election.
 	 */
 	private static final long LEAVE_TIMEOUT_MILLIS = 3_000;
 
--- a/node/src/main/java/io/lavenderroad/node/BackendAnnouncement.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendAnnouncement.java
@@ -19,9 +19,9 @@
 		int slots, boolean leaving, long remainingColdMillis) {
 
 	/**
-	 * Difference by which the time of day may have been set since a start.
+	 * One day: the time of day may be set back after a backend server has started.
 	 */
-	static final long MAXIMUM_CLOCK_STEP_MILLIS = 60_000;
+	static final long MAXIMUM_CLOCK_STEP_MILLIS = 24 * 60 * 60 * 1_000;
 
 	/**
 	 * Sequence numbers need not begin with 1 or be consecutive.
