Refuse answers with a line that HTTP does not allow

A line that begins with a blank went into the field before it; if it was the line of the length, the body was read to the end of the connection. Cause: the line reader and the parser of the HTTP library are lenient by design. A line may end with a line feed alone, may hold control bytes, and is joined to the line before it if it begins with white space. Each reader of the product inherits that. Ruled out: the parser of fields alone cannot mend it, as it gets lines already joined. Change: StrictLineBuffer takes the place of the library's buffer where answers of backend servers are read (heads, interim heads, chunk framing, trailers). Evidence: BrokenResponseTests.responseWithALineThatIsNoFieldIsAFailure, with a stand-in that sends each form, failed on with 36 of 64 answers accepted; none since. Sound forms pass before and after.

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -15,10 +15,8 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
-import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
-import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
 import org.tinylog.Logger;
 
@@ -66,8 +64,7 @@
 
 	private final OutputStream outputStream;
 
-	private final SessionInputBufferImpl input = new SessionInputBufferImpl(new BasicHttpTransportMetrics(),
-			BUFFER_BYTES, BUFFER_BYTES, MAXIMUM_LINE_BYTES, StandardCharsets.ISO_8859_1.newDecoder());
+	private final StrictLineBuffer input = new StrictLineBuffer(BUFFER_BYTES, MAXIMUM_LINE_BYTES);
 
 	private final SessionOutputBufferImpl output = new SessionOutputBufferImpl(BUFFER_BYTES,
 			StandardCharsets.ISO_8859_1.newEncoder());
--- /dev/null
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -0,0 +1,182 @@
+package io.lavenderroad.node.http;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import io.vavr.control.Either;
+import org.testng.Assert;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a response whose head or framing is malformed and that is passed on as a
+ * complete response, with a body that the backend server did not send as such. The
+ * stand-in of the backend server sends each response as it is written here and ends its
+ * side of the connection, so that a body without a length ends, too.
+ */
+public class BrokenResponseTests {
+
+	private static final long TIMEOUT_MILLIS = 10_000;
+
+	private static final int MAXIMUM_BODY_BYTES = 64 * 1024;
+
+	private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+
+	private static final String FIELDS = "Server: stand-in\r\nSignature: 3e1b\r\n";
+
+	private static final String BODY = "twelve bytes";
+
+	private static final String LENGTH = "Content-Length: 12\r\n";
+
+	private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+
+	private ScheduledExecutorService timer;
+
+	private ServerSocket server;
+
+	private volatile String answer;
+
+	@BeforeMethod
+	void start() throws IOException {
+		this.timer = Executors.newSingleThreadScheduledExecutor();
+		this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+		Thread.ofVirtual().start(this::accept);
+	}
+
+	@AfterMethod
+	void stop() throws IOException {
+		this.server.close();
+		this.timer.shutdownNow();
+	}
+
+	@Test
+	public void soundResponsesArePassedOn() {
+		for (String head : List.of(STATUS_LINE + FIELDS + LENGTH, STATUS_LINE + LENGTH + FIELDS,
+				"HTTP/1.0 200 OK\r\n" + LENGTH, "HTTP/1.1 200 \r\n" + LENGTH, STATUS_LINE + "content-length:12\r\n",
+				STATUS_LINE + "CONTENT-LENGTH: \t 12 \t\r\n", STATUS_LINE + "Content-Length: 0012\r\n",
+				"HTTP/1.1 200 all\tfine \u00e4\r\n" + LENGTH, STATUS_LINE + "!#$%&'*+-.^_`|~09azAZ: \"\u00ff\"\t;\r\n",
+				STATUS_LINE + "Empty:\r\nBlank: \t\r\n" + LENGTH, STATUS_LINE, STATUS_LINE + FIELDS,
+				"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + STATUS_LINE + LENGTH)) {
+			assertSound(head + "\r\n" + BODY);
+		}
+		for (String body : List.of("c\r\n" + BODY + "\r\n0\r\n\r\n", "000C\r\n" + BODY + "\r\n00\r\n\r\n",
+				"6;a=b\r\ntwelve\r\n6 ;\tc=\"d;e\"\r\n bytes\r\n0;f\r\nTrailer: kept\r\n\r\n")) {
+			assertSound(STATUS_LINE + CHUNKED + "\r\n" + body);
+			assertSound(STATUS_LINE + "transfer-encoding: Chunked\r\n\r\n" + body);
+		}
+	}
+
+	/**
+	 * Guards against a line that is dropped or joined to another field although it is no
+	 * field, which hides the field of the length.
+	 */
+	@Test
+	public void responseWithALineThatIsNoFieldIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		for (String line : List.of("no field", ": value", " : value", " Content-Length: 12", "\tContent-Length: 12",
+				" folded", "\tfolded", " ", "\t", "Name", "\u0000", "Name: a\u0000b", "Name: a\rb", "Name: a\r",
+				"\rName: a", "Name: a\u0007", "Name: a\u007f", "Name: a\u000bb", "Name: \u001b[0m",
+				"HTTP/1.1 200 OK")) {
+			addIfAccepted(accepted, STATUS_LINE + FIELDS + line + "\r\n" + LENGTH + "\r\n" + BODY);
+			addIfAccepted(accepted, STATUS_LINE + line + "\r\n" + FIELDS + LENGTH + "\r\n" + BODY);
+			addIfAccepted(accepted, STATUS_LINE + FIELDS + LENGTH + line + "\r\n\r\n" + BODY);
+		}
+		for (String head : List.of("HTTP/1.1 200 OK\n" + LENGTH + "\r\n",
+				STATUS_LINE + FIELDS + "Content-Length: 12\n" + "Last: a\r\n\r\n", STATUS_LINE + LENGTH + "\n",
+				STATUS_LINE + LENGTH + "\r\r\n")) {
+			addIfAccepted(accepted, head + BODY);
+		}
+		assertNone(accepted);
+	}
+
+	private void assertSound(String response) {
+		Either<BackendFailure, BackendResponse> outcome = run(response);
+		Assert.assertTrue(outcome.isRight(), response + " failed: " + outcome);
+		Assert.assertEquals(outcome.get().status(), 200, response);
+		Assert.assertEquals(new String(outcome.get().body(), StandardCharsets.ISO_8859_1), BODY, response);
+	}
+
+	private void addIfAccepted(List<String> accepted, String response) {
+		Either<BackendFailure, BackendResponse> outcome = run(response);
+		if (outcome.isRight() || outcome.getLeft().kind() != BackendFailure.Kind.BROKEN) {
+			accepted.add(printable(response) + " gave " + outcome.map(BackendResponse::status));
+		}
+	}
+
+	private static void assertNone(List<String> accepted) {
+		Assert.assertTrue(accepted.isEmpty(),
+				accepted.size() + " responses were accepted:\n" + String.join("\n", accepted));
+	}
+
+	private Either<BackendFailure, BackendResponse> run(String response) {
+		this.answer = response;
+		BackendRequest request = new BackendRequest("GET", "/", HeaderFields.of(List.of("Host", "h")), new byte[0],
+				(headers) -> ResponseMatch.UNNAMED, (refusal) -> false);
+		// Each response has a connection of its own, as the stand-in ends it.
+		BackendPool pool = new BackendPool(
+				new InetSocketAddress(this.server.getInetAddress(), this.server.getLocalPort()), () -> 0);
+		try {
+			return new BackendExchange(pool, this.timer, MAXIMUM_BODY_BYTES, KeepAlive::millis).run(request,
+					TIMEOUT_MILLIS, new Cancellation());
+		}
+		finally {
+			pool.close();
+		}
+	}
+
+	private static String printable(String response) {
+		StringBuilder printable = new StringBuilder();
+		for (char character : response.toCharArray()) {
+			boolean visible = character >= ' ' && character < '\u007f';
+			printable.append(visible ? String.valueOf(character) : String.format("\\x%02x", (int) character));
+		}
+		return printable.toString();
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try {
+				Socket socket = this.server.accept();
+				Thread.ofVirtual().start(() -> serve(socket));
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			readHead(socket);
+			OutputStream output = socket.getOutputStream();
+			output.write(this.answer.getBytes(StandardCharsets.ISO_8859_1));
+			socket.shutdownOutput();
+			socket.getInputStream().read();
+		}
+		catch (IOException ex) {
+			// The exchange has closed the connection.
+		}
+	}
+
+	private static void readHead(Socket socket) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = socket.getInputStream().read();
+			if (next < 0) {
+				return;
+			}
+			head.append((char) next);
+		}
+	}
+
+}
