Refuse answers with a field name that is no token

Cause: the parser of the library takes everything before the colon as the name, but for white space at its ends. Change: StrictLineParser accepts only tokens (RFC 9110, section 5.6.2) and is used for final and interim heads of backend servers.

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
@@ -214,13 +215,18 @@
 
 	private ClassicHttpResponse readHead() throws IOException, HttpException {
 		MessageHeadInputStream stream = new MessageHeadInputStream(this.inputStream, MAXIMUM_HEAD_BYTES);
-		ClassicHttpResponse head = new DefaultHttpResponseParser().parse(this.input, stream);
+		ClassicHttpResponse head = parseHead(stream);
 		while (head.getCode() < HttpStatus.SC_SUCCESS) {
-			head = new DefaultHttpResponseParser().parse(this.input, stream);
+			head = parseHead(stream);
 		}
 		return head;
 	}
 
+	private ClassicHttpResponse parseHead(MessageHeadInputStream stream) throws IOException, HttpException {
+		return new DefaultHttpResponseParser(Http1Config.DEFAULT, StrictLineParser.INSTANCE, null).parse(this.input,
+				stream);
+	}
+
 	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int maximumBytes,
 			BodyMemoryBudget memory) throws IOException, HttpException {
 		int status = head.getCode();
--- a/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -30,6 +30,8 @@
 
 	private static final int MAXIMUM_BODY_BYTES = 64 * 1024;
 
+	private static final int HIGHEST_BYTE = 0xff;
+
 	private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 
 	private static final String FIELDS = "Server: stand-in\r\nSignature: 3e1b\r\n";
@@ -40,6 +42,8 @@
 
 	private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
 
+	private static final String TOKEN_SEPARATORS = "\"(),/:;<=>?@[\\]{}";
+
 	private ScheduledExecutorService timer;
 
 	private ServerSocket server;
@@ -99,6 +103,28 @@
 		assertNone(accepted);
 	}
 
+	/**
+	 * Guards against names with blanks, control bytes or separators: such a line is
+	 * passed on, or hides the length of the body.
+	 */
+	@Test
+	public void responseWithAMalformedFieldNameIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		for (char character = 0; character <= HIGHEST_BYTE; character++) {
+			boolean separator = TOKEN_SEPARATORS.indexOf(character) >= 0 && character != ':';
+			if (character <= ' ' || character >= '\u007f' || separator) {
+				for (String name : List.of(character + "Name", "Na" + character + "me", "Name" + character)) {
+					addIfAccepted(accepted, STATUS_LINE + FIELDS + name + ": value\r\n" + LENGTH + "\r\n" + BODY);
+				}
+				for (String name : List.of("Content" + character + "Length", "Content-Length" + character)) {
+					addIfAccepted(accepted, STATUS_LINE + FIELDS + name + ": 2\r\n\r\n" + BODY);
+				}
+			}
+		}
+		addIfAccepted(accepted, "HTTP/1.1 100 Continue\r\nNa me: value\r\n\r\n" + STATUS_LINE + LENGTH + "\r\n" + BODY);
+		assertNone(accepted);
+	}
+
 	private void assertSound(String response) {
 		Either<BackendFailure, BackendResponse> outcome = run(response);
 		Assert.assertTrue(outcome.isRight(), response + " failed: " + outcome);
