Refuse messages whose length is malformed or stated twice

Cause: the library reads the length with a parser of signed numbers and lets a transfer coding go before a length. Change: MessageLength takes digits alone, one statement of the length and no other coding than chunked, and none in HTTP/1.0; it judges the heads of all answers, also those that have no body. Evidence: BrokenResponseTests.responseWithAMalformedLengthIsAFailure failed on with 9 of 45 answers accepted; HttpListenerTests.requestWithAMalformedLengthIsRejected failed with 200 for "+2". Lists, letters, overflows and two equal lengths were refused before, too.

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -223,8 +223,11 @@
 	}
 
 	private ClassicHttpResponse parseHead(MessageHeadInputStream stream) throws IOException, HttpException {
-		return new DefaultHttpResponseParser(Http1Config.DEFAULT, StrictLineParser.INSTANCE, null).parse(this.input,
-				stream);
+		ClassicHttpResponse head = new DefaultHttpResponseParser(Http1Config.DEFAULT, StrictLineParser.INSTANCE, null)
+			.parse(this.input, stream);
+		// A malformed length is an error also where the response has no body.
+		MessageLength.of(head);
+		return head;
 	}
 
 	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int maximumBytes,
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -8,7 +8,6 @@
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
 import org.apache.hc.core5.http.impl.io.IdentityInputStream;
@@ -50,7 +49,7 @@
 	 */
 	static byte[] readRequest(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int maximumBytes,
 			BodyMemoryBudget memory) throws IOException, HttpException {
-		long length = DefaultContentLengthStrategy.INSTANCE.determineLength(head);
+		long length = MessageLength.of(head);
 		if (length == ContentLengthStrategy.UNDEFINED) {
 			return EMPTY;
 		}
@@ -70,8 +69,7 @@
 	 */
 	static byte[] readResponse(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int maximumBytes,
 			BodyMemoryBudget memory) throws IOException, HttpException {
-		return readBounded(DefaultContentLengthStrategy.INSTANCE.determineLength(head), buffer, stream, maximumBytes,
-				memory);
+		return readBounded(MessageLength.of(head), buffer, stream, maximumBytes, memory);
 	}
 
 	/**
@@ -81,7 +79,7 @@
 	 * @throws HttpException if the message framing is malformed
 	 */
 	static boolean isFramed(HttpMessage head) throws HttpException {
-		return DefaultContentLengthStrategy.INSTANCE.determineLength(head) != ContentLengthStrategy.UNDEFINED;
+		return MessageLength.of(head) != ContentLengthStrategy.UNDEFINED;
 	}
 
 	/**
--- a/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -80,6 +80,34 @@
 		}
 	}
 
+	/**
+	 * Guards against a length that is read although it is none, or read in another way
+	 * than another recipient does.
+	 */
+	@Test
+	public void responseWithAMalformedLengthIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		for (String value : List.of("", "+12", "-12", "+0", "-0", "- 12", "0x0c", "0xc", "1 2", "12 12", "12,", ",12",
+				"12,12", "12, 12", "12, 13", "12.0", "1e1", "12;", "\"12\"", "12\u00a0", "\u00b2", "x", "12a", "a12",
+				"9223372036854775808", "18446744073709551628", "1".repeat(100))) {
+			addIfAccepted(accepted, STATUS_LINE + "Content-Length: " + value + "\r\n" + FIELDS + "\r\n" + BODY);
+		}
+		for (String length : List.of(LENGTH + LENGTH, LENGTH + "Content-Length: 2\r\n", LENGTH + CHUNKED,
+				CHUNKED + LENGTH, CHUNKED + CHUNKED, "Transfer-Encoding:\r\n", "Transfer-Encoding: identity\r\n",
+				"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+				"Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked;a=b\r\n",
+				"Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+				"Transfer-Encoding: \"chunked\"\r\n")) {
+			addIfAccepted(accepted, STATUS_LINE + length + FIELDS + "\r\nc\r\n" + BODY + "\r\n0\r\n\r\n");
+		}
+		addIfAccepted(accepted, "HTTP/1.0 200 OK\r\n" + CHUNKED + "\r\nc\r\n" + BODY + "\r\n0\r\n\r\n");
+		for (String start : List.of("HTTP/1.1 204 No Content\r\n", "HTTP/1.1 304 Not Modified\r\n",
+				"HTTP/1.1 100 Continue\r\nContent-Length: +0\r\n\r\nHTTP/1.1 204 No Content\r\n")) {
+			addIfAccepted(accepted, start + "Content-Length: -0\r\n\r\n");
+		}
+		assertNone(accepted);
+	}
+
 	/**
 	 * Guards against a line that is dropped or joined to another field although it is no
 	 * field, which hides the field of the length.
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -106,6 +106,22 @@
 		Assert.assertEquals(this.bodies, List.of());
 	}
 
+	/**
+	 * Guards against a request that the node and a proxy in front of it delimit in
+	 * different ways.
+	 */
+	@Test
+	public void requestWithAMalformedLengthIsRejected() throws IOException {
+		String chunked = "Transfer-Encoding: chunked\r\n";
+		for (String fields : List.of("Content-Length: +2\r\n", "Content-Length: -0\r\n", "Content-Length: 2,2\r\n",
+				"Content-Length: 2\r\nContent-Length: 2\r\n", "Content-Length: 2\r\n" + chunked, chunked + chunked,
+				"Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip, chunked\r\n")) {
+			Assert.assertEquals(status("POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n2\r\nab\r\n0\r\n\r\n"), "400",
+					fields);
+		}
+		Assert.assertEquals(this.bodies, List.of());
+	}
+
 	/**
 	 * Guards against a reset in place of the response, if a caller still sends the
 	 * request that was rejected.
