Refuse answers with a malformed status line

Beside it an answer with a status over 599 ended the caller's connection without any answer, and 15 forms of the status line that RFC 9112 does not have (other separators or versions, control bytes, an empty line before it) came as a complete 200. Cause: the library parses the line leniently and lets any number of up to three digits pass; the status is refused only when the answer is written to the caller.

--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -59,6 +59,11 @@
 	 */
 	private static final int MAXIMUM_REFUSALS = 32;
 
+	/**
+	 * A response begins with its status line, without empty lines before it.
+	 */
+	private static final Http1Config HEAD_RULES = Http1Config.custom().setMaxEmptyLineCount(1).build();
+
 	private final SocketChannel channel;
 
 	private final InputStream inputStream;
@@ -223,7 +228,7 @@
 	}
 
 	private ClassicHttpResponse parseHead(MessageHeadInputStream stream) throws IOException, HttpException {
-		ClassicHttpResponse head = new DefaultHttpResponseParser(Http1Config.DEFAULT, StrictLineParser.INSTANCE, null)
+		ClassicHttpResponse head = new DefaultHttpResponseParser(HEAD_RULES, StrictLineParser.INSTANCE, null)
 			.parse(this.input, stream);
 		// A malformed length is an error also where the response has no body.
 		MessageLength.of(head);
--- a/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -153,6 +153,29 @@
 		assertNone(accepted);
 	}
 
+	@Test
+	public void responseWithAStatusThatIsNoneIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		for (String status : List.of("000", "001", "099", "0", "00", "0200", "20", "2000", "600", "999", "-200", "+200",
+				"20x", "2 0", "x", "\u00b200")) {
+			addIfAccepted(accepted, "HTTP/1.1 " + status + " OK\r\n" + LENGTH + "\r\n" + BODY);
+		}
+		assertNone(accepted);
+	}
+
+	@Test
+	public void responseWithAMalformedStatusLineIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		for (String line : List.of("HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200",
+				"HTTP/1.1 200OK", " HTTP/1.1 200 OK", "http/1.1 200 OK", "HTTP/1 200 OK", "HTTP/1. 200 OK",
+				"HTTP/1.10 200 OK", "HTTP/01.1 200 OK", "HTTP/2.0 200 OK", "HTTP/3 200 OK", "HTTP/0.9 200 OK",
+				"HTTP 1.1 200 OK", "HTTP/1.1 200 O\u0000K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\u007fK",
+				"XHTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK", "200 OK")) {
+			addIfAccepted(accepted, line + "\r\n" + LENGTH + "\r\n" + BODY);
+		}
+		assertNone(accepted);
+	}
+
 	private void assertSound(String response) {
 		Either<BackendFailure, BackendResponse> outcome = run(response);
 		Assert.assertTrue(outcome.isRight(), response + " failed: " + outcome);
