Test malformed answers through two nodes

Cause: the tests of single forms read answers where a node meets its backend server; what a caller gets over its own node was not asked. Change: the stand-in of a backend server sends any bytes as its answer (raw=RESPONSE), and NodeProxyTests.malformedAnswerOfABackendServerReachesNoCaller sends 16 heads over the node of the server and that of the caller. No change of the product.

--- a/bench/src/main/java/io/lavenderroad/bench/backend/StandInBackend.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/StandInBackend.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -36,8 +37,9 @@
  * connection is closed. {@code GET /health}, {@code GET /load} and {@code GET /record}
  * report its state; {@code POST /script?name=value} changes its behaviour. The request
  * header {@code Stand-In} selects the behaviour for one request: {@code error},
- * {@code truncate}, {@code drop}, {@code no-length}, {@code chunked}, {@code shed} or
- * {@code sleep=MILLIS}.
+ * {@code truncate}, {@code drop}, {@code no-length}, {@code chunked}, {@code shed},
+ * {@code sleep=MILLIS}, or {@code raw=RESPONSE}, which sends the percent-encoded bytes as
+ * the whole response and closes the connection.
  */
 public final class StandInBackend implements AutoCloseable {
 
@@ -53,6 +55,8 @@
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
+	private static final String RAW_SCRIPT = "raw=";
+
 	private final String name;
 
 	private final ServerSocket server;
@@ -340,6 +344,11 @@
 			socket.getOutputStream().write(body);
 			return false;
 		}
+		if (script.startsWith(RAW_SCRIPT)) {
+			String response = URLDecoder.decode(script.substring(RAW_SCRIPT.length()), StandardCharsets.ISO_8859_1);
+			socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+			return false;
+		}
 		if (script.equals("chunked")) {
 			OutputStream output = socket.getOutputStream();
 			output.write(head(STATUS_OK, headers(request), "Transfer-Encoding: chunked"));
--- a/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
+++ b/bench/src/test/java/io/lavenderroad/bench/backend/NodeProxyTests.java
@@ -5,12 +5,14 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
+import java.net.URLEncoder;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -108,6 +110,44 @@
 		Assert.assertEquals(chunked.statusCode(), 200);
 	}
 
+	/**
+	 * Guards against a malformed answer of a backend server that reaches the caller, over
+	 * the node of that server and that of the caller, as a complete answer or not at all.
+	 */
+	@Test
+	public void malformedAnswerOfABackendServerReachesNoCaller() throws Exception {
+		String statusLine = "HTTP/1.1 200 OK\r\n";
+		String length = "Content-Length: 4\r\n";
+		List<String> wrong = new ArrayList<>();
+		for (String head : List.of(statusLine + "Content-Length: +4\r\n", statusLine + "Content-Length: 4, 4\r\n",
+				statusLine + "Signature: a\r\n Content-Length: 4\r\n", statusLine + "Content Length: 4\r\n",
+				statusLine + "Content-Length\u0001: 4\r\n", statusLine + "no field\r\n" + length,
+				statusLine + "Signa ture: a\r\n" + length, statusLine + "Signa\u0000ture: a\r\n" + length,
+				statusLine + "Signature\u007f: a\r\n" + length, statusLine + "Signature: \u0000\r\n" + length,
+				statusLine + length + "Transfer-Encoding: chunked\r\n", "HTTP/1.1 000 OK\r\n" + length,
+				"HTTP/1.1 600 OK\r\n" + length, "HTTP/1.1 999 OK\r\n" + length, "HTTP/2.0 200 OK\r\n" + length,
+				"HTTP/1.1 100 Continue\r\nSigna ture: a\r\n\r\n" + statusLine + length)) {
+			String script = "raw=" + URLEncoder.encode(head + "\r\nbody", StandardCharsets.ISO_8859_1);
+			String outcome = outcome(Map.of("Stand-In", script));
+			if (!outcome.equals("502 may-have-run")) {
+				wrong.add(script + " gave " + outcome);
+			}
+		}
+		Assert.assertTrue(wrong.isEmpty(), String.join("\n", wrong));
+		String sound = URLEncoder.encode(statusLine + length + "\r\nbody", StandardCharsets.ISO_8859_1);
+		Assert.assertEquals(outcome(Map.of("Stand-In", "raw=" + sound)), "200 ran");
+	}
+
+	private String outcome(Map<String, String> headers) throws InterruptedException {
+		try {
+			HttpResponse<String> response = send("POST", "/orders", "text", headers);
+			return response.statusCode() + " " + header(response, "Mesh-Verdict");
+		}
+		catch (IOException ex) {
+			return "no answer: " + ex.getMessage();
+		}
+	}
+
 	/**
 	 * Guards against requests that a stopping node accepts late in its grace period and
 	 * cuts without an answer when the process ends.
