Refuse bodies with malformed chunk framing

Cause: the decoder of the library parses the size as a signed number, trims it, and takes the end of the stream for the end of a line and of the trailer section. Change: ChunkedBodyInputStream takes sizes of hexadecimal digits alone, checks the trailer section with the parser of the heads, and ends only after the last empty line. Requests use it, too: such a request gets 400; before, one that the library refused was closed without an answer. Ruled out: the decoder of the library cannot be told to be strict, and its parsing has no place where a subclass could be.

--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -20,6 +20,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -187,7 +188,7 @@
 		catch (BodyMemoryExhaustedException ex) {
 			return reject(HttpStatus.SC_SERVICE_UNAVAILABLE, ex.getMessage());
 		}
-		catch (HttpException ex) {
+		catch (HttpException | MalformedChunkCodingException ex) {
 			return reject(HttpStatus.SC_BAD_REQUEST, "the request cannot be read: " + ex.getMessage());
 		}
 	}
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -7,8 +7,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
 import org.apache.hc.core5.http.impl.io.IdentityInputStream;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
@@ -21,18 +19,6 @@
 
 	private static final byte[] EMPTY = new byte[0];
 
-	private static final int MAXIMUM_TRAILER_FIELDS = 100;
-
-	/**
-	 * Maximum length of a trailer field together with its continuation lines, in bytes.
-	 */
-	private static final int MAXIMUM_TRAILER_FIELD_BYTES = 16 * 1024;
-
-	private static final Http1Config TRAILER_LIMITS = Http1Config.custom()
-		.setMaxHeaderCount(MAXIMUM_TRAILER_FIELDS)
-		.setMaxLineLength(MAXIMUM_TRAILER_FIELD_BYTES)
-		.build();
-
 	private MessageBody() {
 	}
 
@@ -106,7 +92,7 @@
 
 	private static InputStream decoded(long length, SessionInputBuffer buffer, InputStream stream) {
 		if (length == ContentLengthStrategy.CHUNKED) {
-			return new ChunkedInputStream(buffer, stream, TRAILER_LIMITS);
+			return new ChunkedBodyInputStream(buffer, stream);
 		}
 		return (length >= 0) ? new ContentLengthInputStream(buffer, stream, length)
 				: new IdentityInputStream(buffer, stream);
--- a/node/src/main/java/io/lavenderroad/node/http/MessageHeadInputStream.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageHeadInputStream.java
@@ -8,9 +8,10 @@
 import org.apache.hc.core5.http.MessageConstraintException;
 
 /**
- * Input stream of a message head (start line and header fields). The parser treats the
- * end of the stream as the end of the head, so a truncated head would look complete, and
- * it does not limit the size of a head. This stream turns both into errors.
+ * Input stream of a message head (start line and header fields) or of a trailer section.
+ * The parser treats the end of the stream as the end of the fields, so a truncated head
+ * would look complete, and it does not limit the size of a head. This stream turns both
+ * into errors.
  */
 final class MessageHeadInputStream extends FilterInputStream {
 
@@ -40,11 +41,11 @@
 
 	private int check(int result, int count) throws IOException {
 		if (result < 0) {
-			throw new EOFException("the connection ended before the end of the head");
+			throw new EOFException("the connection ended before the end of the fields");
 		}
 		this.remainingBytes -= count;
 		if (this.remainingBytes < 0) {
-			throw new MessageConstraintException("the head is too large");
+			throw new MessageConstraintException("the fields are too large");
 		}
 		return result;
 	}
--- a/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -176,6 +176,24 @@
 		assertNone(accepted);
 	}
 
+	@Test
+	public void responseWithMalformedChunksIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		String last = "\r\n0\r\n\r\n";
+		for (String size : List.of("", "+c", "-c", " c", "c ", "\tc", "0xc", "c,", "c c", "\"c\"", "g", ";a=b",
+				"c\u0000", "c;a\u0000", "c;a\rb", "1000000000000000c", "8000000000000000", "f".repeat(40))) {
+			addIfAccepted(accepted, STATUS_LINE + CHUNKED + "\r\n" + size + "\r\n" + BODY + last);
+		}
+		for (String end : List.of("", "0\r\n\r\n", "\n0\r\n\r\n", "\r\n", "\r\n0", "\r\n0\r", "\r\n0\r\n",
+				"\r\n0\r\n\r", "\r\n0\n\r\n", "\r\n0\r\n\n", "\r\n-0\r\n\r\n", "\r\n+0\r\n\r\n", "\r\n 0\r\n\r\n",
+				"x\r\n0\r\n\r\n", "\r\n0\r\nno field\r\n\r\n", "\r\n0\r\nNa me: a\r\n\r\n",
+				"\r\n0\r\nName: a\r\n folded\r\n\r\n", "\r\n0\r\nName: a\u0000\r\n\r\n", "\r\n0\r\nName: a",
+				"\r\n0\r\nName: a\r\n")) {
+			addIfAccepted(accepted, STATUS_LINE + CHUNKED + "\r\nc\r\n" + BODY + end);
+		}
+		assertNone(accepted);
+	}
+
 	private void assertSound(String response) {
 		Either<BackendFailure, BackendResponse> outcome = run(response);
 		Assert.assertTrue(outcome.isRight(), response + " failed: " + outcome);
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -122,6 +122,16 @@
 		Assert.assertEquals(this.bodies, List.of());
 	}
 
+	@Test
+	public void requestWithMalformedChunksIsRejected() throws IOException {
+		String head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+		for (String body : List.of("+2\r\nab\r\n0\r\n\r\n", " 2\r\nab\r\n0\r\n\r\n", "2\r\nab\r\n-0\r\n\r\n",
+				"2\r\nabc\r\n0\r\n\r\n", "0x2\r\nab\r\n0\r\n\r\n", "2\r\nab\r\n0\r\nNa me: a\r\n\r\n")) {
+			Assert.assertEquals(status(head + body), "400", body);
+		}
+		Assert.assertEquals(this.bodies, List.of());
+	}
+
 	/**
 	 * Guards against a reset in place of the response, if a caller still sends the
 	 * request that was rejected.
