Move the strict reader of HTTP to core

BackendConnection uses it; MessageBody keeps the memory budget. No change of behaviour. Evidence: BrokenResponseTests, BackendExchangeTests, EndlessBytesTests, HttpListenerTests and BackendClientTests pass unchanged.

--- a/node/src/main/java/io/lavenderroad/node/http/HttpGrammar.java
+++ b/core/src/main/java/io/lavenderroad/core/http/HttpGrammar.java
@@ -1,4 +1,4 @@
-package io.lavenderroad.node.http;
+package io.lavenderroad.core.http;
 
 /**
  * Character classes of HTTP messages (RFC 9110, section 5).
--- a/node/src/main/java/io/lavenderroad/node/http/MalformedLineException.java
+++ b/core/src/main/java/io/lavenderroad/core/http/MalformedLineException.java
@@ -1,11 +1,11 @@
-package io.lavenderroad.node.http;
+package io.lavenderroad.core.http;
 
 import java.io.IOException;
 
 /**
  * Thrown when a line of a message has a form that HTTP/1.1 does not allow.
  */
-final class MalformedLineException extends IOException {
+public final class MalformedLineException extends IOException {
 
 	private static final long serialVersionUID = 1;
 
--- a/node/src/main/java/io/lavenderroad/node/http/MessageHeadInputStream.java
+++ b/core/src/main/java/io/lavenderroad/core/http/MessageHeadInputStream.java
@@ -1,4 +1,4 @@
-package io.lavenderroad.node.http;
+package io.lavenderroad.core.http;
 
 import java.io.EOFException;
 import java.io.FilterInputStream;
@@ -13,7 +13,7 @@
  * would look complete, and it does not limit the size of a head. This stream turns both
  * into errors.
  */
-final class MessageHeadInputStream extends FilterInputStream {
+public final class MessageHeadInputStream extends FilterInputStream {
 
 	private long remainingBytes;
 
@@ -23,7 +23,7 @@
 	 * @param maximumBytes maximum number of bytes to read, including bytes beyond the
 	 * head that are buffered
 	 */
-	MessageHeadInputStream(InputStream stream, long maximumBytes) {
+	public MessageHeadInputStream(InputStream stream, long maximumBytes) {
 		super(stream);
 		this.remainingBytes = maximumBytes;
 	}
--- a/node/src/main/java/io/lavenderroad/node/http/MessageLength.java
+++ b/core/src/main/java/io/lavenderroad/core/http/MessageLength.java
@@ -1,4 +1,4 @@
-package io.lavenderroad.node.http;
+package io.lavenderroad.core.http;
 
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
@@ -13,7 +13,7 @@
  * strategy of the library accepts a sign before the digits, and a length beside a
  * transfer coding; two recipients may then disagree on where the message ends.
  */
-final class MessageLength {
+public final class MessageLength {
 
 	private static final String CHUNKED = "chunked";
 
@@ -28,7 +28,7 @@
 	 * @throws ProtocolException if the head states a length that is malformed or
 	 * ambiguous, or another transfer coding than {@code chunked}
 	 */
-	static long of(HttpMessage head) throws ProtocolException {
+	public static long of(HttpMessage head) throws ProtocolException {
 		Header[] codings = head.getHeaders(HttpHeaders.TRANSFER_ENCODING);
 		Header[] lengths = head.getHeaders(HttpHeaders.CONTENT_LENGTH);
 		if (codings.length + lengths.length > 1) {
--- a/node/src/main/java/io/lavenderroad/node/http/StrictLineBuffer.java
+++ b/core/src/main/java/io/lavenderroad/core/http/StrictLineBuffer.java
@@ -1,4 +1,4 @@
-package io.lavenderroad.node.http;
+package io.lavenderroad.core.http;
 
 import java.io.EOFException;
 import java.io.IOException;
--- a/node/src/main/java/io/lavenderroad/node/http/StrictLineParser.java
+++ b/core/src/main/java/io/lavenderroad/core/http/StrictLineParser.java
@@ -1,4 +1,4 @@
-package io.lavenderroad.node.http;
+package io.lavenderroad.core.http;
 
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -1,7 +1,6 @@
 package io.lavenderroad.node.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -11,13 +10,11 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.lavenderroad.core.http.ResponseReader;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
-import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
 import org.tinylog.Logger;
 
@@ -38,16 +35,6 @@
 
 	private static final int BUFFER_BYTES = 4 * 1024;
 
-	/**
-	 * Maximum size of a response head, including the interim responses before it.
-	 */
-	private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
-
-	/**
-	 * Maximum length of a line of a head, of chunk framing or of trailers.
-	 */
-	private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
-
 	/**
 	 * Maximum number of responses to other requests that are dropped before the exchange
 	 * fails.
@@ -59,18 +46,11 @@
 	 */
 	private static final int MAXIMUM_REFUSALS = 32;
 
-	/**
-	 * A response begins with its status line, without empty lines before it.
-	 */
-	private static final Http1Config HEAD_RULES = Http1Config.custom().setMaxEmptyLineCount(1).build();
-
 	private final SocketChannel channel;
 
-	private final InputStream inputStream;
-
 	private final OutputStream outputStream;
 
-	private final StrictLineBuffer input = new StrictLineBuffer(BUFFER_BYTES, MAXIMUM_LINE_BYTES);
+	private final ResponseReader reader;
 
 	private final SessionOutputBufferImpl output = new SessionOutputBufferImpl(BUFFER_BYTES,
 			StandardCharsets.ISO_8859_1.newEncoder());
@@ -83,7 +63,7 @@
 
 	private BackendConnection(SocketChannel channel) throws IOException {
 		this.channel = channel;
-		this.inputStream = channel.socket().getInputStream();
+		this.reader = new ResponseReader(channel.socket().getInputStream());
 		this.outputStream = channel.socket().getOutputStream();
 	}
 
@@ -115,7 +95,7 @@
 			write(request);
 			BackendResponse response = read(request, maximumBytes, memory);
 			this.notReusable = !response.framed() || response.headers().closesConnection()
-					|| this.input.hasBufferedData() || isUnsafeAfter(request, response);
+					|| this.reader.hasBufferedData() || isUnsafeAfter(request, response);
 			return response;
 		}
 		catch (HttpException ex) {
@@ -183,7 +163,7 @@
 	private BackendResponse read(BackendRequest request, int maximumBytes, BodyMemoryBudget memory)
 			throws IOException, HttpException {
 		for (int mismatched = 0; mismatched <= MAXIMUM_MISMATCHED_RESPONSES; mismatched++) {
-			ClassicHttpResponse head = readHead();
+			ClassicHttpResponse head = this.reader.readHead();
 			HeaderFields headers = HeaderFields.ofHeaders(head.getHeaders());
 			BackendResponse response = readBody(request.method(), head, headers, maximumBytes, memory);
 			if (belongsTo(request, headers)) {
@@ -218,30 +198,13 @@
 				|| request.responseMatcher().apply(response.headers()) == ResponseMatch.UNNAMED;
 	}
 
-	private ClassicHttpResponse readHead() throws IOException, HttpException {
-		MessageHeadInputStream stream = new MessageHeadInputStream(this.inputStream, MAXIMUM_HEAD_BYTES);
-		ClassicHttpResponse head = parseHead(stream);
-		while (head.getCode() < HttpStatus.SC_SUCCESS) {
-			head = parseHead(stream);
-		}
-		return head;
-	}
-
-	private ClassicHttpResponse parseHead(MessageHeadInputStream stream) throws IOException, HttpException {
-		ClassicHttpResponse head = new DefaultHttpResponseParser(HEAD_RULES, StrictLineParser.INSTANCE, null)
-			.parse(this.input, stream);
-		// A malformed length is an error also where the response has no body.
-		MessageLength.of(head);
-		return head;
-	}
-
 	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int maximumBytes,
 			BodyMemoryBudget memory) throws IOException, HttpException {
 		int status = head.getCode();
 		if (method.equals("HEAD") || MessageBody.isForbiddenForStatus(status)) {
 			return new BackendResponse(status, headers, new byte[0], true);
 		}
-		byte[] body = MessageBody.readResponse(head, this.input, this.inputStream, maximumBytes, memory);
+		byte[] body = MessageBody.readResponse(head, this.reader, maximumBytes, memory);
 		if (body == null) {
 			throw new ProtocolException("the body is over " + maximumBytes + " bytes");
 		}
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import io.lavenderroad.core.http.MessageHeadInputStream;
 import io.lavenderroad.model.CallerLimits;
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpRequest;
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.io.InputStream;
 
+import io.lavenderroad.core.http.MessageBodyStreams;
+import io.lavenderroad.core.http.MessageLength;
+import io.lavenderroad.core.http.ResponseReader;
+import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
-import org.apache.hc.core5.http.impl.io.IdentityInputStream;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
@@ -39,23 +41,22 @@
 		if (length == ContentLengthStrategy.UNDEFINED) {
 			return EMPTY;
 		}
-		return readBounded(length, buffer, stream, maximumBytes, memory);
+		return readBounded(length, MessageBodyStreams.decode(length, buffer, stream), maximumBytes, memory);
 	}
 
 	/**
 	 * Reads the body of a response, which may end when the connection is closed.
 	 * @param head the response
-	 * @param buffer buffer with the bytes already received
-	 * @param stream input after the buffered bytes
+	 * @param reader reader of the connection
 	 * @param maximumBytes maximum size of this body
 	 * @param memory limit for all bodies together
 	 * @return the body, or null if it is larger
 	 * @throws IOException if the body is truncated or cannot be read
 	 * @throws HttpException if the message framing is malformed
 	 */
-	static byte[] readResponse(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int maximumBytes,
+	static byte[] readResponse(ClassicHttpResponse head, ResponseReader reader, int maximumBytes,
 			BodyMemoryBudget memory) throws IOException, HttpException {
-		return readBounded(MessageLength.of(head), buffer, stream, maximumBytes, memory);
+		return readBounded(MessageLength.of(head), reader.body(head), maximumBytes, memory);
 	}
 
 	/**
@@ -79,23 +80,12 @@
 				|| status == HttpStatus.SC_NOT_MODIFIED;
 	}
 
-	private static byte[] readBounded(long length, SessionInputBuffer buffer, InputStream stream, int maximumBytes,
-			BodyMemoryBudget memory) throws IOException {
+	private static byte[] readBounded(long length, InputStream body, int maximumBytes, BodyMemoryBudget memory)
+			throws IOException {
 		if (length > maximumBytes) {
 			return null;
 		}
-		if (length == 0) {
-			return EMPTY;
-		}
-		return memory.read(decoded(length, buffer, stream), maximumBytes);
-	}
-
-	private static InputStream decoded(long length, SessionInputBuffer buffer, InputStream stream) {
-		if (length == ContentLengthStrategy.CHUNKED) {
-			return new ChunkedBodyInputStream(buffer, stream);
-		}
-		return (length >= 0) ? new ContentLengthInputStream(buffer, stream, length)
-				: new IdentityInputStream(buffer, stream);
+		return (length == 0) ? EMPTY : memory.read(body, maximumBytes);
 	}
 
 }
