Read answers of control members strictly in the tool

Four more, with a length that is no number, ended in an IllegalArgumentException, which the tool counts as a request that got no answer at all, though it may have run. Cause: the tool reads with the HTTP client of the JDK, whose parser is lenient, too. Change: SocketHttpTransport takes its place, with one connection for each request and the ResponseReader of core. A malformed answer is a lost one: outcome unknown. Ruled out: checks after the JDK's client cannot see folded or dropped lines.

--- a/core/src/main/java/io/lavenderroad/core/http/ResponseReader.java
+++ b/core/src/main/java/io/lavenderroad/core/http/ResponseReader.java
@@ -61,15 +61,29 @@
 	}
 
 	/**
-	 * Returns the body of a response that has one.
+	 * Returns the body of the response to any request but HEAD.
 	 * @param head the head that was read last
 	 * @return the decoded body; the next head may be read after its end
 	 * @throws ProtocolException if the length is malformed
 	 */
 	public InputStream body(ClassicHttpResponse head) throws ProtocolException {
+		if (isBodyForbidden(head.getCode())) {
+			return InputStream.nullInputStream();
+		}
 		return MessageBodyStreams.decode(MessageLength.of(head), this.buffer, this.stream);
 	}
 
+	/**
+	 * Returns whether responses with a status never have a body (RFC 9110, section
+	 * 6.4.1).
+	 * @param status the status code
+	 * @return true for interim responses, 204 and 304
+	 */
+	public static boolean isBodyForbidden(int status) {
+		return status < HttpStatus.SC_SUCCESS || status == HttpStatus.SC_NO_CONTENT
+				|| status == HttpStatus.SC_NOT_MODIFIED;
+	}
+
 	/**
 	 * Returns whether bytes were received that no response has used yet.
 	 * @return true if the buffer is not empty
--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -201,7 +201,7 @@
 	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int maximumBytes,
 			BodyMemoryBudget memory) throws IOException, HttpException {
 		int status = head.getCode();
-		if (method.equals("HEAD") || MessageBody.isForbiddenForStatus(status)) {
+		if (method.equals("HEAD") || ResponseReader.isBodyForbidden(status)) {
 			return new BackendResponse(status, headers, new byte[0], true);
 		}
 		byte[] body = MessageBody.readResponse(head, this.reader, maximumBytes, memory);
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.lavenderroad.core.http.MessageHeadInputStream;
+import io.lavenderroad.core.http.ResponseReader;
 import io.lavenderroad.model.CallerLimits;
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -347,7 +348,7 @@
 		if (last) {
 			head.addHeader("Connection", "close");
 		}
-		boolean withoutBody = MessageBody.isForbiddenForStatus(response.status());
+		boolean withoutBody = ResponseReader.isBodyForbidden(response.status());
 		if (!withoutBody) {
 			head.addHeader("Content-Length", response.body().length);
 		}
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -10,7 +10,6 @@
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
-import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
@@ -69,17 +68,6 @@
 		return MessageLength.of(head) != ContentLengthStrategy.UNDEFINED;
 	}
 
-	/**
-	 * Returns whether responses with a status never have a body (RFC 9110, section
-	 * 6.4.1).
-	 * @param status the status code
-	 * @return true for interim responses, 204 and 304
-	 */
-	static boolean isForbiddenForStatus(int status) {
-		return status < HttpStatus.SC_SUCCESS || status == HttpStatus.SC_NO_CONTENT
-				|| status == HttpStatus.SC_NOT_MODIFIED;
-	}
-
 	private static byte[] readBounded(long length, InputStream body, int maximumBytes, BodyMemoryBudget memory)
 			throws IOException {
 		if (length > maximumBytes) {
--- a/tool/src/main/java/io/lavenderroad/tool/Main.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Main.java
@@ -47,7 +47,7 @@
 		PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
 		PrintStream error = new PrintStream(System.err, true, StandardCharsets.UTF_8);
 		ToolContext context = new ToolContext(out, error, System.getenv(), Clock.system(), Main::sleep,
-				new JdkHttpTransport(), () -> UUID.randomUUID().toString());
+				new SocketHttpTransport(), () -> UUID.randomUUID().toString());
 		System.exit(run(context, arguments));
 	}
 
