Recover members whose disk failed and works again

Cause: a failed sync (also of a term and vote, a folder, or of a write that is taken back) stopped the member until its process was started again. After three of five there was no quorum. A second sync as the recovery: the kernel may have dropped the pages, so its success proves nothing.

Nobody relies on what is removed, since a leader syncs before it sends and a follower before it acknowledges. Other failures stop a member until its restart, as before. Test replaced: memberWithAFailedSyncNeitherVotesNorAcknowledgesUntilRestart demanded a restart after the disk worked, which is the fault. Its successor demands the same silence while the disk fails, and then no failure, equal logs, and equal logs after a power loss. acceptedCommandsAreKeptAndRefusedOnesNeverRun now heals failing disks with and without a restart.

--- a/control/src/main/java/io/lavenderroad/control/log/DurableLog.java
+++ b/control/src/main/java/io/lavenderroad/control/log/DurableLog.java
@@ -19,7 +19,7 @@
  * not compacted are also kept in memory. There are two locks: {@code writeLock} orders
  * the writes and is held during a sync; {@code stateLock} guards the fields and is held
  * only briefly, so that reads do not wait for the disk. After a failed sync every write
- * is refused until the log is opened again.
+ * is refused until the log is repaired or opened again.
  */
 public final class DurableLog implements AutoCloseable {
 
@@ -64,6 +64,8 @@
 
 	private volatile String failure;
 
+	private boolean closed;
+
 	private DurableLog(StorageFileSystem files, Path folder, long segmentBytes) {
 		this.files = files;
 		this.folder = folder;
@@ -293,6 +295,8 @@
 				return;
 			}
 			Segment segment = first.get().segment();
+			setSyncedIndex(Math.min(syncedIndex(), index - 1));
+			segment.syncedSize = Math.min(segment.syncedSize, first.get().offset());
 			while (this.segments.getLast() != segment) {
 				deleteSegment(this.segments.removeLast());
 			}
@@ -360,8 +364,7 @@
 	 * unless the failure is permanent
 	 */
 	public void saveTermAndVote(TermAndVote value) {
-		byte[] vote = value.votedFor().orElse("").getBytes(StandardCharsets.UTF_8);
-		replaceFile(VOTE_FILE, ByteBuffer.allocate(Long.BYTES + vote.length).putLong(value.term()).put(vote).array());
+		replaceFile(VOTE_FILE, encode(value));
 		this.stateLock.lock();
 		try {
 			this.termAndVote = value;
@@ -465,6 +468,7 @@
 	public void close() {
 		this.writeLock.lock();
 		try {
+			this.closed = true;
 			this.failure = "the log is closed";
 			this.segments.forEach(this::closeQuietly);
 		}
@@ -473,6 +477,56 @@
 		}
 	}
 
+	/**
+	 * Makes the log usable after a permanent failure. The kernel may have dropped what
+	 * was written but not synced, so the entries after the last synced one are removed
+	 * from memory and from the files, and the term and vote are written again. No entry
+	 * that was acknowledged is removed.
+	 * @throws StorageException if the disk still fails; writes stay refused
+	 */
+	public void repair() {
+		this.writeLock.lock();
+		try {
+			if (this.closed) {
+				ensureWritable();
+			}
+			removeEntriesFrom(syncedIndex() + 1);
+			removeUnsyncedSegments();
+			if (!this.segments.isEmpty()) {
+				truncateToSynced(this.segments.getLast());
+			}
+			this.files.syncDirectory(this.folder);
+			AtomicFile.write(this.files, this.folder.resolve(VOTE_FILE), encode(termAndVote()));
+			this.failure = null;
+		}
+		catch (IOException ex) {
+			throw new StorageException("cannot repair the log: " + ex.getMessage(), ex, true);
+		}
+		finally {
+			this.writeLock.unlock();
+		}
+	}
+
+	private void removeUnsyncedSegments() throws IOException {
+		while (!this.segments.isEmpty() && this.segments.getLast().firstIndex > syncedIndex()) {
+			closeQuietly(this.segments.removeLast());
+		}
+		List<String> kept = this.segments.stream().map((segment) -> segment.path.getFileName().toString()).toList();
+		for (String name : this.files.list(this.folder)) {
+			if (name.startsWith(SEGMENT_PREFIX) && !kept.contains(name)) {
+				this.files.delete(this.folder.resolve(name));
+			}
+		}
+	}
+
+	private void truncateToSynced(Segment segment) throws IOException {
+		closeQuietly(segment);
+		segment.file = this.files.open(segment.path);
+		segment.file.truncate(segment.syncedSize);
+		segment.size = segment.syncedSize;
+		segment.file.sync();
+	}
+
 	private void load() throws IOException {
 		this.files.createDirectory(this.folder);
 		List<String> names = this.files.list(this.folder);
@@ -496,6 +550,11 @@
 		this.syncedIndex = lastIndex();
 	}
 
+	private static byte[] encode(TermAndVote value) {
+		byte[] vote = value.votedFor().orElse("").getBytes(StandardCharsets.UTF_8);
+		return ByteBuffer.allocate(Long.BYTES + vote.length).putLong(value.term()).put(vote).array();
+	}
+
 	private void loadTermAndVote() throws IOException {
 		Path file = this.folder.resolve(VOTE_FILE);
 		byte[] content = AtomicFile.read(this.files, file);
@@ -554,6 +613,7 @@
 			expected++;
 		}
 		segment.size = offset;
+		segment.syncedSize = offset;
 	}
 
 	private void truncateTornTail(Segment segment, byte[] bytes, int offset, boolean last) throws IOException {
@@ -592,10 +652,16 @@
 	}
 
 	private void discardAll(Snapshot snapshot) throws IOException {
-		while (!this.segments.isEmpty()) {
-			deleteSegment(this.segments.removeLast());
+		removeAllEntries(snapshot);
+		List<Segment> discarded = List.copyOf(this.segments).reversed();
+		this.segments.clear();
+		for (Segment segment : discarded) {
+			deleteSegment(segment);
 		}
 		this.files.syncDirectory(this.folder);
+	}
+
+	private void removeAllEntries(Snapshot snapshot) {
 		this.stateLock.lock();
 		try {
 			this.entries = new ArrayList<>();
@@ -660,6 +726,7 @@
 	private void syncSegment(Segment segment) {
 		try {
 			segment.file.sync();
+			segment.syncedSize = segment.size;
 			countSync();
 		}
 		catch (IOException ex) {
@@ -835,10 +902,15 @@
 
 		private final long firstIndex;
 
-		private final StorageFile file;
+		private StorageFile file;
 
 		private long size;
 
+		/**
+		 * Size that the last successful sync made durable.
+		 */
+		private long syncedSize;
+
 		private Segment(Path path, long firstIndex, StorageFile file) {
 			this.path = path;
 			this.firstIndex = firstIndex;
--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -62,6 +62,8 @@
 
 	final CommitProgress commits;
 
+	final StorageRecovery recovery;
+
 	final MemberTasks tasks;
 
 	private final S stateMachine;
@@ -84,6 +86,7 @@
 		this.elections = new Elections(this.state, this, random);
 		this.changes = new MemberChanges(this.state, this);
 		this.commits = new CommitProgress(this.state, this);
+		this.recovery = new StorageRecovery(this.state, this);
 		this.tasks = new MemberTasks(this.state, this);
 		snapshot.ifPresent((value) -> this.stateMachine.restore(value.data()));
 		for (long index = log.firstIndex(); index <= log.lastIndex(); index++) {
@@ -323,9 +326,12 @@
 
 	/**
 	 * Handles timeouts: starts elections, makes a leader without a quorum step down, ends
-	 * overdue proposals and advances a member change.
+	 * overdue proposals, advances a member change and recovers from a failed disk.
 	 */
 	void tick() {
+		if (this.state.withLock(this.recovery::isDue)) {
+			recoverStorage();
+		}
 		this.state.withLock(() -> {
 			this.proposals.expireOverdue();
 			if (this.state.failure != null) {
@@ -353,7 +359,7 @@
 			this.state.log.sync();
 		}
 		catch (StorageException ex) {
-			this.state.withLock(() -> stopWithFailure(ex.getMessage()));
+			this.state.withLock(() -> this.recovery.stopUntilRepaired(ex));
 			return;
 		}
 		this.state.withLock(() -> {
@@ -461,11 +467,31 @@
 		this.state.withLock(() -> this.replication.handleFailure(peerId, sent));
 	}
 
+	private void recoverStorage() {
+		this.state.applyLock.lock();
+		try {
+			this.state.withLock(this.recovery::recover);
+		}
+		finally {
+			this.state.applyLock.unlock();
+			this.state.events.run();
+		}
+	}
+
 	/**
 	 * Stops voting, acknowledging and proposing until the member is restarted.
 	 * @param reason short sentence for operators
 	 */
 	void stopWithFailure(String reason) {
+		this.recovery.cancel();
+		suspend(reason);
+	}
+
+	/**
+	 * Stops voting, acknowledging and proposing until the failure is cleared.
+	 * @param reason short sentence for operators
+	 */
+	void suspend(String reason) {
 		if (this.state.failure != null) {
 			return;
 		}
--- a/control/src/main/java/io/lavenderroad/control/raft/Elections.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/Elections.java
@@ -314,7 +314,7 @@
 
 	void handleStorageFailure(StorageException ex) {
 		if (ex.isPermanent()) {
-			this.member.stopWithFailure(ex.getMessage());
+			this.member.recovery.stopUntilRepaired(ex);
 			return;
 		}
 		Logger.warn("control: {} cannot write to its disk: {}.", this.state.id, ex.getMessage());
--- a/control/src/main/java/io/lavenderroad/control/raft/LogReceiver.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/LogReceiver.java
@@ -133,8 +133,21 @@
 	}
 
 	private void install(Snapshot snapshot) {
-		MemberSet members = MemberSet.fromBytes(snapshot.members());
 		this.state.log.installSnapshot(snapshot);
+		adopt(snapshot);
+	}
+
+	/**
+	 * Adopts a snapshot of the leader that was stored before the installation failed.
+	 */
+	void installStoredSnapshot() {
+		if (this.state.log.snapshotIndex() > this.state.appliedIndex) {
+			adopt(this.state.log.snapshot().orElseThrow());
+		}
+	}
+
+	private void adopt(Snapshot snapshot) {
+		MemberSet members = MemberSet.fromBytes(snapshot.members());
 		this.state.history.resetTo(snapshot.index(), members);
 		this.state.history.truncateFrom(this.state.log.lastIndex() + 1);
 		this.state.commitIndex = snapshot.index();
--- a/control/src/test/java/io/lavenderroad/control/log/DurableLogTests.java
+++ b/control/src/test/java/io/lavenderroad/control/log/DurableLogTests.java
@@ -1,5 +1,7 @@
 package io.lavenderroad.control.log;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -172,6 +174,90 @@
 		Assert.assertEquals(log.snapshot().orElseThrow().data(), text("state " + snapshot));
 	}
 
+	/**
+	 * Guards against a log that is repaired after a disk failure in any operation and has
+	 * lost what was synced, keeps what was not, or can be written but not opened again.
+	 */
+	@Test
+	public void repairedLogHoldsExactlyWhatWasSynced() {
+		int failures = 0;
+		for (long seed = SEED; seed < SEED + 400; seed++) {
+			Random random = new Random(seed);
+			this.files.crash(random);
+			clearFolder();
+			DurableLog log = open(120);
+			for (int round = 0; round < 30; round++) {
+				String context = "seed " + seed + " round " + round;
+				if (random.nextInt(3) == 0) {
+					this.files.setFailingSync(random.nextBoolean());
+					this.files.setFreeBytes(random.nextInt(150));
+				}
+				try {
+					writeAtRandom(log, random);
+				}
+				catch (StorageException ex) {
+					failures += ex.isPermanent() ? 1 : 0;
+				}
+				this.files.setFailingSync(false);
+				this.files.setFreeBytes(Long.MAX_VALUE);
+				long synced = log.syncedIndex();
+				if (log.failure().isPresent()) {
+					log.repair();
+					Assert.assertEquals(log.lastIndex(), synced, context);
+				}
+				log.sync();
+				if (random.nextInt(3) == 0) {
+					log = reopenedAfterCrash(log, random, context);
+				}
+			}
+		}
+		Assert.assertTrue(failures > 400, "permanent failures: " + failures);
+	}
+
+	private void clearFolder() {
+		try {
+			for (String name : this.files.list(FOLDER)) {
+				this.files.delete(FOLDER.resolve(name));
+			}
+			this.files.syncDirectory(FOLDER);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void writeAtRandom(DurableLog log, Random random) {
+		long last = log.lastIndex();
+		switch (random.nextInt(6)) {
+			case 0 -> log.saveTermAndVote(new TermAndVote(random.nextInt(100), Optional.of("a")));
+			case 1 -> log.truncateFrom(Math.max(log.snapshotIndex() + 1, last - random.nextInt(4)));
+			case 2 -> {
+				if (log.syncedIndex() > log.snapshotIndex()) {
+					log.saveSnapshot(new Snapshot(log.syncedIndex(), 1, new byte[0], text("own")));
+					log.compact(log.snapshotIndex());
+				}
+			}
+			case 3 -> log.installSnapshot(new Snapshot(last + 1 + random.nextInt(3), 1, new byte[0], text("received")));
+			default -> {
+				for (long index = last + 1; index <= last + 1 + random.nextInt(4); index++) {
+					log.append(List.of(entry(index)));
+				}
+				log.sync();
+			}
+		}
+	}
+
+	private DurableLog reopenedAfterCrash(DurableLog log, Random random, String context) {
+		this.files.crash(random);
+		DurableLog reopened = open(120);
+		Assert.assertEquals(reopened.lastIndex(), log.lastIndex(), context);
+		Assert.assertEquals(reopened.termAndVote(), log.termAndVote(), context);
+		for (long index = Math.max(log.firstIndex(), reopened.firstIndex()); index <= log.lastIndex(); index++) {
+			Assert.assertEquals(reopened.entry(index).orElseThrow().payload(), text("entry " + index), context);
+		}
+		return reopened;
+	}
+
 	@Test
 	public void crashBetweenReceivedSnapshotAndDiscardedLogIsRepaired() {
 		DurableLog log = open();
--- a/control/src/test/java/io/lavenderroad/control/log/MemoryFileSystem.java
+++ b/control/src/test/java/io/lavenderroad/control/log/MemoryFileSystem.java
@@ -11,7 +11,8 @@
 
 /**
  * File system in memory that simulates crashes: a crash loses unsynced file content and
- * unsynced names of files in a directory.
+ * unsynced names of files in a directory. What a failed sync did not write is dropped: it
+ * can still be read, but no later sync makes it durable, only writing it once more does.
  */
 public final class MemoryFileSystem implements StorageFileSystem {
 
@@ -116,12 +117,35 @@
 
 		private byte[] durable = new byte[0];
 
+		private int droppedFrom;
+
+		private int droppedTo;
+
+		private void drop() {
+			boolean droppedBefore = this.droppedTo > this.droppedFrom;
+			this.droppedFrom = droppedBefore ? this.droppedFrom : Math.min(this.durable.length, this.bytes.length);
+			this.droppedTo = this.bytes.length;
+		}
+
+		private void makeDurable() {
+			this.durable = this.bytes.clone();
+			Arrays.fill(this.durable, this.droppedFrom, this.droppedTo, (byte) 0);
+		}
+
+		private void truncate(int size) {
+			this.bytes = Arrays.copyOf(this.bytes, size);
+			this.droppedFrom = Math.min(this.droppedFrom, size);
+			this.droppedTo = Math.min(this.droppedTo, size);
+		}
+
 		private void crash(RandomGenerator random) {
 			boolean appendedOnly = this.bytes.length > this.durable.length
 					&& Arrays.mismatch(this.durable, this.bytes) == this.durable.length;
 			int kept = appendedOnly ? random.nextInt(this.bytes.length - this.durable.length + 1) : 0;
 			this.bytes = appendedOnly ? Arrays.copyOf(this.bytes, this.durable.length + kept) : this.durable.clone();
 			this.durable = this.bytes.clone();
+			this.droppedFrom = 0;
+			this.droppedTo = 0;
 		}
 
 	}
@@ -155,14 +179,17 @@
 			if (size < this.content.bytes.length) {
 				MemoryFileSystem.this.freeBytes += Math.min(this.content.bytes.length - size,
 						Long.MAX_VALUE - MemoryFileSystem.this.freeBytes);
-				this.content.bytes = Arrays.copyOf(this.content.bytes, (int) size);
+				this.content.truncate((int) size);
 			}
 		}
 
 		@Override
 		public void sync() throws IOException {
+			if (MemoryFileSystem.this.failingSync) {
+				this.content.drop();
+			}
 			throwIfSyncFails();
-			this.content.durable = this.content.bytes.clone();
+			this.content.makeDurable();
 		}
 
 		@Override
--- a/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 import io.lavenderroad.control.raft.ProposalOutcome.Accepted;
 import io.lavenderroad.control.raft.ProposalOutcome.NotRun;
@@ -23,6 +25,13 @@
 
 	private static final String[] THREE = { "a", "b", "c" };
 
+	private static final String[] FIVE = { "a", "b", "c", "d", "e" };
+
+	/**
+	 * Time within which changes are accepted again once all disks have room.
+	 */
+	private static final long ROOM_AGAIN_MILLIS = 2_000;
+
 	@DataProvider
 	Object[][] seeds() {
 		Object[][] seeds = new Object[40][];
@@ -234,8 +243,53 @@
 		group.checkOutcomes();
 	}
 
+	@DataProvider
+	Object[][] fullDisks() {
+		return LongStream.range(0, 12)
+			.boxed()
+			.flatMap((seed) -> Stream.of(new Object[] { seed, FIVE, 10, false }, new Object[] { seed, FIVE, 10, true },
+					new Object[] { seed, THREE, 4, false }, new Object[] { seed, THREE, 4, true }))
+			.toArray(Object[][]::new);
+	}
+
+	/**
+	 * Guards against members that stay stopped after their disk had no room for a few
+	 * seconds: if that happens to one after another, the group ends without a quorum
+	 * while all processes run.
+	 */
+	@Test(dataProvider = "fullDisks")
+	public void groupAcceptsChangesSoonAfterAllDisksWereFullInTurn(long seed, String[] voters, int changesEach,
+			boolean foundAtSync) {
+		SimulatedGroup group = new SimulatedGroup(seed, voters);
+		group.awaitLeader();
+		for (String id : voters) {
+			group.files(id).setFreeBytes(foundAtSync ? Long.MAX_VALUE : group.random().nextInt(100));
+			group.files(id).setFailingSync(foundAtSync);
+			for (int change = 0; change < changesEach; change++) {
+				String command = "while the disk of " + id + " is full " + change;
+				group.leader().ifPresent((leader) -> group.propose(leader, command));
+				group.run(200);
+			}
+			group.files(id).setFailingSync(false);
+			group.files(id).setFreeBytes(Long.MAX_VALUE);
+		}
+		long endMillis = group.now() + ROOM_AGAIN_MILLIS;
+		boolean accepted = false;
+		for (int attempt = 0; !accepted && group.now() < endMillis; attempt++) {
+			String command = "after all " + attempt;
+			Optional<CompletableFuture<ProposalOutcome>> outcome = group.leader()
+				.map((leader) -> group.propose(leader, command));
+			group.run(100);
+			accepted = outcome.map((future) -> future.getNow(null)).orElse(null) instanceof Accepted;
+		}
+		Assert.assertTrue(accepted, "no change was accepted within 2 s after the last disk had room");
+		group.checkOutcomes();
+		group.ids().forEach(group::restart);
+		group.checkOutcomes();
+	}
+
 	@Test
-	public void memberWithAFailedSyncNeitherVotesNorAcknowledgesUntilRestart() {
+	public void memberWithAFailedSyncNeitherVotesNorAcknowledgesUntilItsDiskWorks() {
 		SimulatedGroup group = new SimulatedGroup(10, THREE);
 		String leader = group.awaitLeader();
 		String damaged = follower(group, leader);
@@ -243,15 +297,17 @@
 		Assert.assertTrue(group.await(group.propose(leader, "first")) instanceof Accepted);
 		group.run(1_000);
 		Assert.assertTrue(group.status(damaged).failure().isPresent());
-		group.files(damaged).setFailingSync(false);
 		String other = group.ids().stream().filter((id) -> !id.equals(leader) && !id.equals(damaged)).findFirst().get();
 		group.stop(other);
 		CompletableFuture<ProposalOutcome> second = group.propose(leader, "second");
 		group.run(5_000);
 		Assert.assertTrue(second.join() instanceof Unknown, "only one member has a working disk");
 		Assert.assertTrue(group.leader().isEmpty());
-		group.restart(damaged);
+		group.files(damaged).setFailingSync(false);
 		Assert.assertTrue(group.await(group.propose(group.awaitLeader(), "third")) instanceof Accepted);
+		Assert.assertEquals(group.status(damaged).failure(), Optional.empty());
+		group.checkOutcomes();
+		group.restart(damaged);
 		group.checkOutcomes();
 	}
 
@@ -382,7 +438,11 @@
 	private static void removeFaults(SimulatedGroup group, String id) {
 		group.heal(id);
 		group.files(id).setFreeBytes(Long.MAX_VALUE);
-		if (group.status(id).failure().isPresent()) {
+		boolean inPlace = group.random().nextBoolean();
+		if (inPlace) {
+			group.files(id).setFailingSync(false);
+		}
+		else if (group.status(id).failure().isPresent()) {
 			group.restart(id);
 		}
 	}
