--- a/control/src/main/java/io/lavenderroad/control/log/DurableLog.java
+++ b/control/src/main/java/io/lavenderroad/control/log/DurableLog.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,8 +29,6 @@
 
 	private static final String SEGMENT_PREFIX = "log-";
 
-	private static final String SNAPSHOT_PREFIX = "snapshot-";
-
 	private static final String VOTE_FILE = "term-and-vote";
 
 	private final StorageFileSystem files;
@@ -364,7 +361,7 @@
 	 * unless the failure is permanent
 	 */
 	public void saveTermAndVote(TermAndVote value) {
-		replaceFile(VOTE_FILE, encode(value));
+		replaceFile(VOTE_FILE, TermAndVoteFile.encode(value));
 		this.stateLock.lock();
 		try {
 			this.termAndVote = value;
@@ -381,11 +378,7 @@
 	 * valid unless the failure is permanent
 	 */
 	public void saveSnapshot(Snapshot snapshot) {
-		ByteBuffer buffer = ByteBuffer
-			.allocate(2 * Long.BYTES + Integer.BYTES + snapshot.members().length + snapshot.data().length);
-		buffer.putLong(snapshot.index()).putLong(snapshot.term());
-		buffer.putInt(snapshot.members().length).put(snapshot.members()).put(snapshot.data());
-		replaceFile(snapshotName(snapshot.index()), buffer.array());
+		replaceFile(SnapshotFile.name(snapshot.index()), SnapshotFile.encode(snapshot));
 		this.stateLock.lock();
 		try {
 			this.snapshotIndex = snapshot.index();
@@ -437,7 +430,8 @@
 			if (this.snapshotIndex == 0) {
 				return Optional.empty();
 			}
-			return Optional.of(readSnapshot(this.folder.resolve(snapshotName(this.snapshotIndex))));
+			return Optional
+				.of(SnapshotFile.read(this.files, this.folder.resolve(SnapshotFile.name(this.snapshotIndex))));
 		}
 		catch (IOException ex) {
 			throw new StorageException("cannot read the snapshot: " + ex.getMessage(), ex, false);
@@ -496,7 +490,7 @@
 				truncateToSynced(this.segments.getLast());
 			}
 			this.files.syncDirectory(this.folder);
-			AtomicFile.write(this.files, this.folder.resolve(VOTE_FILE), encode(termAndVote()));
+			AtomicFile.write(this.files, this.folder.resolve(VOTE_FILE), TermAndVoteFile.encode(termAndVote()));
 			this.failure = null;
 		}
 		catch (IOException ex) {
@@ -536,11 +530,11 @@
 			}
 		}
 		if (names.contains(VOTE_FILE)) {
-			loadTermAndVote();
+			this.termAndVote = TermAndVoteFile.read(this.files, this.folder.resolve(VOTE_FILE));
 		}
-		List<String> snapshots = names.stream().filter(DurableLog::isSnapshot).toList();
+		List<String> snapshots = names.stream().filter(SnapshotFile::isSnapshot).toList();
 		Optional<Snapshot> snapshot = snapshots.isEmpty() ? Optional.empty()
-				: Optional.of(readSnapshot(this.folder.resolve(snapshots.getLast())));
+				: Optional.of(SnapshotFile.read(this.files, this.folder.resolve(snapshots.getLast())));
 		this.snapshotIndex = snapshot.map(Snapshot::index).orElse(0L);
 		List<String> segmentNames = names.stream().filter((name) -> name.startsWith(SEGMENT_PREFIX)).toList();
 		for (String name : segmentNames) {
@@ -550,40 +544,6 @@
 		this.syncedIndex = lastIndex();
 	}
 
-	private static byte[] encode(TermAndVote value) {
-		byte[] vote = value.votedFor().orElse("").getBytes(StandardCharsets.UTF_8);
-		return ByteBuffer.allocate(Long.BYTES + vote.length).putLong(value.term()).put(vote).array();
-	}
-
-	private void loadTermAndVote() throws IOException {
-		Path file = this.folder.resolve(VOTE_FILE);
-		byte[] content = AtomicFile.read(this.files, file);
-		if (content.length < Long.BYTES) {
-			throw new LogCorruptionException(file, Integer.BYTES, "file ends before the term");
-		}
-		String vote = new String(content, Long.BYTES, content.length - Long.BYTES, StandardCharsets.UTF_8);
-		this.termAndVote = new TermAndVote(ByteBuffer.wrap(content).getLong(),
-				vote.isEmpty() ? Optional.empty() : Optional.of(vote));
-	}
-
-	private Snapshot readSnapshot(Path file) throws IOException {
-		ByteBuffer buffer = ByteBuffer.wrap(AtomicFile.read(this.files, file));
-		if (buffer.remaining() < 2 * Long.BYTES + Integer.BYTES) {
-			throw new LogCorruptionException(file, Integer.BYTES, "file ends before the index");
-		}
-		long index = buffer.getLong();
-		long term = buffer.getLong();
-		int length = buffer.getInt();
-		if (length < 0 || length > buffer.remaining()) {
-			throw new LogCorruptionException(file, Integer.BYTES, "member set of " + length + " bytes does not fit");
-		}
-		byte[] members = new byte[length];
-		buffer.get(members);
-		byte[] data = new byte[buffer.remaining()];
-		buffer.get(data);
-		return new Snapshot(index, term, members, data);
-	}
-
 	private void loadSegment(String name, boolean last) throws IOException {
 		Path path = this.folder.resolve(name);
 		byte[] bytes = this.files.read(path);
@@ -750,7 +710,7 @@
 	private void deleteOldSnapshots() {
 		try {
 			for (String name : this.files.list(this.folder)) {
-				if (isSnapshot(name) && name.compareTo(snapshotName(this.snapshotIndex)) < 0) {
+				if (SnapshotFile.isSnapshot(name) && name.compareTo(SnapshotFile.name(this.snapshotIndex)) < 0) {
 					this.files.delete(this.folder.resolve(name));
 				}
 			}
@@ -872,18 +832,10 @@
 		return Optional.of(this.entries.get((int) position));
 	}
 
-	private static boolean isSnapshot(String name) {
-		return name.startsWith(SNAPSHOT_PREFIX) && !name.endsWith(AtomicFile.TEMPORARY_SUFFIX);
-	}
-
 	private static String segmentName(long index) {
 		return String.format(Locale.ROOT, "%s%019d", SEGMENT_PREFIX, index);
 	}
 
-	private static String snapshotName(long index) {
-		return String.format(Locale.ROOT, "%s%019d", SNAPSHOT_PREFIX, index);
-	}
-
 	private static long firstIndexOf(Path path) {
 		try {
 			return Long.parseLong(path.getFileName().toString().substring(SEGMENT_PREFIX.length()));
