--- a/control/src/main/java/io/lavenderroad/control/raft/StorageRecovery.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/StorageRecovery.java
@@ -44,7 +44,7 @@
 	}
 
 	/**
-	 * Ends the recovery, because the member has failed for another reason, too.
+	 * Gives up the recovery, because the member stops for another reason, too.
 	 */
 	void cancel() {
 		this.pending = false;
--- a/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -176,6 +176,16 @@
 		assertNone(accepted);
 	}
 
+	@Test
+	public void malformedResponseToHeadIsAFailure() {
+		Assert.assertEquals(run("HEAD", STATUS_LINE + LENGTH + "\r\n").get().status(), 200);
+		for (String head : List.of(STATUS_LINE + "Content-Length: +12\r\n", STATUS_LINE + LENGTH + CHUNKED,
+				STATUS_LINE + "Na me: value\r\n", STATUS_LINE + "Name: a\r\n folded\r\n", "HTTP/1.1 000 OK\r\n",
+				STATUS_LINE + "no field\r\n")) {
+			Assert.assertTrue(run("HEAD", head + "\r\n").isLeft(), head);
+		}
+	}
+
 	@Test
 	public void responseWithMalformedChunksIsAFailure() {
 		List<String> accepted = new ArrayList<>();
@@ -214,8 +224,12 @@
 	}
 
 	private Either<BackendFailure, BackendResponse> run(String response) {
+		return run("GET", response);
+	}
+
+	private Either<BackendFailure, BackendResponse> run(String method, String response) {
 		this.answer = response;
-		BackendRequest request = new BackendRequest("GET", "/", HeaderFields.of(List.of("Host", "h")), new byte[0],
+		BackendRequest request = new BackendRequest(method, "/", HeaderFields.of(List.of("Host", "h")), new byte[0],
 				(headers) -> ResponseMatch.UNNAMED, (refusal) -> false);
 		// Each response has a connection of its own, as the stand-in ends it.
 		BackendPool pool = new BackendPool(
