Test an unreachable member with a port that had no acceptor

Cause, traced: the test closed the stand-in's server socket while a virtual thread waited in accept. The JDK then leaves the end of the socket to that thread, which accepts once more before it ends, so the request was answered. Change: the test closes a server socket that nobody waits on, as the test of refused connections of the node does. What it demands is the same.

--- a/tool/src/test/java/io/lavenderroad/tool/SocketHttpTransportTests.java
+++ b/tool/src/test/java/io/lavenderroad/tool/SocketHttpTransportTests.java
@@ -98,8 +98,10 @@
 
 	@Test
 	public void unreachableMemberGotNoRequest() throws IOException {
-		this.server.close();
-		Assert.assertThrows(ConnectException.class, this::send);
+		ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+		unused.close();
+		Assert.assertThrows(ConnectException.class,
+				() -> this.transport.send("127.0.0.1:" + unused.getLocalPort(), "POST", "/", Optional.of("{}")));
 	}
 
 	private void addIfAccepted(List<String> accepted, String response) {
