Hold teams, evacuations and cold starts in the configuration

Cause: a configuration knew neither teams with access keys and quotas, nor evacuated failure domains, nor the load that a cold backend server tolerates. Change: MeshConfiguration has teams and evacuations, services a cold start, routes a flag for anonymous callers. Encodings have a format number; those written before are read.

--- a/model/src/main/java/io/lavenderroad/model/ConfigurationDelta.java
+++ b/model/src/main/java/io/lavenderroad/model/ConfigurationDelta.java
@@ -56,7 +56,8 @@
 	public boolean changesVersionOnly(Optional<CallerLimits> receiverLimits) {
 		boolean limitsUnchanged = this.edit.limits().isEmpty() || this.edit.limits().equals(receiverLimits);
 		return changed().isEmpty() && removed().isEmpty() && this.edit.routes().isEmpty()
-				&& this.edit.removedRoutes().isEmpty() && limitsUnchanged;
+				&& this.edit.removedRoutes().isEmpty() && limitsUnchanged && this.edit.teams().isEmpty()
+				&& this.edit.evacuatedDomains().isEmpty();
 	}
 
 }
--- a/model/src/main/java/io/lavenderroad/model/HostRoute.java
+++ b/model/src/main/java/io/lavenderroad/model/HostRoute.java
@@ -26,6 +26,8 @@
 
 	private final SortedMap<String, Integer> weights;
 
+	private final boolean allowsAnonymous;
+
 	private final long modifiedVersion;
 
 	private volatile byte[] encoded;
@@ -36,6 +38,7 @@
 		this.pathPrefix = Objects.requireNonNull(builder.pathPrefix, "pathPrefix");
 		this.rules = Objects.requireNonNull(builder.rules, "rules");
 		this.weights = Collections.unmodifiableSortedMap(new TreeMap<>(builder.weights));
+		this.allowsAnonymous = builder.allowsAnonymous;
 		this.modifiedVersion = builder.modifiedVersion;
 	}
 
@@ -88,6 +91,15 @@
 		return this.weights;
 	}
 
+	/**
+	 * Returns whether callers may use the route without an access key. It matters only if
+	 * the mesh has teams.
+	 * @return true if no key is needed
+	 */
+	public boolean allowsAnonymous() {
+		return this.allowsAnonymous;
+	}
+
 	/**
 	 * Returns the mesh version that last changed this route.
 	 * @return the version
@@ -136,6 +148,7 @@
 		return builder(this.name).match(this.host, this.pathPrefix)
 			.rules(this.rules)
 			.weights(this.weights)
+			.allowsAnonymous(this.allowsAnonymous)
 			.modifiedVersion(version)
 			.build();
 	}
@@ -148,7 +161,8 @@
 	 */
 	public boolean equalsIgnoringVersion(HostRoute other) {
 		return this.name.equals(other.name) && this.host.equals(other.host) && this.pathPrefix.equals(other.pathPrefix)
-				&& this.rules.equals(other.rules) && this.weights.equals(other.weights);
+				&& this.rules.equals(other.rules) && this.weights.equals(other.weights)
+				&& this.allowsAnonymous == other.allowsAnonymous;
 	}
 
 	@Override
@@ -182,6 +196,8 @@
 
 		private Map<String, Integer> weights = Map.of();
 
+		private boolean allowsAnonymous;
+
 		private long modifiedVersion;
 
 		private Builder(String name) {
@@ -224,6 +240,16 @@
 			return weights(Map.of(service, 1));
 		}
 
+		/**
+		 * Sets whether callers may use the route without an access key.
+		 * @param allowed true if no key is needed
+		 * @return this builder
+		 */
+		public Builder allowsAnonymous(boolean allowed) {
+			this.allowsAnonymous = allowed;
+			return this;
+		}
+
 		/**
 		 * Sets the mesh version that last changed the route.
 		 * @param version the version
--- a/model/src/main/java/io/lavenderroad/model/MeshConfiguration.java
+++ b/model/src/main/java/io/lavenderroad/model/MeshConfiguration.java
@@ -22,7 +22,7 @@
 	 * The configuration before the first change.
 	 */
 	public static final MeshConfiguration EMPTY = new MeshConfiguration(0, new TreeMap<>(), RouteSet.EMPTY,
-			CallerLimits.DEFAULT);
+			CallerLimits.DEFAULT, TeamSet.EMPTY, Evacuations.NONE);
 
 	private final long version;
 
@@ -32,14 +32,20 @@
 
 	private final CallerLimits limits;
 
+	private final TeamSet teams;
+
+	private final Evacuations evacuations;
+
 	private volatile String digest;
 
 	private MeshConfiguration(long version, SortedMap<String, ServiceConfiguration> services, RouteSet routes,
-			CallerLimits limits) {
+			CallerLimits limits, TeamSet teams, Evacuations evacuations) {
 		this.version = version;
 		this.services = Collections.unmodifiableSortedMap(services);
 		this.routes = routes;
 		this.limits = limits;
+		this.teams = teams;
+		this.evacuations = evacuations;
 	}
 
 	/**
@@ -53,7 +59,7 @@
 	}
 
 	/**
-	 * Creates a configuration from its parts.
+	 * Creates a configuration without teams and evacuations.
 	 * @param version the version
 	 * @param services all services
 	 * @param routes all routes that are selected by host
@@ -62,9 +68,24 @@
 	 */
 	public static MeshConfiguration of(long version, Collection<ServiceConfiguration> services, RouteSet routes,
 			CallerLimits limits) {
+		return of(version, services, routes, limits, TeamSet.EMPTY, Evacuations.NONE);
+	}
+
+	/**
+	 * Creates a configuration from its parts.
+	 * @param version the version
+	 * @param services all services
+	 * @param routes all routes that are selected by host
+	 * @param limits limits for callers
+	 * @param teams all teams with access keys
+	 * @param evacuations the evacuated failure domains
+	 * @return the configuration
+	 */
+	public static MeshConfiguration of(long version, Collection<ServiceConfiguration> services, RouteSet routes,
+			CallerLimits limits, TeamSet teams, Evacuations evacuations) {
 		TreeMap<String, ServiceConfiguration> byName = new TreeMap<>();
 		services.forEach((service) -> byName.put(service.name(), service));
-		return new MeshConfiguration(version, byName, routes, limits);
+		return new MeshConfiguration(version, byName, routes, limits, teams, evacuations);
 	}
 
 	/**
@@ -108,10 +129,26 @@
 		return this.limits;
 	}
 
+	/**
+	 * Returns the teams with access keys.
+	 * @return the teams, empty if callers need no keys
+	 */
+	public TeamSet teams() {
+		return this.teams;
+	}
+
+	/**
+	 * Returns the evacuated failure domains.
+	 * @return the failure domains whose backend servers get no requests
+	 */
+	public Evacuations evacuations() {
+		return this.evacuations;
+	}
+
 	/**
 	 * Returns the digest of the content: SHA-256 over the sorted names and the digests of
-	 * the encoded services, the fingerprint of the routes and the limits. The version is
-	 * not part of it.
+	 * the encoded services, the fingerprint of the routes, the limits, the teams and the
+	 * evacuated failure domains. The version is not part of it.
 	 * @return lower-case hexadecimal text
 	 */
 	public String digest() {
@@ -154,7 +191,8 @@
 			nextServices.put(service.name(), service.toBuilder().modifiedVersion(nextVersion).build());
 		}
 		RouteSet nextRoutes = this.routes.next(nextVersion, edit.routes(), edit.removedRoutes());
-		return new MeshConfiguration(nextVersion, nextServices, nextRoutes, edit.limits().orElse(this.limits));
+		return new MeshConfiguration(nextVersion, nextServices, nextRoutes, edit.limits().orElse(this.limits),
+				this.teams.next(nextVersion, edit.teams()), nextEvacuations(nextVersion, edit));
 	}
 
 	/**
@@ -170,7 +208,7 @@
 		for (String name : serviceNamesInScope(scope)) {
 			selected.put(name, this.services.get(name));
 		}
-		return new MeshConfiguration(this.version, selected, this.routes, this.limits);
+		return new MeshConfiguration(this.version, selected, this.routes, this.limits, this.teams, this.evacuations);
 	}
 
 	/**
@@ -198,7 +236,9 @@
 			.sorted()
 			.toList();
 		ConfigurationEdit edit = new ConfigurationEdit(changed, removed, this.routes.changedSince(fromVersion),
-				this.routes.removedSince(fromVersion), Optional.of(this.limits));
+				this.routes.removedSince(fromVersion), Optional.of(this.limits), this.teams.since(fromVersion),
+				(this.evacuations.modifiedVersion() > fromVersion) ? Optional.of(this.evacuations.failureDomains())
+						: Optional.empty());
 		return Optional.of(new ConfigurationDelta(fromVersion, this.version, edit, slice.digest()));
 	}
 
@@ -217,7 +257,8 @@
 		delta.changed().forEach((service) -> nextServices.put(service.name(), service));
 		RouteSet nextRoutes = this.routes.apply(delta.toVersion(), delta.edit().routes(), delta.edit().removedRoutes());
 		MeshConfiguration next = new MeshConfiguration(delta.toVersion(), nextServices, nextRoutes,
-				delta.edit().limits().orElse(this.limits));
+				delta.edit().limits().orElse(this.limits), this.teams.apply(delta.toVersion(), delta.edit().teams()),
+				nextEvacuations(delta.toVersion(), delta.edit()));
 		return next.digest().equals(delta.digest()) ? Optional.of(next) : Optional.empty();
 	}
 
@@ -253,6 +294,12 @@
 		return missing;
 	}
 
+	private Evacuations nextEvacuations(long nextVersion, ConfigurationEdit edit) {
+		return edit.evacuatedDomains()
+			.map((failureDomains) -> new Evacuations(failureDomains, nextVersion))
+			.orElse(this.evacuations);
+	}
+
 	private Set<String> serviceNamesInScope(Scope scope) {
 		Set<String> names = new TreeSet<>();
 		for (ServiceConfiguration service : this.services.values()) {
--- a/model/src/main/java/io/lavenderroad/model/ServiceConfiguration.java
+++ b/model/src/main/java/io/lavenderroad/model/ServiceConfiguration.java
@@ -41,6 +41,8 @@
 
 	private final MoveParameters move;
 
+	private final ColdStart coldStart;
+
 	private final long modifiedVersion;
 
 	private volatile byte[] encoded;
@@ -57,6 +59,7 @@
 		this.split = Collections.unmodifiableMap(new TreeMap<>(builder.split));
 		this.limits = builder.limits;
 		this.move = builder.move;
+		this.coldStart = Objects.requireNonNull(builder.coldStart, "coldStart");
 		this.modifiedVersion = builder.modifiedVersion;
 	}
 
@@ -82,6 +85,7 @@
 			.split(this.split)
 			.limits(this.limits)
 			.move(this.move)
+			.coldStart(this.coldStart)
 			.modifiedVersion(this.modifiedVersion);
 	}
 
@@ -153,6 +157,14 @@
 		return Optional.ofNullable(this.move);
 	}
 
+	/**
+	 * Returns the load that the backend servers tolerate while they are cold.
+	 * @return the cold start
+	 */
+	public ColdStart coldStart() {
+		return this.coldStart;
+	}
+
 	/**
 	 * Returns the mesh version that last changed this service.
 	 * @return the version
@@ -205,7 +217,7 @@
 				&& this.calls.equals(service.calls) && this.routes.equals(service.routes)
 				&& this.versions.equals(service.versions) && this.split.equals(service.split)
 				&& this.limits.equals(service.limits) && Objects.equals(this.move, service.move)
-				&& this.modifiedVersion == service.modifiedVersion;
+				&& this.coldStart.equals(service.coldStart) && this.modifiedVersion == service.modifiedVersion;
 	}
 
 	@Override
@@ -241,6 +253,8 @@
 
 		private MoveParameters move;
 
+		private ColdStart coldStart = ColdStart.NONE;
+
 		private long modifiedVersion;
 
 		private Builder(String name) {
@@ -317,6 +331,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the load that the backend servers tolerate while they are cold.
+		 * @param coldStart the cold start
+		 * @return this builder
+		 */
+		public Builder coldStart(ColdStart coldStart) {
+			this.coldStart = coldStart;
+			return this;
+		}
+
 		/**
 		 * Sets the mesh version that last changed the service.
 		 * @param version the version
--- a/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
+++ b/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
@@ -13,10 +13,13 @@
 
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageEncoder;
+import io.lavenderroad.core.wire.WireException;
 import io.lavenderroad.model.CallRules;
 import io.lavenderroad.model.CallerLimits;
+import io.lavenderroad.model.ColdStart;
 import io.lavenderroad.model.ConfigurationDelta;
 import io.lavenderroad.model.ConfigurationEdit;
+import io.lavenderroad.model.Evacuations;
 import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.MoveParameters;
@@ -24,11 +27,15 @@
 import io.lavenderroad.model.RouteSet;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.ServiceLimits;
+import io.lavenderroad.model.Team;
+import io.lavenderroad.model.TeamEdit;
+import io.lavenderroad.model.TeamSet;
 import io.lavenderroad.model.ThinEvidence;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 /**
  * MessagePack binding of the configuration. Encoding is deterministic, since digests are
@@ -36,6 +43,18 @@
  */
 public final class ConfigurationBinding {
 
+	/**
+	 * Number of parts of an encoded configuration. A configuration that was encoded
+	 * before teams existed begins with its version and not with this number.
+	 */
+	private static final int CONFIGURATION_PARTS = 8;
+
+	private static final int EDIT_FORMAT = 2;
+
+	private static final int ROUTE_FORMAT = 2;
+
+	private static final int SERVICE_FORMAT = 2;
+
 	private ConfigurationBinding() {
 	}
 
@@ -53,6 +72,13 @@
 		}
 		digest.update(ByteBuffer.allocate(Long.BYTES).putLong(0, configuration.routes().fingerprint()));
 		digest.update(toBytes(configuration.limits(), ConfigurationBinding::packCallerLimits));
+		for (Team team : configuration.teams().all()) {
+			digest.update(toBytes(team, TeamBinding::packTeam));
+		}
+		for (String failureDomain : configuration.evacuations().failureDomains()) {
+			digest.update(failureDomain.getBytes(StandardCharsets.UTF_8));
+			digest.update((byte) 0);
+		}
 		return HexFormat.of().formatHex(digest.digest());
 	}
 
@@ -108,6 +134,7 @@
 	 * @throws IOException if the packer fails
 	 */
 	public static void packConfiguration(MeshConfiguration configuration, MessagePacker packer) throws IOException {
+		packer.packArrayHeader(CONFIGURATION_PARTS);
 		packer.packLong(configuration.version());
 		Fields.packList(packer, configuration.services().values(), ConfigurationBinding::packService);
 		RouteSet routes = configuration.routes();
@@ -115,6 +142,8 @@
 		packer.packLong(routes.removalsCompleteFrom());
 		Fields.packMap(packer, routes.removals(), (removalVersion, target) -> target.packLong(removalVersion));
 		packCallerLimits(configuration.limits(), packer);
+		TeamBinding.packTeams(configuration.teams(), packer);
+		TeamBinding.packEvacuations(configuration.evacuations(), packer);
 	}
 
 	/**
@@ -124,13 +153,20 @@
 	 * @throws IOException if the input is truncated
 	 */
 	public static MeshConfiguration unpackConfiguration(MessageUnpacker unpacker) throws IOException {
+		boolean hasTeams = unpacker.getNextFormat().getValueType() == ValueType.ARRAY;
+		if (hasTeams && unpacker.unpackArrayHeader() != CONFIGURATION_PARTS) {
+			throw new WireException("a configuration does not have " + CONFIGURATION_PARTS + " parts");
+		}
 		long version = unpacker.unpackLong();
 		List<ServiceConfiguration> services = Fields.unpackList(unpacker, ConfigurationBinding::unpackService);
 		List<HostRoute> routes = Fields.unpackList(unpacker, ConfigurationBinding::unpackHostRoute);
 		long removalsCompleteFrom = unpacker.unpackLong();
 		SortedMap<String, Long> removals = Fields.unpackMap(unpacker, MessageUnpacker::unpackLong);
-		return MeshConfiguration.of(version, services, RouteSet.of(routes, removals, removalsCompleteFrom),
-				unpackCallerLimits(unpacker));
+		CallerLimits limits = unpackCallerLimits(unpacker);
+		TeamSet teams = hasTeams ? TeamBinding.unpackTeams(unpacker) : TeamSet.EMPTY;
+		Evacuations evacuations = hasTeams ? TeamBinding.unpackEvacuations(unpacker) : Evacuations.NONE;
+		return MeshConfiguration.of(version, services, RouteSet.of(routes, removals, removalsCompleteFrom), limits,
+				teams, evacuations);
 	}
 
 	/**
@@ -164,6 +200,7 @@
 	 * @throws IOException if the packer fails
 	 */
 	public static void packEdit(ConfigurationEdit edit, MessagePacker packer) throws IOException {
+		packer.packInt(EDIT_FORMAT);
 		Fields.packList(packer, edit.services(), ConfigurationBinding::packService);
 		Fields.packList(packer, edit.removedServices(), (name, target) -> target.packString(name));
 		Fields.packList(packer, edit.routes(), ConfigurationBinding::packHostRoute);
@@ -172,6 +209,8 @@
 		if (edit.limits().isPresent()) {
 			packCallerLimits(edit.limits().get(), packer);
 		}
+		TeamBinding.packTeamEdit(edit.teams(), packer);
+		TeamBinding.packEvacuatedDomains(edit.evacuatedDomains(), packer);
 	}
 
 	/**
@@ -181,11 +220,26 @@
 	 * @throws IOException if the input is truncated
 	 */
 	public static ConfigurationEdit unpackEdit(MessageUnpacker unpacker) throws IOException {
+		boolean hasTeams = unpackFormat(unpacker, EDIT_FORMAT);
 		return new ConfigurationEdit(Fields.unpackList(unpacker, ConfigurationBinding::unpackService),
 				Fields.unpackList(unpacker, MessageUnpacker::unpackString),
 				Fields.unpackList(unpacker, ConfigurationBinding::unpackHostRoute),
 				Fields.unpackList(unpacker, MessageUnpacker::unpackString),
-				unpacker.unpackBoolean() ? Optional.of(unpackCallerLimits(unpacker)) : Optional.empty());
+				unpacker.unpackBoolean() ? Optional.of(unpackCallerLimits(unpacker)) : Optional.empty(),
+				hasTeams ? TeamBinding.unpackTeamEdit(unpacker) : TeamEdit.NONE,
+				hasTeams ? TeamBinding.unpackEvacuatedDomains(unpacker) : Optional.empty());
+	}
+
+	// Encodings that were written before formats existed have no number in front.
+	private static boolean unpackFormat(MessageUnpacker unpacker, int expected) throws IOException {
+		if (unpacker.getNextFormat().getValueType() != ValueType.INTEGER) {
+			return false;
+		}
+		int format = unpacker.unpackInt();
+		if (format != expected) {
+			throw new WireException("format " + format + " is unknown; the known format is " + expected);
+		}
+		return true;
 	}
 
 	private static void packHostRoute(HostRoute route, MessagePacker packer) throws IOException {
@@ -193,6 +247,7 @@
 	}
 
 	private static void packHostRouteFields(HostRoute route, MessagePacker packer) throws IOException {
+		packer.packInt(ROUTE_FORMAT);
 		packer.packString(route.name());
 		packer.packString(route.host());
 		packer.packString(route.pathPrefix());
@@ -204,9 +259,11 @@
 		packer.packInt(route.rules().maximumBodyBytes());
 		Fields.packMap(packer, route.weights(), (weight, target) -> target.packInt(weight));
 		packer.packLong(route.modifiedVersion());
+		packer.packBoolean(route.allowsAnonymous());
 	}
 
 	private static HostRoute unpackHostRoute(MessageUnpacker unpacker) throws IOException {
+		boolean hasAnonymous = unpackFormat(unpacker, ROUTE_FORMAT);
 		String name = unpacker.unpackString();
 		return HostRoute.builder(name)
 			.match(unpacker.unpackString(), unpacker.unpackString())
@@ -214,6 +271,7 @@
 					unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()))
 			.weights(Fields.unpackMap(unpacker, MessageUnpacker::unpackInt))
 			.modifiedVersion(unpacker.unpackLong())
+			.allowsAnonymous(hasAnonymous && unpacker.unpackBoolean())
 			.build();
 	}
 
@@ -239,6 +297,7 @@
 	}
 
 	private static void packServiceFields(ServiceConfiguration service, MessagePacker packer) throws IOException {
+		packer.packInt(SERVICE_FORMAT);
 		packer.packString(service.name());
 		packer.packString(service.team());
 		packer.packBoolean(service.openToCallers());
@@ -254,6 +313,8 @@
 			packMoveParameters(service.move().get(), packer);
 		}
 		packer.packLong(service.modifiedVersion());
+		packer.packLong(service.coldStart().durationMillis());
+		packer.packDouble(service.coldStart().requestsPerSecond());
 	}
 
 	/**
@@ -263,6 +324,7 @@
 	 * @throws IOException if the input is truncated
 	 */
 	public static ServiceConfiguration unpackService(MessageUnpacker unpacker) throws IOException {
+		boolean hasColdStart = unpackFormat(unpacker, SERVICE_FORMAT);
 		return ServiceConfiguration.builder(unpacker.unpackString())
 			.team(unpacker.unpackString())
 			.openToCallers(unpacker.unpackBoolean())
@@ -273,6 +335,7 @@
 			.limits(new ServiceLimits(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()))
 			.move(unpacker.unpackBoolean() ? unpackMoveParameters(unpacker) : null)
 			.modifiedVersion(unpacker.unpackLong())
+			.coldStart(hasColdStart ? new ColdStart(unpacker.unpackLong(), unpacker.unpackDouble()) : ColdStart.NONE)
 			.build();
 	}
 
