Write configurations in the oldest format that holds them

Cause: every service, route, edit and configuration was written in the new format, so a program of before teams and evacuations could neither read a log entry nor a delta of an updated process, and digests changed although the content did not. Change: the new formats are used only for content that needs them. Members and nodes can be updated one by one before the first team, evacuation, cold start or open route.

--- a/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
+++ b/model/src/main/java/io/lavenderroad/model/binding/ConfigurationBinding.java
@@ -39,7 +39,10 @@
 
 /**
  * MessagePack binding of the configuration. Encoding is deterministic, since digests are
- * computed over the encoded form.
+ * computed over the encoded form. Content is written in the oldest format that can hold
+ * it: without teams, evacuations, cold starts and routes for anonymous callers, bytes and
+ * digests are those of programs that do not know these features, so that the processes of
+ * a mesh can be updated one by one.
  */
 public final class ConfigurationBinding {
 
@@ -134,7 +137,10 @@
 	 * @throws IOException if the packer fails
 	 */
 	public static void packConfiguration(MeshConfiguration configuration, MessagePacker packer) throws IOException {
-		packer.packArrayHeader(CONFIGURATION_PARTS);
+		boolean hasTeams = needsTeams(configuration);
+		if (hasTeams) {
+			packer.packArrayHeader(CONFIGURATION_PARTS);
+		}
 		packer.packLong(configuration.version());
 		Fields.packList(packer, configuration.services().values(), ConfigurationBinding::packService);
 		RouteSet routes = configuration.routes();
@@ -142,8 +148,15 @@
 		packer.packLong(routes.removalsCompleteFrom());
 		Fields.packMap(packer, routes.removals(), (removalVersion, target) -> target.packLong(removalVersion));
 		packCallerLimits(configuration.limits(), packer);
-		TeamBinding.packTeams(configuration.teams(), packer);
-		TeamBinding.packEvacuations(configuration.evacuations(), packer);
+		if (hasTeams) {
+			TeamBinding.packTeams(configuration.teams(), packer);
+			TeamBinding.packEvacuations(configuration.evacuations(), packer);
+		}
+	}
+
+	private static boolean needsTeams(MeshConfiguration configuration) {
+		TeamSet teams = configuration.teams();
+		return !teams.isEmpty() || teams.lastRemovalVersion() > 0 || configuration.evacuations().modifiedVersion() > 0;
 	}
 
 	/**
@@ -200,7 +213,10 @@
 	 * @throws IOException if the packer fails
 	 */
 	public static void packEdit(ConfigurationEdit edit, MessagePacker packer) throws IOException {
-		packer.packInt(EDIT_FORMAT);
+		boolean hasTeams = !edit.teams().isEmpty() || edit.evacuatedDomains().isPresent();
+		if (hasTeams) {
+			packer.packInt(EDIT_FORMAT);
+		}
 		Fields.packList(packer, edit.services(), ConfigurationBinding::packService);
 		Fields.packList(packer, edit.removedServices(), (name, target) -> target.packString(name));
 		Fields.packList(packer, edit.routes(), ConfigurationBinding::packHostRoute);
@@ -209,8 +225,10 @@
 		if (edit.limits().isPresent()) {
 			packCallerLimits(edit.limits().get(), packer);
 		}
-		TeamBinding.packTeamEdit(edit.teams(), packer);
-		TeamBinding.packEvacuatedDomains(edit.evacuatedDomains(), packer);
+		if (hasTeams) {
+			TeamBinding.packTeamEdit(edit.teams(), packer);
+			TeamBinding.packEvacuatedDomains(edit.evacuatedDomains(), packer);
+		}
 	}
 
 	/**
@@ -247,7 +265,9 @@
 	}
 
 	private static void packHostRouteFields(HostRoute route, MessagePacker packer) throws IOException {
-		packer.packInt(ROUTE_FORMAT);
+		if (route.allowsAnonymous()) {
+			packer.packInt(ROUTE_FORMAT);
+		}
 		packer.packString(route.name());
 		packer.packString(route.host());
 		packer.packString(route.pathPrefix());
@@ -259,7 +279,9 @@
 		packer.packInt(route.rules().maximumBodyBytes());
 		Fields.packMap(packer, route.weights(), (weight, target) -> target.packInt(weight));
 		packer.packLong(route.modifiedVersion());
-		packer.packBoolean(route.allowsAnonymous());
+		if (route.allowsAnonymous()) {
+			packer.packBoolean(true);
+		}
 	}
 
 	private static HostRoute unpackHostRoute(MessageUnpacker unpacker) throws IOException {
@@ -297,7 +319,10 @@
 	}
 
 	private static void packServiceFields(ServiceConfiguration service, MessagePacker packer) throws IOException {
-		packer.packInt(SERVICE_FORMAT);
+		boolean hasColdStart = !service.coldStart().equals(ColdStart.NONE);
+		if (hasColdStart) {
+			packer.packInt(SERVICE_FORMAT);
+		}
 		packer.packString(service.name());
 		packer.packString(service.team());
 		packer.packBoolean(service.openToCallers());
@@ -313,8 +338,10 @@
 			packMoveParameters(service.move().get(), packer);
 		}
 		packer.packLong(service.modifiedVersion());
-		packer.packLong(service.coldStart().durationMillis());
-		packer.packDouble(service.coldStart().requestsPerSecond());
+		if (hasColdStart) {
+			packer.packLong(service.coldStart().durationMillis());
+			packer.packDouble(service.coldStart().requestsPerSecond());
+		}
 	}
 
 	/**
