Accept teams, cold starts and evacuation orders at the control group

Cause: the control group could neither decode nor check teams, cold starts and routes for anonymous callers, and operators could not evacuate a failure domain. Change: DeclaredConfiguration holds teams and cold starts as sent, DeclarationValidator checks them without printing keys, a changed cold start keeps versions and moves of its service. SetEvacuation changes the evacuated domains, EvacuationOrders accepts the orders with the leader check and the wait for nodes of other orders. The settings of control members list the failure domains.

--- a/control/src/main/java/io/lavenderroad/control/state/Command.java
+++ b/control/src/main/java/io/lavenderroad/control/state/Command.java
@@ -141,4 +141,16 @@
 
 	}
 
+	/**
+	 * Begins or finishes the evacuation of a failure domain.
+	 *
+	 * @param atMillis time of the leader, milliseconds since the epoch
+	 * @param failureDomain name of the failure domain
+	 * @param evacuated whether the backend servers in the domain get no requests from now
+	 * on
+	 */
+	record SetEvacuation(long atMillis, String failureDomain, boolean evacuated) implements Command {
+
+	}
+
 }
--- a/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
+++ b/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
@@ -9,6 +9,7 @@
 import io.lavenderroad.control.state.Command.RecordInitialVersion;
 import io.lavenderroad.control.state.Command.RecordMoveWarning;
 import io.lavenderroad.control.state.Command.ReplaceConfiguration;
+import io.lavenderroad.control.state.Command.SetEvacuation;
 import io.lavenderroad.control.state.Command.StepMove;
 import io.lavenderroad.control.state.Command.WithdrawMove;
 import io.lavenderroad.core.LavenderroadException;
@@ -45,6 +46,8 @@
 
 	private static final int RECORD_INITIAL_VERSION = 8;
 
+	private static final int SET_EVACUATION = 9;
+
 	private CommandBinding() {
 	}
 
@@ -142,6 +145,10 @@
 				packer.packInt(RECORD_INITIAL_VERSION).packLong(initial.atMillis());
 				packer.packString(initial.service()).packString(initial.version());
 			}
+			case SetEvacuation order -> {
+				packer.packInt(SET_EVACUATION).packLong(order.atMillis());
+				packer.packString(order.failureDomain()).packBoolean(order.evacuated());
+			}
 		}
 	}
 
@@ -200,6 +207,7 @@
 				new BeginMove(atMillis, unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
 			case RECORD_INITIAL_VERSION ->
 				new RecordInitialVersion(atMillis, unpacker.unpackString(), unpacker.unpackString());
+			case SET_EVACUATION -> new SetEvacuation(atMillis, unpacker.unpackString(), unpacker.unpackBoolean());
 			default -> unpackMoveCommand(code, atMillis, unpacker);
 		};
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationService.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationService.java
@@ -16,6 +16,7 @@
 import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.TeamEdit;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
 
@@ -118,15 +119,18 @@
 
 	private static ConfigurationEdit edit(DeclaredConfiguration declared, MeshConfiguration current) {
 		List<ServiceConfiguration> services = new ArrayList<>();
-		for (String name : declared.services()) {
-			if (current.service(name).isEmpty()) {
-				services.add(ServiceConfiguration.builder(name).openToCallers(true).build());
+		declared.services().forEach((name, coldStart) -> {
+			ServiceConfiguration before = current.service(name)
+				.orElseGet(() -> ServiceConfiguration.builder(name).openToCallers(true).build());
+			ServiceConfiguration next = before.toBuilder().coldStart(coldStart.toColdStart()).build();
+			if (current.service(name).isEmpty() || !next.coldStart().equals(before.coldStart())) {
+				services.add(next);
 			}
-		}
+		});
 		List<String> removedServices = current.services()
 			.keySet()
 			.stream()
-			.filter((name) -> !declared.services().contains(name))
+			.filter((name) -> !declared.services().containsKey(name))
 			.toList();
 		Map<String, HostRoute> before = current.routes()
 			.all()
@@ -139,12 +143,14 @@
 			.toList();
 		Set<String> names = declared.routes().stream().map(HostRoute::name).collect(Collectors.toSet());
 		List<String> removedRoutes = before.keySet().stream().filter((name) -> !names.contains(name)).sorted().toList();
-		return new ConfigurationEdit(services, removedServices, routes, removedRoutes, Optional.of(declared.limits()));
+		TeamEdit teams = current.teams().editTo(declared.teams().stream().map(DeclaredTeam::toTeam).toList());
+		return new ConfigurationEdit(services, removedServices, routes, removedRoutes, Optional.of(declared.limits()),
+				teams, Optional.empty());
 	}
 
 	private static void log(DeclaredConfiguration declared, String outcome) {
-		Logger.info("control: Declared configuration {} with base version {} and {} routes: {}.", declared.version(),
-				declared.baseVersion(), declared.routes().size(), outcome);
+		Logger.info("control: Declared configuration {} with base version {}, {} routes and {} teams: {}.",
+				declared.version(), declared.baseVersion(), declared.routes().size(), declared.teams().size(), outcome);
 	}
 
 	/**
--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
@@ -151,11 +151,21 @@
 	private static ConfigurationEdit withVersions(MeshState state, ConfigurationEdit edit) {
 		List<ServiceConfiguration> services = new ArrayList<>();
 		for (ServiceConfiguration service : edit.services()) {
-			String version = state.currentVersions.get(service.name());
-			services.add((version != null) ? withSingleVersion(service, version) : service);
+			services.add(withVersions(state, service));
 		}
 		return new ConfigurationEdit(services, edit.removedServices(), edit.routes(), edit.removedRoutes(),
-				edit.limits());
+				edit.limits(), edit.teams(), edit.evacuatedDomains());
+	}
+
+	// The leader computed the edit before a step of a move may have changed the split, so
+	// only the cold start of a service that exists is taken from the edit.
+	private static ServiceConfiguration withVersions(MeshState state, ServiceConfiguration declared) {
+		Optional<ServiceConfiguration> active = state.configuration.service(declared.name());
+		if (active.isPresent()) {
+			return active.get().toBuilder().coldStart(declared.coldStart()).build();
+		}
+		String version = state.currentVersions.get(declared.name());
+		return (version != null) ? withSingleVersion(declared, version) : declared;
 	}
 
 	private static ServiceConfiguration withSingleVersion(ServiceConfiguration service, String version) {
@@ -172,8 +182,13 @@
 	}
 
 	private static List<String> historyLines(ConfigurationEdit edit) {
-		return List.of(edit.routes().size() + " routes changed, " + edit.removedRoutes().size() + " removed, "
-				+ edit.services().size() + " services added, " + edit.removedServices().size() + " removed");
+		List<String> lines = new ArrayList<>();
+		lines.add(edit.routes().size() + " routes changed, " + edit.removedRoutes().size() + " removed, "
+				+ edit.services().size() + " services added or changed, " + edit.removedServices().size() + " removed");
+		if (!edit.teams().isEmpty()) {
+			lines.add(edit.teams().changed().size() + " teams changed, " + edit.teams().removed().size() + " removed");
+		}
+		return lines;
 	}
 
 	private static CommandOutcome applied(MeshState state) {
--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationValidator.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationValidator.java
@@ -21,6 +21,8 @@
 
 	private final Map<String, String> routeNamesByPrefix = new HashMap<>();
 
+	private final Map<String, String> teamNamesByKey = new HashMap<>();
+
 	private DeclarationValidator(DeclaredConfiguration declared) {
 		this.declared = declared;
 	}
@@ -37,6 +39,8 @@
 					"a version above its base version " + declared.baseVersion());
 		}
 		declared.routes().forEach(check::checkRoute);
+		declared.services().forEach(check::checkColdStart);
+		declared.teams().forEach(check::checkTeam);
 		return check.problems;
 	}
 
@@ -62,7 +66,7 @@
 	private void checkWeights(HostRoute route, String path) {
 		long sum = 0;
 		for (Map.Entry<String, Integer> part : route.weights().entrySet()) {
-			if (!this.declared.services().contains(part.getKey())) {
+			if (!this.declared.services().containsKey(part.getKey())) {
 				addProblem(path, "the unknown service '" + part.getKey() + "'", "a declared service");
 			}
 			if (part.getValue() < 0) {
@@ -75,6 +79,45 @@
 		}
 	}
 
+	private void checkColdStart(String service, DeclaredColdStart coldStart) {
+		String path = "services." + service;
+		checkNumber(path, "cold start of %s seconds", coldStart.seconds());
+		checkNumber(path, "%s requests per second while cold", coldStart.requestsPerSecond());
+	}
+
+	private void checkTeam(DeclaredTeam team) {
+		String path = "teams." + team.name();
+		if (team.name().isBlank() || team.name().chars().anyMatch(Character::isISOControl)) {
+			addProblem("teams", team.name().isBlank() ? "a team without a name" : "a name with control characters",
+					"a name of printable characters");
+		}
+		if (team.priority() < 0) {
+			addProblem(path, "priority " + team.priority(), "0 or more");
+		}
+		checkNumber(path, "%s requests per second", team.requestsPerSecond());
+		checkNumber(path, "a burst of %s requests", team.burst());
+		for (int index = 0; index < team.accessKeys().size(); index++) {
+			checkKey(team, path + ".key[" + index + "]", team.accessKeys().get(index));
+		}
+	}
+
+	// Problems name the place of a key and never the key, since they are logged.
+	private void checkKey(DeclaredTeam team, String path, String key) {
+		if (key.isBlank()) {
+			addProblem(path, "an empty key", "a key");
+		}
+		String other = this.teamNamesByKey.putIfAbsent(key, team.name());
+		if (other != null && !other.equals(team.name())) {
+			addProblem(path, "a key of team " + other, "a key of no other team");
+		}
+	}
+
+	private void checkNumber(String path, String found, double value) {
+		if (!(value >= 0) || Double.isInfinite(value)) {
+			addProblem(path, found.formatted(value), "a finite number of 0 or more");
+		}
+	}
+
 	private void addProblem(String path, String found, String allowed) {
 		this.problems.add(new Problem(new Location("configuration", 0, 0, path), found, allowed));
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/HistoryEntry.java
+++ b/control/src/main/java/io/lavenderroad/control/state/HistoryEntry.java
@@ -9,8 +9,9 @@
  * @param version mesh version created by the event, or the active version if it created
  * none
  * @param atMillis command time of the event, milliseconds since the epoch
- * @param kind kind of the event: {@code change}, {@code move} or {@code declaration}
- * @param id id of the change or of the move, or the declared version
+ * @param kind kind of the event: {@code change}, {@code move}, {@code declaration} or
+ * {@code evacuation}
+ * @param id id of the change or of the move, the declared version, or the failure domain
  * @param operator name of the operator, or empty if the event has none
  * @param lines description of the effect
  */
--- a/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
@@ -21,6 +21,7 @@
 import io.lavenderroad.control.state.Command.RecordInitialVersion;
 import io.lavenderroad.control.state.Command.RecordMoveWarning;
 import io.lavenderroad.control.state.Command.ReplaceConfiguration;
+import io.lavenderroad.control.state.Command.SetEvacuation;
 import io.lavenderroad.control.state.Command.StepMove;
 import io.lavenderroad.control.state.Command.WithdrawMove;
 import io.lavenderroad.control.state.CommandOutcome.Kind;
@@ -349,6 +350,7 @@
 			case ReplaceConfiguration replace -> DeclarationTransitions.replace(this.state, replace);
 			case BeginMove begin -> DeclarationTransitions.beginMove(this.state, begin);
 			case RecordInitialVersion initial -> DeclarationTransitions.recordInitialVersion(this.state, initial);
+			case SetEvacuation order -> EvacuationTransitions.apply(this.state, order);
 		};
 	}
 
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlInterface.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlInterface.java
@@ -4,6 +4,7 @@
 
 import com.sun.net.httpserver.HttpHandler;
 import io.lavenderroad.control.state.DeclarationService;
+import io.lavenderroad.control.state.EvacuationOrders;
 import io.lavenderroad.control.state.MoveOrders;
 import io.lavenderroad.core.kernel.ExtensionPoint;
 
@@ -25,8 +26,9 @@
 	 * Creates the pages.
 	 * @param declarations accepts complete configurations
 	 * @param moves accepts commands for moves
+	 * @param evacuations accepts orders to evacuate failure domains
 	 * @return handlers by path
 	 */
-	Map<String, HttpHandler> pages(DeclarationService declarations, MoveOrders moves);
+	Map<String, HttpHandler> pages(DeclarationService declarations, MoveOrders moves, EvacuationOrders evacuations);
 
 }
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -25,6 +25,7 @@
 import io.lavenderroad.control.state.Acknowledgement;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.DeclarationService;
+import io.lavenderroad.control.state.EvacuationOrders;
 import io.lavenderroad.control.state.MeshStateMachine;
 import io.lavenderroad.control.state.MoveOrders;
 import io.lavenderroad.control.state.MoveService;
@@ -140,9 +141,10 @@
 		this.root.start();
 		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
 		Acknowledgement acknowledgement = new Acknowledgement(this.root::awaitActive, clock);
+		EvacuationOrders evacuations = evacuations(mesh, commands, acknowledgement);
 		this.api = api(kernel, clock, mesh, commands, moveService, metrics, acknowledgement);
-		this.api.addHandlers(
-				pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement), orders));
+		this.api.addHandlers(pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement),
+				orders, evacuations));
 		this.api.start(settings.httpAddress());
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, metrics::text);
 		InitialVersionRecorder initialVersionRecorder = new InitialVersionRecorder(mesh,
@@ -211,17 +213,29 @@
 		return operatorApi;
 	}
 
+	private EvacuationOrders evacuations(MeshStateMachine mesh, RaftCommandLog commands,
+			Acknowledgement acknowledgement) {
+		return EvacuationOrders.builder(mesh)
+			.log(commands, commands)
+			.clock(this.clock)
+			.acknowledgement(acknowledgement)
+			.configuredDomains(() -> this.settings.failureDomains())
+			.endpoints(() -> this.root.registry().unexpired())
+			.build();
+	}
+
 	private GroupJoin join(WireOptions options, RandomGenerator random) {
 		return new GroupJoin(this.member, options, random,
 				() -> this.settings.seeds().stream().map(MemberIdentity::format).toList(),
 				new JoinRequest(this.identity.id(), this.settings.frameAddress()));
 	}
 
-	private Map<String, HttpHandler> pages(Kernel kernel, DeclarationService declarations, MoveOrders orders) {
+	private Map<String, HttpHandler> pages(Kernel kernel, DeclarationService declarations, MoveOrders orders,
+			EvacuationOrders evacuations) {
 		return this.settings.interfaceName()
 			.map((name) -> kernel.find(ControlInterface.EXTENSION_POINT, name)
 				.orElseThrow(() -> new LavenderroadException("interface '" + name + "' is not registered")))
-			.map((controlInterface) -> controlInterface.pages(declarations, orders))
+			.map((controlInterface) -> controlInterface.pages(declarations, orders, evacuations))
 			.orElse(Map.of());
 	}
 
--- a/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/DaemonSettings.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.policy.calls.RetryBudget;
@@ -52,6 +53,8 @@
 
 	private final String interfaceName;
 
+	private final Set<String> failureDomains;
+
 	private DaemonSettings(Builder builder) {
 		this.cluster = Objects.requireNonNull(builder.cluster, "cluster");
 		this.id = Objects.requireNonNull(builder.id, "id");
@@ -71,6 +74,7 @@
 		this.calls = builder.calls;
 		this.shutdown = builder.shutdown;
 		this.interfaceName = builder.interfaceName;
+		this.failureDomains = Set.copyOf(builder.failureDomains);
 	}
 
 	/**
@@ -121,6 +125,15 @@
 		return this.failureDomain;
 	}
 
+	/**
+	 * Returns the failure domains of the deployment, which may be evacuated before a
+	 * backend server has registered there.
+	 * @return names; empty if the settings list none
+	 */
+	public Set<String> failureDomains() {
+		return this.failureDomains;
+	}
+
 	/**
 	 * Returns the socket address of a port of this process.
 	 * @param port a port of this process
@@ -444,6 +457,8 @@
 
 		private String interfaceName;
 
+		private Set<String> failureDomains = Set.of();
+
 		private Builder() {
 		}
 
@@ -477,6 +492,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the failure domains of the deployment.
+		 * @param failureDomains names
+		 * @return this builder
+		 */
+		public Builder failureDomains(Set<String> failureDomains) {
+			this.failureDomains = failureDomains;
+			return this;
+		}
+
 		/**
 		 * Sets the control members to contact first.
 		 * @param seeds addresses for frames
--- a/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
@@ -103,6 +103,7 @@
 		builder.location(name(root.child("region")), name(root.child("failure-domain")), address, ports);
 		Listeners listeners = listeners(root.child("listeners"));
 		builder.listeners(listeners);
+		builder.failureDomains(failureDomains(root.child("failure-domains"), role));
 		builder.seeds(seeds(root, role));
 		builder.dataFolder(dataFolder(root.child("data-folder"), role));
 		builder.log(log(root.child("log")));
@@ -161,6 +162,15 @@
 		return seeds;
 	}
 
+	private static Set<String> failureDomains(YamlNode node, String role) {
+		if (node.isPresent() && !role.equals(CONTROL_ROLE)) {
+			node.addProblem("failure domains", "no such key for this role");
+		}
+		Set<String> failureDomains = new HashSet<>();
+		node.items().forEach((item) -> failureDomains.add(name(item)));
+		return failureDomains;
+	}
+
 	private static Path dataFolder(YamlNode node, String role) {
 		if (!node.isPresent() && !role.equals(CONTROL_ROLE)) {
 			return null;
