Enforce evacuations and the cold rate limit at the proxies

Cause: backend servers of an evacuated failure domain still got requests, and a cold server got whatever all senders together sent to it. Change: senders leave out endpoints of evacuated failure domains. StartControl is the last check of each call before it starts at the local backend server; it refuses calls while its failure domain is evacuated or its configuration is missing, and those over the rate of a cold server (ColdRateLimit, sliding second). Waiting calls are returned as not run when an evacuation begins. A server counts as cold after an evacuation and after silence until a later announcement. X-Cold-Milliseconds of health answers is read.

--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -152,12 +152,20 @@
 	}
 
 	/**
-	 * Refuses all queued calls.
+	 * Refuses all queued calls because the backend server is leaving.
 	 */
 	void refuseWaiting() {
+		refuseWaiting(drainRefusal());
+	}
+
+	/**
+	 * Refuses all queued calls.
+	 * @param refusal answer to each of them, with the verdict "not run"
+	 */
+	void refuseWaiting(CallAnswer refusal) {
 		this.lock.lock();
 		try {
-			this.queue.clear().forEach((call) -> call.result.complete(drainRefusal()));
+			this.queue.clear().forEach((call) -> call.result.complete(refusal));
 		}
 		finally {
 			this.lock.unlock();
--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.node;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendFailure;
@@ -82,6 +83,15 @@
 		return this.exchange.run(request, timeoutMillis, new Cancellation());
 	}
 
+	/**
+	 * Returns the remaining cold time that an answer states.
+	 * @param response the answer
+	 * @return milliseconds, or empty if the answer states none or an impossible one
+	 */
+	OptionalLong coldMillis(BackendResponse response) {
+		return this.dialect.coldMillis(response.headers());
+	}
+
 	private CallAnswer answer(BackendResponse response) {
 		if (isNotRun(response)) {
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server shed the request").asBackendRefusal();
--- a/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.lavenderroad.core.Clock;
@@ -9,7 +10,6 @@
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.node.http.BackendResponse;
-import io.lavenderroad.policy.calls.SlowStart;
 import org.tinylog.Logger;
 
 /**
@@ -23,6 +23,12 @@
 
 	private static final int STATUS_REDIRECT = 300;
 
+	/**
+	 * How long a backend server counts as cold that does not state its remaining cold
+	 * time: until it has been healthy for this long.
+	 */
+	private static final long COLD_MILLIS = 10_000;
+
 	private final Clock clock;
 
 	private final Endpoint self;
@@ -37,6 +43,10 @@
 
 	private volatile EndpointState state;
 
+	private volatile long coldUntilMillis = Long.MIN_VALUE / 2;
+
+	private volatile boolean coldUntilStated;
+
 	private volatile boolean healthy = true;
 
 	private volatile int reportedRunning;
@@ -64,6 +74,21 @@
 		return "";
 	}
 
+	@Override
+	public boolean isCold() {
+		return this.state == EndpointState.COLD || this.coldUntilStated || this.clock.millis() < this.coldUntilMillis;
+	}
+
+	@Override
+	public void treatAsCold() {
+		this.coldUntilStated = true;
+	}
+
+	@Override
+	public void observeCold(long remainingMillis) {
+		this.coldUntilMillis = Math.max(this.coldUntilMillis, this.clock.millis() + remainingMillis);
+	}
+
 	@Override
 	public void unreachable() {
 		// The next poll of the health page detects it.
@@ -74,7 +99,11 @@
 	 */
 	@Override
 	public void poll() {
-		observe(readHealth(), this.clock.millis());
+		Optional<BackendResponse> health = readHealth();
+		health.ifPresent((answer) -> this.backend.coldMillis(answer).ifPresent(this::observeStatedCold));
+		boolean reportsHealthy = this.healthPath.isEmpty()
+				|| health.map((answer) -> answer.status() < STATUS_REDIRECT).orElse(false);
+		observe(reportsHealthy, this.clock.millis());
 		if (!this.loadPath.isEmpty()) {
 			this.reportedRunning = readRunning();
 		}
@@ -82,7 +111,7 @@
 
 	/**
 	 * Announces the end of the cold start once the backend server has been healthy for
-	 * the duration of the slow start.
+	 * long enough.
 	 * @param newHealthy whether the backend server reports that it is healthy
 	 * @param nowMillis clock reading in milliseconds
 	 */
@@ -97,8 +126,8 @@
 		else if (this.healthySinceMillis < 0) {
 			this.healthySinceMillis = nowMillis;
 		}
-		if (this.state == EndpointState.COLD && newHealthy
-				&& nowMillis - this.healthySinceMillis >= SlowStart.DURATION_MILLIS) {
+		if (this.state == EndpointState.COLD && newHealthy && nowMillis - this.healthySinceMillis >= COLD_MILLIS
+				&& nowMillis >= this.coldUntilMillis) {
 			change(EndpointState.READY);
 		}
 	}
@@ -135,13 +164,19 @@
 		}
 	}
 
-	private boolean readHealth() {
-		if (this.healthPath.isEmpty()) {
-			return true;
+	// A stated value replaces the earlier one; a server that states none keeps its state.
+	private void observeStatedCold(long remainingMillis) {
+		this.coldUntilMillis = this.clock.millis() + remainingMillis;
+		this.coldUntilStated = this.coldUntilStated && remainingMillis > 0;
+		if (remainingMillis > 0 && this.state == EndpointState.READY) {
+			change(EndpointState.COLD);
+			this.healthySinceMillis = -1;
 		}
-		return this.backend.get(this.healthPath, TIMEOUT_MILLIS)
-			.map((response) -> response.status() < STATUS_REDIRECT)
-			.getOrElse(false);
+	}
+
+	private Optional<BackendResponse> readHealth() {
+		return this.healthPath.isEmpty() ? Optional.empty()
+				: this.backend.get(this.healthPath, TIMEOUT_MILLIS).toJavaOptional();
 	}
 
 	private int readRunning() {
--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -64,7 +64,14 @@
 
 	private long lastAnnouncementMillis;
 
-	private long coldUntilMillis;
+	private volatile long coldUntilMillis;
+
+	/**
+	 * Set while the backend server may be cold without having stated it: after silence
+	 * and after the end of an evacuation. The next announcement without a remaining cold
+	 * time resets it.
+	 */
+	private volatile boolean coldUntilAnnounced;
 
 	private EndpointState announcedState = EndpointState.DRAINING;
 
@@ -229,6 +236,35 @@
 		}
 	}
 
+	@Override
+	public boolean isCold() {
+		return this.coldUntilAnnounced || this.clock.millis() < this.coldUntilMillis;
+	}
+
+	/**
+	 * Returns the remaining cold time that the backend server stated last.
+	 * @return milliseconds, 0 if it is not cold or its remaining cold time is unknown
+	 */
+	public long remainingColdMillis() {
+		return Math.max(0, this.coldUntilMillis - this.clock.millis());
+	}
+
+	@Override
+	public void treatAsCold() {
+		this.coldUntilAnnounced = true;
+	}
+
+	@Override
+	public void observeCold(long remainingMillis) {
+		this.lock.lock();
+		try {
+			this.coldUntilMillis = Math.max(this.coldUntilMillis, this.clock.millis() + remainingMillis);
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	@Override
 	public boolean isHealthy() {
 		return true;
@@ -286,6 +322,7 @@
 	private void apply(BackendAnnouncement next) {
 		boolean sameIncarnation = this.current != null && this.current.startedMillis() == next.startedMillis();
 		boolean wasLeaving = sameIncarnation && this.current.leaving();
+		boolean returns = this.unresponsive && this.current != null;
 		boolean wasUnresponsive = this.unresponsive;
 		BackendAnnouncement applied = wasLeaving ? new BackendAnnouncement(next.backendId(), next.startedMillis(),
 				next.sequence(), next.service(), next.version(), next.slots(), true, next.remainingColdMillis()) : next;
@@ -300,6 +337,9 @@
 		this.lastAnnouncementMillis = this.clock.millis();
 		this.onSlotsAnnounced.accept(applied.slots());
 		this.coldUntilMillis = this.lastAnnouncementMillis + applied.remainingColdMillis();
+		// The announcement with which a silent server returns may have been sent before
+		// the silence, so only a later one shows that the server is not cold.
+		this.coldUntilAnnounced = returns || (this.coldUntilAnnounced && applied.remainingColdMillis() > 0);
 		publish();
 	}
 
@@ -312,7 +352,7 @@
 		if (!acceptsWork()) {
 			return EndpointState.DRAINING;
 		}
-		return (this.clock.millis() < this.coldUntilMillis) ? EndpointState.COLD : EndpointState.READY;
+		return isCold() ? EndpointState.COLD : EndpointState.READY;
 	}
 
 	private void publish() {
--- a/node/src/main/java/io/lavenderroad/node/CallDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/CallDialect.java
@@ -1,5 +1,7 @@
 package io.lavenderroad.node;
 
+import java.util.OptionalLong;
+
 import io.lavenderroad.core.kernel.ExtensionPoint;
 import io.lavenderroad.node.http.HeaderFields;
 import io.lavenderroad.node.http.OutgoingResponse;
@@ -56,6 +58,16 @@
 	 */
 	boolean isNotRun(int status, HeaderFields headers);
 
+	/**
+	 * Reads how much longer a backend server stays cold from one of its answers.
+	 * @param answer fields of the answer
+	 * @return milliseconds from 0 to one hour, or empty if the answer states none or an
+	 * impossible value
+	 */
+	default OptionalLong coldMillis(HeaderFields answer) {
+		return OptionalLong.empty();
+	}
+
 	/**
 	 * Returns whether an answer belongs to a request.
 	 * @param request fields of the request
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
@@ -255,9 +256,10 @@
 		return CallAnswer.notRun(HttpStatus.GATEWAY_TIMEOUT, "deadline passed before the call was sent");
 	}
 
-	private static CallAnswer noEndpoint(ServiceConfiguration service) {
-		return CallAnswer.notRun(HttpStatus.UNAVAILABLE,
-				"no backend server of " + service.name() + " accepts work now");
+	private CallAnswer noEndpoint(ServiceConfiguration service) {
+		Set<String> evacuated = this.directory.evacuatedDomains(service.name());
+		return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "no backend server of " + service.name() + " accepts work now"
+				+ (evacuated.isEmpty() ? "" : "; evacuated: " + String.join(", ", evacuated)));
 	}
 
 	void prune(Collection<String> services) {
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.node;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -60,6 +61,8 @@
 
 	private final CalledServices calledServices;
 
+	private final StartControl startControl;
+
 	private final NestedRoutes nestedRoutes = new NestedRoutes();
 
 	private final Map<RunningCall, Cancellation> running = new ConcurrentHashMap<>();
@@ -69,7 +72,9 @@
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
-			LocalBackend localBackend, KeyLedger keys, AdmissionStatistics statistics, CalledServices calledServices) {
+			LocalBackend localBackend, StartControl startControl, KeyLedger keys, AdmissionStatistics statistics,
+			CalledServices calledServices) {
+		this.startControl = startControl;
 		this.calledServices = calledServices;
 		this.statistics = statistics;
 		this.localBackend = localBackend;
@@ -115,6 +120,11 @@
 						"no backend server of " + request.service() + " " + request.version() + " takes work here")
 				.withAvoidance(Avoidance.ofAllCalls(AVOID_NOT_SERVING_MILLIS));
 		}
+		Optional<CallAnswer> refusal = this.startControl.refusal();
+		if (refusal.isPresent()) {
+			this.statistics.recordRefusal(request.route(), refusal.get().reason());
+			return refusal.get().withReport(report(request, observe(request)));
+		}
 		// The run of a call that must not run twice continues after its caller has left.
 		Cancellation running = request.metadata().idempotent() ? cancellation : new Cancellation();
 		CallOrigin routeOrigin = observe(request);
@@ -268,6 +278,12 @@
 			this.statistics.recordRefusal(request.route(), slot.getLeft().reason());
 			return slot.getLeft();
 		}
+		Optional<CallAnswer> refusal = this.startControl.start();
+		if (refusal.isPresent()) {
+			slot.get().release(-1);
+			this.statistics.recordRefusal(request.route(), refusal.get().reason());
+			return refusal.get();
+		}
 		long startNanos = System.nanoTime();
 		CallAnswer answer = run(request, deadlineMillis, running, slot.get());
 		this.statistics.recordRun(request.route(), startNanos - arrivalNanos, System.nanoTime() - startNanos,
--- a/node/src/main/java/io/lavenderroad/node/EndpointDirectory.java
+++ b/node/src/main/java/io/lavenderroad/node/EndpointDirectory.java
@@ -4,11 +4,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.Evacuations;
+import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.MeshView;
 import io.lavenderroad.policy.calls.EndpointLoad;
 
@@ -34,7 +38,8 @@
 	}
 
 	/**
-	 * Returns the endpoints of a service and version.
+	 * Returns the endpoints of a service and version, without those in evacuated failure
+	 * domains.
 	 * @param service name of the service
 	 * @param version backend server version
 	 * @return the endpoints in a stable order
@@ -43,6 +48,15 @@
 		return entry(service).byVersion().getOrDefault(version, List.of());
 	}
 
+	/**
+	 * Returns the evacuated failure domains with endpoints of a service.
+	 * @param service name of the service
+	 * @return names of the failure domains
+	 */
+	Set<String> evacuatedDomains(String service) {
+		return entry(service).evacuatedDomains();
+	}
+
 	/**
 	 * Returns the endpoints of all called services, for the administration page.
 	 * @return the endpoints by service
@@ -73,6 +87,10 @@
 	private ServiceEntry refresh(String service, ServiceEntry previous, long current) {
 		Map<String, EndpointLoad> byNode = new HashMap<>();
 		Map<String, List<EndpointLoad>> byVersion = new HashMap<>();
+		Evacuations evacuations = this.view.configuration()
+			.map(MeshConfiguration::evacuations)
+			.orElse(Evacuations.NONE);
+		Set<String> evacuatedDomains = new TreeSet<>();
 		for (Endpoint endpoint : this.view.endpoints(service)) {
 			EndpointLoad load = (previous != null) ? previous.byNode().get(endpoint.nodeId()) : null;
 			if (load == null || load.endpoint().incarnation() != endpoint.incarnation()) {
@@ -80,13 +98,17 @@
 			}
 			load.update(endpoint);
 			byNode.put(endpoint.nodeId(), load);
+			if (evacuations.contains(endpoint.failureDomain())) {
+				evacuatedDomains.add(endpoint.failureDomain());
+				continue;
+			}
 			byVersion.computeIfAbsent(endpoint.version(), (version) -> new ArrayList<>()).add(load);
 		}
-		return new ServiceEntry(current, byNode, byVersion);
+		return new ServiceEntry(current, byNode, byVersion, evacuatedDomains);
 	}
 
 	private record ServiceEntry(long generation, Map<String, EndpointLoad> byNode,
-			Map<String, List<EndpointLoad>> byVersion) {
+			Map<String, List<EndpointLoad>> byVersion, Set<String> evacuatedDomains) {
 
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/LocalBackend.java
+++ b/node/src/main/java/io/lavenderroad/node/LocalBackend.java
@@ -39,6 +39,25 @@
 	 */
 	int reportedRunning();
 
+	/**
+	 * Returns whether the backend server tolerates only the rate that its service states
+	 * for cold servers.
+	 * @return true while it is cold, or not known to be warm
+	 */
+	boolean isCold();
+
+	/**
+	 * Treats the backend server as cold until it states the opposite. Must not block or
+	 * announce anything, since it may be called with a lock of the mesh view held.
+	 */
+	void treatAsCold();
+
+	/**
+	 * Records the remaining cold time that the backend server stated with an answer.
+	 * @param remainingMillis remaining time in milliseconds, above 0
+	 */
+	void observeCold(long remainingMillis);
+
 	/**
 	 * Announces that the backend server accepts no new work because this node is leaving.
 	 */
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -141,8 +141,10 @@
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
 		this.calledServices = new CalledServices(this.clock);
+		StartControl startControl = new StartControl(this.clock, builder.random, this.view, self, this.localBackend,
+				this.admission::refuseWaiting);
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
-				this.keys, this.admissionStatistics, this.calledServices);
+				startControl, this.keys, this.admissionStatistics, this.calledServices);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
@@ -157,6 +159,9 @@
 				: null;
 		builder.metricSets.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
+		this.metrics.gauge("cold_refusals", startControl::coldRefusals);
+		this.metrics.gauge("evacuation_refusals", startControl::evacuationRefusals);
+		this.metrics.gauge("evacuated", () -> startControl.isEvacuated() ? 1 : 0);
 		this.metrics.gauge("caller_connections_reading", this.callerListener::readingConnections);
 		this.metrics.gauge("caller_connections_answering", this.callerListener::answeringConnections);
 		this.metrics.gauge("caller_body_bytes", this.callerListener::bodyBytes);
--- a/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
+++ b/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
@@ -46,6 +46,19 @@
 		Assert.assertEquals(this.published.slots(), 12);
 	}
 
+	@Test
+	public void silentServerCountsAsColdUntilASecondAnnouncement() {
+		this.registration.announce(announcement("i-1", 10, 1, false));
+		Assert.assertFalse(this.registration.isCold());
+		this.nowMillis += 6_001;
+		this.registration.poll();
+		this.registration.announce(announcement("i-1", 10, 2, false));
+		Assert.assertTrue(this.registration.isCold(), "the announcement may be older than the silence");
+		Assert.assertEquals(this.published.state(), EndpointState.COLD);
+		this.registration.announce(announcement("i-1", 10, 3, false));
+		Assert.assertFalse(this.registration.isCold());
+	}
+
 	@Test
 	public void leavingIsFinalWithinOneStart() {
 		this.registration.announce(announcement("i-1", 10, 1, false));
