Evacuate failure domains with the operators' tool and test the orders

Change: GET, PUT and DELETE /v1/evacuations, command evacuate. The history line of a declaration counts only added services.

--- a/control/src/main/java/io/lavenderroad/control/api/ApiJson.java
+++ b/control/src/main/java/io/lavenderroad/control/api/ApiJson.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.lavenderroad.control.api.ConvergenceView.Convergence;
@@ -58,6 +59,26 @@
 		return write(body);
 	}
 
+	static String evacuations(SortedMap<String, Integer> endpointsByDomain) {
+		List<Object> domains = new ArrayList<>();
+		endpointsByDomain.forEach((failureDomain, count) -> {
+			Map<String, Object> item = new LinkedHashMap<>();
+			item.put("failureDomain", failureDomain);
+			item.put("acceptingEndpoints", count);
+			domains.add(item);
+		});
+		return write(Map.of("evacuations", domains));
+	}
+
+	static String evacuation(String failureDomain, boolean evacuated, long version) {
+		Map<String, Object> body = new LinkedHashMap<>();
+		body.put("verdict", ExecutionVerdict.RAN.label());
+		body.put("failureDomain", failureDomain);
+		body.put("evacuated", evacuated);
+		body.put("version", version);
+		return write(body);
+	}
+
 	static String dryRun(DryRun dryRun) {
 		Map<String, Object> body = new LinkedHashMap<>();
 		body.put("baseVersion", dryRun.baseVersion());
--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -21,9 +21,11 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+import io.lavenderroad.control.state.ChangeRefusal;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.CommandFailure;
 import io.lavenderroad.control.state.CommandOutcome;
+import io.lavenderroad.control.state.EvacuationOrders;
 import io.lavenderroad.control.state.MeshStateMachine;
 import io.lavenderroad.control.state.MoveService;
 import io.lavenderroad.control.state.ReadConfirmation;
@@ -95,6 +97,8 @@
 
 	private final MoveService moves;
 
+	private final EvacuationOrders evacuations;
+
 	private final ReadConfirmation confirmation;
 
 	private final MemberAdministration members;
@@ -114,17 +118,19 @@
 	 * @param stateMachine state machine of this member
 	 * @param changes applies changes of documents
 	 * @param moves withdraws moves
+	 * @param evacuations begins and finishes evacuations
 	 * @param confirmation makes reads linearizable
 	 * @param members administration of the members
 	 * @param convergence versions that are active on nodes
 	 * @param metrics supplies the metrics as text
 	 */
 	public OperatorApi(MeshStateMachine stateMachine, ChangeService changes, MoveService moves,
-			ReadConfirmation confirmation, MemberAdministration members, ConvergenceView convergence,
-			Supplier<String> metrics) {
+			EvacuationOrders evacuations, ReadConfirmation confirmation, MemberAdministration members,
+			ConvergenceView convergence, Supplier<String> metrics) {
 		this.stateMachine = stateMachine;
 		this.changes = changes;
 		this.moves = moves;
+		this.evacuations = evacuations;
 		this.confirmation = confirmation;
 		this.members = members;
 		this.convergence = convergence;
@@ -225,6 +231,7 @@
 			case "v1/history" -> get(method, segments, 2, () -> history(exchange.getRequestURI().getRawQuery()));
 			case "v1/configuration" -> get(method, segments, 2, this::configuration);
 			case "v1/moves" -> moves(method, segments, body, exchange.getRequestURI().getRawQuery());
+			case "v1/evacuations" -> evacuations(method, segments);
 			case "v1/members" -> members(method, segments, body);
 			case "v1/nodes" -> get(method, segments, 2, () -> ApiResponse.json(ApiResponse.OK,
 					ApiJson.nodes(this.stateMachine.configuration().version(), this.convergence.convergence())));
@@ -337,6 +344,33 @@
 		});
 	}
 
+	private ApiResponse evacuations(String method, List<String> segments) {
+		if (segments.size() != 3) {
+			return get(method, segments, 2, () -> this.evacuations.evacuated()
+				.fold(ApiResponse::of, (counts) -> ApiResponse.json(ApiResponse.OK, ApiJson.evacuations(counts))));
+		}
+		String failureDomain = segments.get(2);
+		return switch (method) {
+			case "PUT" -> evacuation(failureDomain, true, this.evacuations.begin(failureDomain));
+			case "DELETE" -> evacuation(failureDomain, false, this.evacuations.finish(failureDomain));
+			default -> methodNotAllowed("PUT and DELETE");
+		};
+	}
+
+	private static ApiResponse evacuation(String failureDomain, boolean evacuated,
+			Either<ChangeRefusal, Optional<CommandOutcome>> result) {
+		if (result.isLeft()) {
+			return ApiResponse.of(result.getLeft());
+		}
+		if (result.get().isEmpty()) {
+			return ApiResponse.notRun(ApiResponse.NOT_FOUND, "failure domain " + failureDomain + " is unknown");
+		}
+		CommandOutcome outcome = result.get().get();
+		return outcome.applied()
+				? ApiResponse.json(ApiResponse.OK, ApiJson.evacuation(failureDomain, evacuated, outcome.version()))
+				: ApiResponse.notRun(ApiResponse.CONFLICT, outcome.reason());
+	}
+
 	private ApiResponse members(String method, List<String> segments, byte[] body) {
 		if (segments.size() == 2 && method.equals("POST")) {
 			return post(method, segments, 2, body, this::addMember);
--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationTransitions.java
@@ -53,12 +53,13 @@
 		if (command.declaredVersion() <= state.declared.version) {
 			return refused(state, "version " + command.declaredVersion() + " is not above " + state.declared.version);
 		}
+		List<String> historyLines = historyLines(state, command.edit());
 		state.replaceConfiguration(
 				state.configuration.next(state.configuration.version() + 1, withVersions(state, command.edit())));
 		command.edit().removedServices().forEach((service) -> endMove(state, service, command.atMillis()));
 		state.declared.replace(command);
 		state.record(new HistoryEntry(state.configuration.version(), command.atMillis(), DECLARATION,
-				String.valueOf(command.declaredVersion()), "", historyLines(command.edit())));
+				String.valueOf(command.declaredVersion()), "", historyLines));
 		return applied(state);
 	}
 
@@ -181,10 +182,18 @@
 					"the service was removed", "", "")));
 	}
 
-	private static List<String> historyLines(ConfigurationEdit edit) {
+	private static List<String> historyLines(MeshState state, ConfigurationEdit edit) {
 		List<String> lines = new ArrayList<>();
+		long changed = edit.services()
+			.stream()
+			.filter((service) -> state.configuration.service(service.name()).isPresent())
+			.count();
 		lines.add(edit.routes().size() + " routes changed, " + edit.removedRoutes().size() + " removed, "
-				+ edit.services().size() + " services added or changed, " + edit.removedServices().size() + " removed");
+				+ (edit.services().size() - changed) + " services added, " + edit.removedServices().size()
+				+ " removed");
+		if (changed > 0) {
+			lines.add("cold start of " + changed + " services changed");
+		}
 		if (!edit.teams().isEmpty()) {
 			lines.add(edit.teams().changed().size() + " teams changed, " + edit.teams().removed().size() + " removed");
 		}
--- a/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
+++ b/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
@@ -49,8 +49,8 @@
 		this.mesh = new TestMesh();
 		Convergence convergence = new Convergence(new TreeMap<>(Map.of(0L, 1, 1L, 9)),
 				List.of(new LaggingNode("soweto-1", 0, 700)), List.of());
-		this.api = new OperatorApi(this.mesh.stateMachine, this.mesh.changes, this.mesh.moves, this.mesh::confirm,
-				new FakeMembers(), () -> convergence, () -> "changes 1\n");
+		this.api = new OperatorApi(this.mesh.stateMachine, this.mesh.changes, this.mesh.moves, this.mesh.evacuations,
+				this.mesh::confirm, new FakeMembers(), () -> convergence, () -> "changes 1\n");
 		this.address = this.api.start(new InetSocketAddress("127.0.0.1", 0));
 	}
 
@@ -119,6 +119,20 @@
 		Assert.assertEquals(send("POST", "/v1/moves/none/withdraw", "{\"operator\":\"thandi\"}").statusCode(), 409);
 	}
 
+	@Test
+	public void evacuationIsOrderedListedAndWithdrawn() throws Exception {
+		Assert.assertEquals(send("PUT", "/v1/evacuations/nowhere", "").statusCode(), 404);
+		Assert.assertEquals(json(send("PUT", "/v1/evacuations/north", "")).get("evacuated"), true);
+		Assert.assertTrue(send("GET", "/v1/evacuations", "").body().contains("\"north\""));
+		Assert.assertEquals(json(send("DELETE", "/v1/evacuations/north", "")).get("version"), 2);
+		Assert.assertFalse(send("GET", "/v1/evacuations", "").body().contains("north"));
+		Assert.assertEquals(send("POST", "/v1/evacuations/north", "").statusCode(), 405);
+		this.mesh.losesAnswers = true;
+		Assert.assertEquals(send("PUT", "/v1/evacuations/north", "").statusCode(), 504);
+		this.mesh.leads = false;
+		Assert.assertEquals(send("PUT", "/v1/evacuations/nowhere", "").statusCode(), 421);
+	}
+
 	@Test
 	public void invalidBodiesGetBadRequest() throws Exception {
 		for (String body : List.of("", "[]", "null", "{", "{\"put\":3}", "\"text\"", "{\"changeId\":1}", "[[[[",
--- a/control/src/test/java/io/lavenderroad/control/state/TestMesh.java
+++ b/control/src/test/java/io/lavenderroad/control/state/TestMesh.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.model.Change;
@@ -58,6 +59,12 @@
 
 	public final MoveService moves = new MoveService(this::propose, () -> this.nowMillis);
 
+	public final EvacuationOrders evacuations = EvacuationOrders.builder(this.stateMachine)
+		.log(this::propose, this::confirm)
+		.clock(() -> this.nowMillis)
+		.configuredDomains(() -> Set.of("north", "south"))
+		.build();
+
 	public Either<CommandFailure, byte[]> propose(byte[] command) {
 		Runnable first = this.beforeCommit;
 		this.beforeCommit = () -> {
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -142,7 +142,7 @@
 		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
 		Acknowledgement acknowledgement = new Acknowledgement(this.root::awaitActive, clock);
 		EvacuationOrders evacuations = evacuations(mesh, commands, acknowledgement);
-		this.api = api(kernel, clock, mesh, commands, moveService, metrics, acknowledgement);
+		this.api = api(kernel, clock, mesh, commands, moveService, evacuations, metrics, acknowledgement);
 		this.api.addHandlers(pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement),
 				orders, evacuations));
 		this.api.start(settings.httpAddress());
@@ -205,10 +205,11 @@
 	}
 
 	private OperatorApi api(Kernel kernel, Clock clock, MeshStateMachine mesh, RaftCommandLog commands,
-			MoveService moveService, ControlMetrics metrics, Acknowledgement acknowledgement) {
+			MoveService moveService, EvacuationOrders evacuations, ControlMetrics metrics,
+			Acknowledgement acknowledgement) {
 		Predicate<String> isRegisteredPolicy = (name) -> kernel.find(MovePolicy.EXTENSION_POINT, name).isPresent();
 		ChangeService changes = new ChangeService(mesh, commands, commands, isRegisteredPolicy, clock, acknowledgement);
-		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, commands,
+		OperatorApi operatorApi = new OperatorApi(mesh, changes, moveService, evacuations, commands,
 				new RaftAdministration(this.member, commands), this::convergence, metrics::text);
 		return operatorApi;
 	}
--- a/daemon/src/test/java/io/lavenderroad/daemon/SettingsBindingTests.java
+++ b/daemon/src/test/java/io/lavenderroad/daemon/SettingsBindingTests.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import io.lavenderroad.core.Problem;
 import io.vavr.collection.Seq;
@@ -61,6 +62,26 @@
 		Assert.assertTrue(problems.exists((problem) -> problem.location().path().equals("data-folder")));
 	}
 
+	/**
+	 * Guards against a template of the platform that does not name the failure domains.
+	 */
+	@Test
+	public void templateOfControlMembersNamesTheFailureDomains() throws IOException {
+		String text = Files.readString(Path.of("../deploy/control.yml"))
+			.replace("{{#zones}}\"{{@}}\"{{,}} {{/zones}}", "\"north\", \"south\" ")
+			.replaceAll("\\{\\{[a-z_]*port_range[.]0}}", "7400")
+			.replaceAll("\\{\\{[a-z_]*port_range[.]1}}", "7401")
+			.replace("{{first_start}}", "true")
+			.replace("{{seed_addresses|json}}", "[\"127.0.0.1:7402\"]")
+			.replace("{{ip_address|json}}", "127.0.0.1")
+			.replace("{{listen_addresses.control_plane|json}}", "\"127.0.0.1:7402\"")
+			.replaceAll("\\{\\{[a-z_]+[|]json}}", "north")
+			.replaceAll("\\{\\{[a-z_.]+}}", "2");
+		Either<Seq<Problem>, DaemonSettings> settings = SettingsBinding.read("control.yml", text, ROLES);
+		Assert.assertTrue(settings.isRight(), settings + text);
+		Assert.assertEquals(settings.get().failureDomains(), Set.of("north", "south"));
+	}
+
 	@Test
 	public void mutatedSettingsNeverThrow() {
 		Random random = new Random(20261204);
--- a/tool/src/main/java/io/lavenderroad/tool/Main.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Main.java
@@ -35,6 +35,7 @@
 		this.commands.put("history", new HistoryCommand());
 		this.commands.put("move", new MoveCommand());
 		this.commands.put("verdict", new VerdictCommand());
+		this.commands.put("evacuate", new EvacuateCommand());
 		this.commands.put("members", new MembersCommand());
 		this.commands.put("nodes", new NodesCommand());
 	}
--- a/tool/src/test/java/io/lavenderroad/tool/MainTests.java
+++ b/tool/src/test/java/io/lavenderroad/tool/MainTests.java
@@ -125,6 +125,26 @@
 		Assert.assertTrue(output().contains("member control-9 is not in the group"), output());
 	}
 
+	@Test
+	public void evacuationIsOrderedAgainAfterALostAnswerAndListed() {
+		int code = run((address, method, path, body) -> {
+			if (count("PUT /v1/evacuations/north") == 1) {
+				throw new IOException("connection reset");
+			}
+			return response(200, "{\"evacuated\":true,\"version\":9}");
+		}, "evacuate", "begin", "north");
+		Assert.assertEquals(code, 0, output());
+		Assert.assertTrue(output().contains("north is evacuated as of version 9"), output());
+		HttpTransport list = (address, method, path, body) -> response(200,
+				"{\"evacuations\":[{\"failureDomain\":\"north\",\"acceptingEndpoints\":3}]}");
+		Assert.assertEquals(run(list, "evacuate", "list"), 0, output());
+		Assert.assertTrue(output().contains("north           3"), output());
+		Assert.assertEquals(run((address, method, path, body) -> response(404, "{\"reason\":\"unknown\"}"), "evacuate",
+				"finish", "south"), 4);
+		Assert.assertEquals(run(list, "evacuate", "begin"), 2);
+		Assert.assertEquals(run(list, "evacuate", "begin", "../members"), 2);
+	}
+
 	@Test
 	public void changeWithoutALeaderIsNotRun() {
 		int code = run((address, method, path, body) -> response(503, "{\"reason\":\"no leader\"}"), "apply", EXAMPLE);
