--- a/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
@@ -11,12 +11,16 @@
 import io.lavenderroad.control.state.CommandOutcome.Kind;
 import io.lavenderroad.control.state.DeclarationService.CurrentDeclaration;
 import io.lavenderroad.core.ExecutionVerdict;
+import io.lavenderroad.core.Problem;
 import io.lavenderroad.model.CallRules;
 import io.lavenderroad.model.CallerLimits;
+import io.lavenderroad.model.ColdStart;
 import io.lavenderroad.model.ConfigurationEdit;
 import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MoveState;
 import io.lavenderroad.model.MoveStatus;
+import io.lavenderroad.model.ServiceConfiguration;
+import io.lavenderroad.model.TeamSet;
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
@@ -25,10 +29,13 @@
 /**
  * Guards against two concurrent declarations that are both accepted, an accepted
  * declaration that is refused when it is resent, an invalid configuration that becomes
- * active, stale reads, and moves that begin twice.
+ * active, stale reads, moves that begin twice, withdrawn keys that work again, keys in
+ * messages, and a changed cold start that resets a service.
  */
 public class DeclarationServiceTests {
 
+	private static final DeclaredTeam SHOP = new DeclaredTeam("shop", List.of("key-1", "key-2"), 1, 20.5, 4);
+
 	private long nowMillis = 1_000;
 
 	private long index;
@@ -191,6 +198,85 @@
 		Assert.assertEquals(this.mesh.configuration().service("catalogue").orElseThrow().split(), Map.of("v1", 10_000));
 	}
 
+	@Test
+	public void withdrawnKeyAndEvacuationHoldAfterARestore() {
+		declare(DeclaredColdStart.NONE, SHOP, new DeclaredTeam("desk", List.of("key-3"), 0, 0, 0));
+		this.mesh.apply(++this.index, CommandBinding.toBytes(new Command.SetEvacuation(1, "north", true)));
+		declare(DeclaredColdStart.NONE, new DeclaredTeam("shop", List.of("key-2"), 1, 20.5, 4));
+		MeshStateMachine restored = new MeshStateMachine();
+		restored.restore(this.mesh.snapshot());
+		for (MeshStateMachine member : List.of(this.mesh, restored)) {
+			TeamSet teams = member.configuration().teams();
+			Assert.assertTrue(teams.findByKey("key-1").isEmpty() && teams.findByKey("key-3").isEmpty());
+			Assert.assertEquals(teams.findByKey("key-2").orElseThrow().name(), "shop");
+			Assert.assertTrue(member.configuration().evacuations().contains("north"),
+					"a declaration does not end an evacuation");
+		}
+		Assert.assertEquals(restored.configuration().digest(), this.mesh.configuration().digest());
+	}
+
+	@Test
+	public void changedColdStartKeepsVersionsAndTheMove() {
+		declare(DeclaredColdStart.NONE);
+		MoveOrders orders = new MoveOrders(this.mesh, this.log, this.confirmation, () -> this.nowMillis);
+		orders.recordInitialVersion("catalogue", "v1");
+		orders.begin("catalogue", "v2", 15_000);
+		// A step of the move is committed between the computation of the edit and its
+		// application.
+		CommandLog racingLog = (command) -> {
+			new MoveService(this.log, () -> 1).step(this.mesh.moves().getLast(), 2_500, false, "ramp");
+			return this.log.propose(command);
+		};
+		DeclarationService racing = new DeclarationService(this.mesh, racingLog, this.confirmation, () -> 1,
+				Acknowledgement.IMMEDIATE);
+		Assert.assertTrue(racing.replace(declared(2, 1, new DeclaredColdStart(12.5, 13.3))).get().applied());
+		ServiceConfiguration service = this.mesh.configuration().service("catalogue").orElseThrow();
+		Assert.assertEquals(service.coldStart(), new ColdStart(12_500, 13.3));
+		Assert.assertEquals(service.split(), Map.of("v1", 7_500, "v2", 2_500));
+		Assert.assertTrue(service.move().isPresent());
+	}
+
+	@Test
+	public void invalidValuesAreNamedWithTheirPlaceAndWithoutKeys() {
+		assertProblem("teams.b.key[1]", "team shop", SHOP, new DeclaredTeam("b", List.of("x", "key-2"), 0, 0, 0));
+		assertProblem("teams.b.key[0]", "empty key", new DeclaredTeam("b", List.of(""), 0, 0, 0));
+		assertProblem("teams", "without a name", new DeclaredTeam("", List.of("x"), 0, 0, 0));
+		assertProblem("teams.b", "-1.5 requests per second", new DeclaredTeam("b", List.of("x"), 0, -1.5, 0));
+		assertProblem("teams.b", "burst of -1.0", new DeclaredTeam("b", List.of("x"), 0, 5, -1));
+		assertProblem("teams.b", "Infinity", new DeclaredTeam("b", List.of("x"), 0, 5, Double.POSITIVE_INFINITY));
+		assertProblem("teams.b", "priority -1", new DeclaredTeam("b", List.of("x"), -1, 5, 1));
+		for (DeclaredColdStart coldStart : List.of(new DeclaredColdStart(-0.1, 1), new DeclaredColdStart(1, -0.1))) {
+			String problem = problems(coldStart).getFirst();
+			Assert.assertTrue(problem.contains("services.catalogue") && problem.contains("-0.1"), problem);
+		}
+		Assert.assertEquals(problems(DeclaredColdStart.NONE, new DeclaredTeam("b", List.of("x", "x"), 0, 0, 5)),
+				List.of());
+	}
+
+	private void assertProblem(String place, String value, DeclaredTeam... teams) {
+		List<String> problems = problems(DeclaredColdStart.NONE, teams);
+		Assert.assertEquals(problems.size(), 1, problems.toString());
+		Assert.assertTrue(problems.getFirst().contains(place) && problems.getFirst().contains(value),
+				problems.getFirst());
+		Assert.assertFalse(problems.getFirst().contains("key-2"), problems.getFirst());
+	}
+
+	private List<String> problems(DeclaredColdStart coldStart, DeclaredTeam... teams) {
+		List<Problem> problems = DeclarationValidator.problems(declared(1, 0, coldStart, teams));
+		return problems.stream().map(Problem::toString).toList();
+	}
+
+	private void declare(DeclaredColdStart coldStart, DeclaredTeam... teams) {
+		long base = this.mesh.currentDeclaration().declaredVersion();
+		Assert.assertTrue(this.service.replace(declared(base + 1, base, coldStart, teams)).get().applied());
+	}
+
+	private static DeclaredConfiguration declared(long version, long base, DeclaredColdStart coldStart,
+			DeclaredTeam... teams) {
+		return new DeclaredConfiguration(version, base, "digest " + version, List.of(),
+				new TreeMap<>(Map.of("catalogue", coldStart)), CallerLimits.DEFAULT, List.of(teams), new TreeMap<>());
+	}
+
 	private static DeclaredConfiguration declared(long version, long base, String digest, HostRoute... routes) {
 		TreeMap<String, String> parts = new TreeMap<>();
 		for (HostRoute route : routes) {
