--- /dev/null
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
@@ -0,0 +1,180 @@
+package io.lavenderroad.policy.quota;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Tokens that a node holds for one team.
+ */
+final class TeamLease {
+
+	/**
+	 * Period of the expected demand that tokens are requested for in advance. Requests in
+	 * advance are at least 100 ms apart, so it covers two lost ones.
+	 */
+	private static final double ADVANCE_SECONDS = 0.3;
+
+	private static final long DEMAND_MILLIS = 1_000;
+
+	/**
+	 * Minimum time between two requests for a team that is beyond its quota.
+	 */
+	private static final long MINIMUM_DENIAL_MILLIS = 50;
+
+	/**
+	 * Tokens for waiting requests, then tokens granted in advance; each ordered by
+	 * expiry.
+	 */
+	private final Deque<Lot> immediate = new ArrayDeque<>();
+
+	private final Deque<Lot> advance = new ArrayDeque<>();
+
+	private final RecentCount uses = new RecentCount();
+
+	private int held;
+
+	private int waiting;
+
+	private int returned;
+
+	private boolean unreported;
+
+	private long deniedUntilMillis = Long.MIN_VALUE;
+
+	private long quotaAtMillis;
+
+	/**
+	 * Uses in the window before the contact with the leader was lost.
+	 */
+	private int fallbackLimit;
+
+	boolean take(long nowMillis) {
+		expire(nowMillis);
+		Deque<Lot> lots = this.immediate.isEmpty() ? this.advance : this.immediate;
+		if (lots.isEmpty()) {
+			return false;
+		}
+		Lot lot = lots.removeFirst();
+		if (lot.count() > 1) {
+			lots.addFirst(new Lot(lot.count() - 1, lot.expiresMillis()));
+		}
+		this.held--;
+		this.unreported = true;
+		this.uses.add(1, nowMillis);
+		return true;
+	}
+
+	boolean takeWithoutLeader(long nowMillis) {
+		if (this.uses.sum(nowMillis) >= this.fallbackLimit) {
+			return false;
+		}
+		this.uses.add(1, nowMillis);
+		return true;
+	}
+
+	void giveBack() {
+		this.returned++;
+		this.unreported = true;
+	}
+
+	void waiting(int change) {
+		this.waiting += change;
+	}
+
+	void contactLost(long nowMillis) {
+		this.fallbackLimit = this.uses.sum(nowMillis);
+	}
+
+	boolean isDenied(long nowMillis) {
+		return nowMillis < this.deniedUntilMillis;
+	}
+
+	long retryAfterMillis(long nowMillis) {
+		return Math.max(1, this.quotaAtMillis - nowMillis);
+	}
+
+	boolean isUrgent(long nowMillis) {
+		return wanted() > 0 && !isDenied(nowMillis);
+	}
+
+	boolean needsTokens(long nowMillis, int target) {
+		expire(nowMillis);
+		return !isDenied(nowMillis) && 2 * this.held < target;
+	}
+
+	boolean needsReport() {
+		return this.unreported;
+	}
+
+	boolean isUnused(long nowMillis) {
+		return this.waiting == 0 && this.held == 0 && !this.unreported && this.uses.sum(nowMillis) == 0;
+	}
+
+	/**
+	 * Returns how many tokens the node should hold in advance.
+	 * @param nowMillis clock reading in milliseconds
+	 * @return tokens
+	 */
+	int expected(long nowMillis) {
+		int demand = this.uses.sumOfLast(DEMAND_MILLIS, nowMillis) + this.waiting;
+		return (int) Math.ceil(demand * ADVANCE_SECONDS);
+	}
+
+	TeamDemand report(String team, long nowMillis, int target) {
+		expire(nowMillis);
+		boolean denied = isDenied(nowMillis);
+		TeamDemand demand = new TeamDemand(team, denied ? 0 : wanted(), denied ? 0 : target, this.held, this.returned);
+		this.returned = 0;
+		this.unreported = false;
+		return demand;
+	}
+
+	void reportFailed() {
+		this.unreported = true;
+	}
+
+	void granted(TeamGrant grant, long sentMillis, long nowMillis) {
+		add(this.immediate, grant.immediate(), sentMillis + QuotaTimes.IMMEDIATE_TOKEN_MILLIS);
+		add(this.advance, grant.advance(), sentMillis + QuotaTimes.ADVANCE_TOKEN_MILLIS);
+		if (grant.retryAfterMillis() > 0) {
+			this.quotaAtMillis = nowMillis + grant.retryAfterMillis();
+			this.deniedUntilMillis = nowMillis + Math.max(MINIMUM_DENIAL_MILLIS, grant.retryAfterMillis());
+		}
+	}
+
+	private int wanted() {
+		return Math.max(0, this.waiting - this.held);
+	}
+
+	private void add(Deque<Lot> lots, int count, long expiresMillis) {
+		if (count > 0) {
+			lots.addLast(new Lot(count, expiresMillis));
+			this.held += count;
+		}
+	}
+
+	private void expire(long nowMillis) {
+		expire(this.immediate, nowMillis);
+		expire(this.advance, nowMillis);
+	}
+
+	private void expire(Deque<Lot> lots, long nowMillis) {
+		while (!lots.isEmpty() && lots.getFirst().expiresMillis() <= nowMillis) {
+			int count = lots.removeFirst().count();
+			this.held -= count;
+			this.returned += count;
+			this.unreported = true;
+		}
+	}
+
+	/**
+	 * Tokens with the same expiry.
+	 *
+	 * @param count number of tokens
+	 * @param expiresMillis time from which they may not be used
+	 */
+	private record Lot(int count, long expiresMillis) {
+
+	}
+
+}
