Connect quotas of teams to nodes, leader and operators

Cause: the ledger and the leases had no transport. Change: a node sends its requests to the leader over frame connections, a member grants only while a quorum confirmed its leadership within 500 ms. quorumContactAgeMillis() is 0 on a leader, so leaderQuorumAgeMillis() is added. Operators see limits and use.

--- a/control/src/main/java/io/lavenderroad/control/api/ApiJson.java
+++ b/control/src/main/java/io/lavenderroad/control/api/ApiJson.java
@@ -25,6 +25,8 @@
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.rendering.Difference;
 import io.lavenderroad.model.rendering.ServiceDifference;
+import io.lavenderroad.policy.quota.QuotaTimes;
+import io.lavenderroad.policy.quota.TeamUse;
 
 /**
  * Encodes the responses of the API as JSON.
@@ -105,6 +107,24 @@
 		return write(Map.of("members", items));
 	}
 
+	static String teams(List<TeamUse> uses) {
+		List<Object> items = new ArrayList<>();
+		for (TeamUse use : uses) {
+			Map<String, Object> item = new LinkedHashMap<>();
+			item.put("team", use.team());
+			item.put("requestsPerSecond", use.quota().requestsPerSecond());
+			item.put("burst", use.quota().burst());
+			item.put("grantedInWindow", use.granted());
+			item.put("refusedInWindow", use.refused());
+			item.put("refusedTotal", use.refusedTotal());
+			items.add(item);
+		}
+		Map<String, Object> body = new LinkedHashMap<>();
+		body.put("windowMillis", QuotaTimes.WINDOW_MILLIS);
+		body.put("teams", items);
+		return write(body);
+	}
+
 	static String nodes(long version, Convergence convergence) {
 		Map<String, Object> body = new LinkedHashMap<>();
 		body.put("version", version);
--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -32,6 +32,7 @@
 import io.lavenderroad.model.Change;
 import io.lavenderroad.model.ChangeOutcome;
 import io.lavenderroad.model.rendering.MeshRenderer;
+import io.lavenderroad.policy.quota.TeamUse;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
 
@@ -105,6 +106,8 @@
 
 	private final Map<String, HttpHandler> additionalHandlers = new TreeMap<>();
 
+	private Supplier<List<TeamUse>> teamUses = List::of;
+
 	private HttpServer server;
 
 	private ExecutorService executor;
@@ -139,6 +142,14 @@
 		this.additionalHandlers.putAll(added);
 	}
 
+	/**
+	 * Sets the source of the use of quotas. Must be called before the start.
+	 * @param uses supplies the use of each team with a quota, on the leader
+	 */
+	public void teamUses(Supplier<List<TeamUse>> uses) {
+		this.teamUses = uses;
+	}
+
 	/**
 	 * Starts the server.
 	 * @param address address to bind; port 0 selects a free port
@@ -226,6 +237,8 @@
 			case "v1/configuration" -> get(method, segments, 2, this::configuration);
 			case "v1/moves" -> moves(method, segments, body, exchange.getRequestURI().getRawQuery());
 			case "v1/members" -> members(method, segments, body);
+			case "v1/teams" -> get(method, segments, 2, () -> afterConfirmation(
+					() -> ApiResponse.json(ApiResponse.OK, ApiJson.teams(this.teamUses.get()))));
 			case "v1/nodes" -> get(method, segments, 2, () -> ApiResponse.json(ApiResponse.OK,
 					ApiJson.nodes(this.stateMachine.configuration().version(), this.convergence.convergence())));
 			default -> unknownPath();
--- a/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/ControlMember.java
@@ -260,6 +260,15 @@
 		return this.state.withLock(this.elections::quorumContactAgeMillis);
 	}
 
+	/**
+	 * Returns the time since a quorum confirmed that this member is the leader.
+	 * @return milliseconds; {@link Long#MAX_VALUE} if it is not the leader or transfers
+	 * its leadership
+	 */
+	public long leaderQuorumAgeMillis() {
+		return this.state.withLock(this.elections::leaderQuorumAgeMillis);
+	}
+
 	/**
 	 * Returns the state of this member.
 	 * @return a consistent snapshot of the state
--- a/control/src/main/java/io/lavenderroad/control/raft/Elections.java
+++ b/control/src/main/java/io/lavenderroad/control/raft/Elections.java
@@ -91,6 +91,22 @@
 		return (this.state.role == MemberRole.LEADER) ? 0 : this.state.now() - this.lastLeaderContactMillis;
 	}
 
+	/**
+	 * Returns the time since a quorum confirmed that this member is the leader.
+	 * @return milliseconds; {@link Long#MAX_VALUE} if it is not the leader or transfers
+	 * its leadership
+	 */
+	long leaderQuorumAgeMillis() {
+		if (this.state.role != MemberRole.LEADER || this.state.transferTarget != null) {
+			return Long.MAX_VALUE;
+		}
+		long now = this.state.now();
+		return now - this.state.history.latest().quorum().highestReachedByQuorum((voter) -> {
+			PeerProgress peer = this.state.peers.get(voter);
+			return voter.equals(this.state.id) ? now : (peer != null) ? peer.lastContactMillis : 0;
+		});
+	}
+
 	private boolean hasLeaderContact() {
 		return this.state.role == MemberRole.LEADER || this.state.leaderId != null
 				&& this.state.now() - this.lastLeaderContactMillis < this.state.options.electionTimeoutMillis();
--- a/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
+++ b/control/src/test/java/io/lavenderroad/control/raft/ControlMemberTests.java
@@ -122,6 +122,23 @@
 		group.checkOutcomes();
 	}
 
+	/**
+	 * Guards against an isolated leader that grants quota while another one is elected.
+	 */
+	@Test
+	public void isolatedLeaderReportsTheAgeOfItsQuorumContact() {
+		SimulatedGroup group = new SimulatedGroup(12, THREE);
+		String leader = group.awaitLeader();
+		Assert.assertEquals(group.member(follower(group, leader)).leaderQuorumAgeMillis(), Long.MAX_VALUE);
+		group.run(2_000);
+		Assert.assertTrue(group.member(leader).leaderQuorumAgeMillis() < 500);
+		group.isolate(leader);
+		group.run(600);
+		Assert.assertTrue(group.member(leader).leaderQuorumAgeMillis() >= 500);
+		group.run(2_000);
+		Assert.assertEquals(group.member(leader).leaderQuorumAgeMillis(), Long.MAX_VALUE);
+	}
+
 	/**
 	 * Guards against nodes that stay attached to an isolated member because it appears to
 	 * be up to date.
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
@@ -19,7 +19,11 @@
 
 	private final MetricRegistry registry = new MetricRegistry();
 
-	ControlMetrics(Supplier<MemberStatus> member, MeshStateMachine mesh, Supplier<ConvergenceStatus> distribution) {
+	private final Supplier<String> quotas;
+
+	ControlMetrics(Supplier<MemberStatus> member, MeshStateMachine mesh, Supplier<ConvergenceStatus> distribution,
+			Supplier<String> quotas) {
+		this.quotas = quotas;
 		gauge("leader", () -> (member.get().role() == MemberRole.LEADER) ? 1 : 0);
 		gauge("term", () -> member.get().term());
 		gauge("commit_index", () -> member.get().commitIndex());
@@ -45,7 +49,7 @@
 	 * @return the Prometheus text format
 	 */
 	String text() {
-		return MetricsText.of(this.registry);
+		return MetricsText.of(this.registry) + this.quotas.get();
 	}
 
 	private static int currentNodes(ConvergenceStatus status) {
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -14,6 +14,8 @@
 import io.lavenderroad.control.api.OperatorApi;
 import io.lavenderroad.control.log.DurableLog;
 import io.lavenderroad.control.log.StorageFileSystem;
+import io.lavenderroad.control.quota.QuotaGranter;
+import io.lavenderroad.control.quota.QuotaMetrics;
 import io.lavenderroad.control.raft.ControlMember;
 import io.lavenderroad.control.raft.ControlMessages;
 import io.lavenderroad.control.raft.GroupJoin;
@@ -39,6 +41,7 @@
 import io.lavenderroad.distribution.RootDistribution;
 import io.lavenderroad.model.Evidence;
 import io.lavenderroad.policy.moves.MovePolicy;
+import io.lavenderroad.policy.quota.QuotaMessages;
 import org.tinylog.Logger;
 
 /**
@@ -78,6 +81,8 @@
 
 	private final LeaderMoveRunner moveRunner;
 
+	private final QuotaGranter quotas;
+
 	private final FrameServer server;
 
 	private final OperatorApi api;
@@ -111,7 +116,7 @@
 		this.identity = MemberIdentity.loadOrCreate(settings, clock);
 		this.peerAddresses = initialPeers(settings);
 		WireOptions options = WireOptionsFactory.create(settings, this.identity.id(), clock, ControlMessages.types(),
-				DistributionMessages.types());
+				DistributionMessages.types(), QuotaMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
 		RaftCommandLog commands = new RaftCommandLog(this.member, settings.httpAddress().getPort());
@@ -130,19 +135,25 @@
 				(service) -> this.root.registry().unexpired(service), kernel, clock);
 		mesh.onConfiguration(this.root::publish);
 		this.member.addLeadershipListener(this.moveRunner::leadershipChanged);
+		this.quotas = new QuotaGranter(clock, () -> mesh.configuration().teams(), this.member::leaderQuorumAgeMillis,
+				this::otherLeader);
+		this.member.addLeadershipListener(this.quotas::leadershipChanged);
 		DispatchingHandler handler = DispatchingHandler.builder()
 			.add(ControlMessages.types(), this.member.handler())
 			.add(DistributionMessages.types(), this.root.handler())
+			.add(QuotaMessages.types(), this.quotas)
 			.build();
 		this.server = FrameServer.start(settings.socketAddress(settings.ports().framesBind()), options, handler);
 		this.member.start(options);
 		this.root.publish(mesh.configuration());
 		this.root.start();
-		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status);
+		ControlMetrics metrics = new ControlMetrics(this.member::status, mesh, this.root::status,
+				() -> QuotaMetrics.text(this.quotas.uses()));
 		Acknowledgement acknowledgement = new Acknowledgement(this.root::awaitActive, clock);
 		this.api = api(kernel, clock, mesh, commands, moveService, metrics, acknowledgement);
 		this.api.addHandlers(
 				pages(kernel, new DeclarationService(mesh, commands, commands, clock, acknowledgement), orders));
+		this.api.teamUses(this.quotas::uses);
 		this.api.start(settings.httpAddress());
 		this.admin = AdminServer.start(settings.socketAddress(settings.ports().admin()), this::status, metrics::text);
 		InitialVersionRecorder initialVersionRecorder = new InitialVersionRecorder(mesh,
@@ -263,6 +274,13 @@
 		}
 	}
 
+	private Optional<String> otherLeader() {
+		return this.member.status()
+			.leader()
+			.filter((leader) -> !leader.id().equals(this.identity.id()))
+			.map(Member::address);
+	}
+
 	private Map<String, Object> status() {
 		Map<String, Object> status = new TreeMap<>();
 		status.put("distribution", this.root.status());
--- a/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/NodeRole.java
@@ -99,6 +99,7 @@
 			.healthPath(backend.healthPath())
 			.loadPath(backend.loadPath())
 			.registration(registration.orElse(null))
+			.controlMembers(this.distribution::controlMembers)
 			.retryBurst(settings.calls().retryBurst())
 			.connectWaitMillis(CONNECT_WAIT_MILLIS)
 			.clock(this.clock)
--- a/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
+++ b/distribution/src/main/java/io/lavenderroad/distribution/NodeDistribution.java
@@ -283,6 +283,16 @@
 		this.seeds = List.copyOf(addresses);
 	}
 
+	/**
+	 * Returns the control members that this node knows.
+	 * @return {@code ip:port} of the roots that the parent announced, or the seeds before
+	 * the first attachment, which may also be nodes
+	 */
+	public List<String> controlMembers() {
+		List<String> announced = this.roots;
+		return announced.isEmpty() ? this.seeds : announced;
+	}
+
 	/**
 	 * Asks the children to attach elsewhere and accepts no new ones.
 	 */
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -9,11 +9,12 @@
 import io.lavenderroad.core.wire.MessageType;
 import io.lavenderroad.core.wire.WireException;
 import io.lavenderroad.policy.calls.CallOrigin;
+import io.lavenderroad.policy.quota.QuotaMessages;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Messages between nodes. Their codes are 300 to 349.
+ * Messages between nodes, codes 300 to 349, and those about quotas.
  */
 public final class NodeMessages {
 
@@ -35,7 +36,8 @@
 			new MessageType<>(CANCEL_CALL, CancelCall.class, (message, packer) -> packer.packLong(message.callId()),
 					(unpacker) -> new CancelCall(unpacker.unpackLong())));
 
-	private static final List<MessageType<?>> TYPES = Stream.concat(CALL_TYPES.stream(), KeyMessages.TYPES.stream())
+	private static final List<MessageType<?>> TYPES = Stream.of(CALL_TYPES, KeyMessages.TYPES, QuotaMessages.types())
+		.flatMap(List::stream)
 		.toList();
 
 	private NodeMessages() {
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricSet;
@@ -40,6 +41,9 @@
 import io.lavenderroad.policy.calls.BalancingPolicy;
 import io.lavenderroad.policy.calls.RetryBudget;
 import io.lavenderroad.policy.calls.TwoChoices;
+import io.lavenderroad.policy.quota.QuotaGrant;
+import io.lavenderroad.policy.quota.QuotaLeases;
+import io.lavenderroad.policy.quota.QuotaRequest;
 import org.tinylog.Logger;
 
 /**
@@ -100,6 +104,8 @@
 
 	private final CallDialect dialect;
 
+	private final QuotaClient quotas;
+
 	private final EvidenceRecorder evidence = new EvidenceRecorder();
 
 	private final WithdrawnVersions withdrawn;
@@ -137,6 +143,9 @@
 		WireOptions wireOptions = Objects.requireNonNull(builder.wireOptions, "wireOptions");
 		long connectWaitMillis = Math.min(builder.connectWaitMillis, wireOptions.connectTimeoutMillis());
 		this.connections = new PeerConnections(wireOptions, connectWaitMillis, this.handler);
+		this.quotas = new QuotaClient(this.clock, new QuotaLeases(self.nodeId(), wireOptions.hello().incarnation()),
+				new LeaderSearch(this.clock, builder.controlMembers, this.connections.quotaTransport()));
+		this.quotas.register(this.metrics);
 		KeyStore store = new KeyStore(builder.keyMemoryBytes, MAXIMUM_KEPT_ANSWER_BYTES);
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
@@ -293,17 +302,27 @@
 		if (this.adminServer != null) {
 			this.adminServer.stop(0);
 		}
+		this.quotas.close();
 		this.connections.close();
 		this.pool.close();
 		this.timer.shutdownNow();
 		this.executor.shutdownNow();
 	}
 
+	/**
+	 * Returns the component that admits the requests of teams with quotas.
+	 * @return the gate of this node
+	 */
+	QuotaGate quotaGate() {
+		return this.quotas;
+	}
+
 	private void start() {
 		this.callerListener.start();
 		if (this.adminServer != null) {
 			this.adminServer.start();
 		}
+		this.quotas.start();
 		Thread.ofVirtual().name("backend monitor").start(() -> runPeriodically(this::pollBackend));
 		if (this.dialect.supportsIdempotencyKeys()) {
 			Thread.ofVirtual().name("key ledger").start(() -> runPeriodically(this.keys::maintain));
@@ -439,6 +458,8 @@
 
 		private BackendRegistration registration;
 
+		private Supplier<List<String>> controlMembers = List::of;
+
 		private int retryBurst = RetryBudget.BURST;
 
 		private long connectWaitMillis = Long.MAX_VALUE;
@@ -625,6 +646,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the source of the addresses of the control members, which grant quotas.
+		 * Without it, teams with a quota are refused.
+		 * @param addresses supplies {@code ip:port} of each known member
+		 * @return this builder
+		 */
+		public Builder controlMembers(Supplier<List<String>> addresses) {
+			this.controlMembers = addresses;
+			return this;
+		}
+
 		/**
 		 * Sets the burst of the retry budget: how many retries to a service this node may
 		 * send in a burst, beyond the configured share of the calls.
@@ -726,6 +758,10 @@
 			if (request instanceof CallRequest call) {
 				return NodeProxy.this.callServer.serve(connection, call);
 			}
+			if (request instanceof QuotaRequest) {
+				// A seed may be a node.
+				return QuotaGrant.notLeader(Optional.empty());
+			}
 			return NodeProxy.this.keys.answer(request)
 				.orElseThrow(() -> new WireException(
 						"request " + request.getClass().getSimpleName() + " is not for a node"));
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -16,6 +16,7 @@
 import io.lavenderroad.core.wire.WireOptions;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.node.http.Cancellation;
+import io.lavenderroad.policy.quota.QuotaGrant;
 import io.vavr.control.Either;
 
 /**
@@ -117,6 +118,15 @@
 		};
 	}
 
+	/**
+	 * Returns the transport for quota requests to control members.
+	 * @return a transport over these connections
+	 */
+	QuotaTransport quotaTransport() {
+		return (address, request, timeoutMillis) -> call(address, request, timeoutMillis, QuotaGrant.class, null,
+				new Cancellation());
+	}
+
 	/**
 	 * Closes connections without recent calls.
 	 */
--- a/tool/src/main/java/io/lavenderroad/tool/Main.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Main.java
@@ -37,6 +37,7 @@
 		this.commands.put("verdict", new VerdictCommand());
 		this.commands.put("members", new MembersCommand());
 		this.commands.put("nodes", new NodesCommand());
+		this.commands.put("teams", new TeamsCommand());
 	}
 
 	/**
