--- a/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
+++ b/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
@@ -24,6 +24,8 @@
 import io.lavenderroad.control.state.TestMesh;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.model.Change;
+import io.lavenderroad.model.Quota;
+import io.lavenderroad.policy.quota.TeamUse;
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -71,6 +73,16 @@
 		}
 	}
 
+	// Operators must see the quota of a team together with its refusals.
+	@Test
+	public void teamsShowLimitAndUse() throws Exception {
+		this.api.teamUses(() -> List.of(new TeamUse("orders", new Quota(13.5, 20), 60, 7, 9)));
+		HttpResponse<String> response = send("GET", "/v1/teams", "");
+		Assert.assertEquals(response.body().replaceAll("\\s", ""),
+				"{\"windowMillis\":5000,\"teams\":[{\"team\":\"orders\",\"requestsPerSecond\":13.5,"
+						+ "\"burst\":20.0,\"grantedInWindow\":60,\"refusedInWindow\":7,\"refusedTotal\":9}]}");
+	}
+
 	@Test
 	public void conflictNamesTheAcceptedChange() throws Exception {
 		send("POST", "/v1/changes", change("change-1", 0, "v1"));
--- a/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
@@ -2,12 +2,17 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageCatalog;
 import io.lavenderroad.policy.calls.CallOrigin;
+import io.lavenderroad.policy.quota.QuotaGrant;
+import io.lavenderroad.policy.quota.QuotaRequest;
+import io.lavenderroad.policy.quota.TeamDemand;
+import io.lavenderroad.policy.quota.TeamGrant;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -33,7 +38,9 @@
 						new CallMetadata("i", "catalogue", true, CallOrigin.SERVER, 1, 50)),
 				record.answer(), new CancelCall(3), new KeyMessages.ClaimKey(claim),
 				new KeyMessages.ClaimResult(true, record), new KeyMessages.SettleKey(claim, record.answer()),
-				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)));
+				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)),
+				new QuotaRequest("node", 1, 2, List.of(new TeamDemand("orders", 1, 2, 3, 4))),
+				new QuotaGrant(true, Optional.empty(), List.of(new TeamGrant("orders", 1, 2, 3))));
 		for (int round = 0; round < ROUNDS; round++) {
 			byte[] bytes = encode(messages.get(round % messages.size()));
 			Assert.assertEquals(this.catalog.decode(Fields.unpacker(bytes)).getClass(),
--- a/node/src/test/java/io/lavenderroad/node/QuotaClientTests.java
+++ b/node/src/test/java/io/lavenderroad/node/QuotaClientTests.java
@@ -1,5 +1,7 @@
 package io.lavenderroad.node;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -9,12 +11,20 @@
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.core.wire.CallFailure;
+import io.lavenderroad.core.wire.Connection;
+import io.lavenderroad.core.wire.ConnectionHandler;
+import io.lavenderroad.core.wire.FrameServer;
+import io.lavenderroad.core.wire.Hello;
+import io.lavenderroad.core.wire.MessageCatalog;
+import io.lavenderroad.core.wire.WireOptions;
 import io.lavenderroad.model.Quota;
 import io.lavenderroad.model.Team;
 import io.lavenderroad.policy.quota.QuotaGrant;
 import io.lavenderroad.policy.quota.QuotaLeases;
 import io.lavenderroad.policy.quota.QuotaLedger;
 import io.lavenderroad.policy.quota.QuotaRequest;
+import io.lavenderroad.policy.quota.TeamDemand;
+import io.lavenderroad.policy.quota.TeamGrant;
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -33,7 +43,7 @@
 
 	private final Clock clock = Clock.system();
 
-	private final QuotaLedger ledger = new QuotaLedger(-100_000_000);
+	private QuotaLedger ledger;
 
 	private final AtomicLong sent = new AtomicLong();
 
@@ -45,6 +55,7 @@
 	public void start() {
 		this.reachable = true;
 		this.sent.set(0);
+		this.ledger = new QuotaLedger(-100_000_000);
 		this.client = new QuotaClient(this.clock, new QuotaLeases("node-1", this.clock.millis()),
 				new LeaderSearch(this.clock, () -> List.of("127.0.0.1:7400", "127.0.0.3:7400"), this::send));
 		this.client.start();
@@ -88,6 +99,40 @@
 		Assert.assertTrue(refusal.get().retryAfterMillis() > 0);
 	}
 
+	@Test
+	public void tokensArriveOverFrameConnection() throws IOException {
+		ConnectionHandler leader = new ConnectionHandler() {
+			@Override
+			public void received(Connection connection, Object message) {
+				throw new IllegalStateException("no message expected");
+			}
+
+			@Override
+			public Object answer(Connection connection, Object request) {
+				return grant((QuotaRequest) request);
+			}
+		};
+		try (FrameServer server = FrameServer.start(new InetSocketAddress("127.0.0.1", 0), options("control-1"),
+				leader); PeerConnections connections = new PeerConnections(options("node-1"), 5_000, leader)) {
+			String address = "127.0.0.1:" + server.address().getPort();
+			QuotaRequest request = new QuotaRequest("node-1", 1, 1, List.of(new TeamDemand("orders", 2, 0, 0, 0)));
+			Either<CallFailure, QuotaGrant> answer = connections.quotaTransport().send(address, request, 20_000);
+			Assert.assertEquals(answer.get().teams(), List.of(new TeamGrant("orders", 2, 0, 0)));
+		}
+	}
+
+	private WireOptions options(String id) {
+		return WireOptions.builder()
+			.hello(new Hello("test", id, "node", 1, "127.0.0.1:1"))
+			.catalog(MessageCatalog.builder().addAll(NodeMessages.types()).build())
+			.clock(this.clock)
+			.build();
+	}
+
+	private QuotaGrant grant(QuotaRequest request) {
+		return new QuotaGrant(true, Optional.empty(), this.ledger.grant(request, (team) -> TEAM.quota(), 0));
+	}
+
 	private Either<CallFailure, QuotaGrant> send(String address, QuotaRequest request, long timeoutMillis) {
 		this.sent.incrementAndGet();
 		if (!this.reachable) {
--- a/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLeases.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLeases.java
@@ -24,6 +24,12 @@
 	 */
 	private static final long REPORT_INTERVAL_MILLIS = 500;
 
+	/**
+	 * Time for which a failed request tells that there is no leader. A node without
+	 * traffic does not try again by itself, so an older failure says nothing.
+	 */
+	private static final long FAILURE_MILLIS = 250;
+
 	private final String nodeId;
 
 	private final long incarnation;
@@ -38,6 +44,8 @@
 
 	private long grantedMillis = Long.MIN_VALUE / 2;
 
+	private long failedMillis = Long.MIN_VALUE / 2;
+
 	private boolean withoutLeader;
 
 	/**
@@ -61,7 +69,7 @@
 		if (lease.take(nowMillis)) {
 			return QuotaAdmission.ADMITTED;
 		}
-		if (this.withoutLeader) {
+		if (this.withoutLeader && nowMillis - this.failedMillis < FAILURE_MILLIS) {
 			boolean mayContinue = nowMillis - this.grantedMillis <= QuotaTimes.FALLBACK_MILLIS;
 			return (mayContinue && lease.takeWithoutLeader(nowMillis)) ? QuotaAdmission.ADMITTED
 					: QuotaAdmission.NO_LEADER;
@@ -105,7 +113,7 @@
 		List<TeamDemand> demands = new ArrayList<>();
 		this.leases.forEach((team, lease) -> {
 			if (lease.needsTokens(nowMillis, target(lease, nowMillis)) || lease.isUrgent(nowMillis)
-					|| lease.needsReport()) {
+					|| lease.needsReport(target(lease, nowMillis))) {
 				demands.add(lease.report(team, nowMillis, target(lease, nowMillis)));
 			}
 		});
@@ -130,6 +138,7 @@
 	 * @param nowMillis clock reading in milliseconds
 	 */
 	public void failed(long nowMillis) {
+		this.failedMillis = nowMillis;
 		this.inFlight.forEach((team) -> lease(team).reportFailed());
 		if (!this.withoutLeader) {
 			this.withoutLeader = true;
@@ -169,7 +178,7 @@
 		}
 		return lease.isUrgent(nowMillis)
 				|| pause >= ADVANCE_INTERVAL_MILLIS && lease.needsTokens(nowMillis, target(lease, nowMillis))
-				|| pause >= REPORT_INTERVAL_MILLIS && lease.needsReport() || this.withoutLeader;
+				|| pause >= REPORT_INTERVAL_MILLIS && lease.needsReport(target(lease, nowMillis)) || this.withoutLeader;
 	}
 
 	private TeamLease lease(String team) {
--- a/policy/src/main/java/io/lavenderroad/policy/quota/TeamBucket.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/TeamBucket.java
@@ -102,6 +102,8 @@
 	// charged, less those given back.
 	private double report(NodeAccount account, QuotaRequest request, TeamDemand demand, long nowMillis) {
 		account.heardMillis = nowMillis;
+		account.active = demand.wanted() + demand.expected() > 0;
+		account.reserved = false;
 		if (request.incarnation() > account.incarnation) {
 			// The earlier process may have used all that it held.
 			double uncharged = account.advance;
@@ -150,23 +152,34 @@
 		for (Iterator<NodeAccount> iterator = this.accounts.values().iterator(); iterator.hasNext();) {
 			NodeAccount account = iterator.next();
 			long silentMillis = nowMillis - account.heardMillis;
-			if (silentMillis > QuotaTimes.WINDOW_MILLIS && account.isSettled() || silentMillis > FORGET_MILLIS) {
+			if (silentMillis > FORGET_MILLIS || silentMillis > SILENT_MILLIS + QuotaTimes.FALLBACK_MILLIS
+					&& account.immediate == 0 && account.advance == 0) {
 				this.level -= account.advance;
 				this.advanceTotal -= account.advance;
 				iterator.remove();
 			}
-			else if (silentMillis > SILENT_MILLIS && !account.isSettled()) {
+			else if (silentMillis > SILENT_MILLIS) {
 				late += account.immediate;
-				if (silentMillis <= SILENT_MILLIS + QuotaTimes.FALLBACK_MILLIS) {
-					this.reservedPerSecond += account.grants.sum(account.heardMillis) * 1000.0
-							/ QuotaTimes.WINDOW_MILLIS;
-				}
+				reserve(account, silentMillis);
 			}
 		}
 		double excess = Math.max(0, late - QuotaTimes.advanceLimit(this.quota));
 		this.capacity = Math.max(1, QuotaTimes.capacity(this.quota) - excess);
 	}
 
+	private void reserve(NodeAccount account, long silentMillis) {
+		if (!account.active || silentMillis > SILENT_MILLIS + QuotaTimes.FALLBACK_MILLIS) {
+			return;
+		}
+		double perSecond = account.grants.sum(account.heardMillis) * 1000.0 / QuotaTimes.WINDOW_MILLIS;
+		this.reservedPerSecond += perSecond;
+		if (!account.reserved) {
+			// Charges what the node may have admitted before it was noticed as silent.
+			account.reserved = true;
+			this.level -= perSecond * silentMillis / 1000;
+		}
+	}
+
 	private int retryAfterMillis() {
 		double missing = Math.max(0, 1 - this.level);
 		return (int) Math.min(60_000, Math.max(1, Math.ceil(missing * 1000 / this.quota.requestsPerSecond())));
@@ -183,6 +196,14 @@
 
 		private long heardMillis;
 
+		/**
+		 * Whether the node expected demand in its last report. Only then may it continue
+		 * without a leader.
+		 */
+		private boolean active;
+
+		private boolean reserved;
+
 		private int immediate;
 
 		private int advance;
@@ -192,10 +213,6 @@
 		 */
 		private int creditable;
 
-		private boolean isSettled() {
-			return this.immediate == 0 && this.advance == 0;
-		}
-
 		private void restart(long newIncarnation) {
 			this.incarnation = newIncarnation;
 			this.immediate = 0;
--- a/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
@@ -48,6 +48,14 @@
 	 */
 	private int fallbackLimit;
 
+	/**
+	 * Whether the leader has answered a report with expected demand and got none without
+	 * since. It then reserves the rate of this node while the node is silent.
+	 */
+	private boolean active;
+
+	private boolean reportedActive;
+
 	boolean take(long nowMillis) {
 		expire(nowMillis);
 		Deque<Lot> lots = this.immediate.isEmpty() ? this.advance : this.immediate;
@@ -82,7 +90,7 @@
 	}
 
 	void contactLost(long nowMillis) {
-		this.fallbackLimit = this.uses.sum(nowMillis);
+		this.fallbackLimit = this.active ? this.uses.sum(nowMillis) : 0;
 	}
 
 	boolean isDenied(long nowMillis) {
@@ -102,12 +110,13 @@
 		return !isDenied(nowMillis) && 2 * this.held < target;
 	}
 
-	boolean needsReport() {
-		return this.unreported;
+	boolean needsReport(int target) {
+		return this.unreported || this.reportedActive && target == 0;
 	}
 
 	boolean isUnused(long nowMillis) {
-		return this.waiting == 0 && this.held == 0 && !this.unreported && this.uses.sum(nowMillis) == 0;
+		return this.waiting == 0 && this.held == 0 && !this.unreported && !this.reportedActive
+				&& this.uses.sum(nowMillis) == 0;
 	}
 
 	/**
@@ -126,6 +135,8 @@
 		TeamDemand demand = new TeamDemand(team, denied ? 0 : wanted(), denied ? 0 : target, this.held, this.returned);
 		this.returned = 0;
 		this.unreported = false;
+		this.reportedActive = demand.wanted() + demand.expected() > 0;
+		this.active &= this.reportedActive;
 		return demand;
 	}
 
@@ -134,6 +145,7 @@
 	}
 
 	void granted(TeamGrant grant, long sentMillis, long nowMillis) {
+		this.active = this.reportedActive;
 		add(this.immediate, grant.immediate(), sentMillis + QuotaTimes.IMMEDIATE_TOKEN_MILLIS);
 		add(this.advance, grant.advance(), sentMillis + QuotaTimes.ADVANCE_TOKEN_MILLIS);
 		if (grant.retryAfterMillis() > 0) {
--- a/policy/src/test/java/io/lavenderroad/policy/quota/ExhaustiveQuotaTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/quota/ExhaustiveQuotaTests.java
@@ -18,6 +18,8 @@
 
 	private static final Quota QUOTA = new Quota(1, 10);
 
+	private static final double BOUND = QuotaTimes.windowBound(QUOTA);
+
 	private static final int DEPTH = 5;
 
 	private static final long STEP_MILLIS = 150;
@@ -26,15 +28,16 @@
 
 	@Test
 	public void everyWindowStaysWithinTheBound() {
-		Assert.assertTrue(largestWindow(QuotaLedger::new) <= QuotaTimes.windowBound(QUOTA));
+		Assert.assertTrue(largestWindow(QuotaLedger::new) <= BOUND);
 	}
 
 	// A check that passes for any ledger would guard against nothing.
 	@Test
 	public void findsLedgerThatDoesNotCountTokensGrantedInAdvance() {
-		Assert.assertTrue(largestWindow(FaultyLedger::new) > QuotaTimes.windowBound(QUOTA));
+		Assert.assertTrue(largestWindow(FaultyLedger::new) > BOUND);
 	}
 
+	// Ends with the first window over the bound.
 	private static int largestWindow(LongFunction<QuotaLedger> ledgers) {
 		List<Consumer<QuotaPlay>> actions = actions();
 		int plays = 1;
@@ -42,7 +45,7 @@
 			plays *= actions.size();
 		}
 		int largest = 0;
-		for (int number = 0; number < plays; number++) {
+		for (int number = 0; number < plays && largest <= BOUND; number++) {
 			largest = Math.max(largest, play(actions, number, ledgers));
 		}
 		return largest;
@@ -72,6 +75,7 @@
 			actions.add((play) -> play.nodes[chosen].request());
 		}
 		actions.add((play) -> play.nodes[0].send());
+		actions.add((play) -> play.nodes[0].delayOrDeliver());
 		actions.add((play) -> play.nodes[0].restart());
 		actions.add((play) -> freezeWithTokens(play.nodes[1]));
 		actions.add((play) -> freezeWithTokens(play.nodes[2]));
--- a/policy/src/test/java/io/lavenderroad/policy/quota/QuotaLeasesTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/quota/QuotaLeasesTests.java
@@ -30,6 +30,7 @@
 		Assert.assertTrue(lost > before && lost <= 2 * before + 10, lost + " after " + before);
 		Assert.assertTrue(this.play.largestWindow <= this.play.bound());
 		this.play.now += 100;
+		this.node.leases.failed(this.node.clock());
 		Assert.assertEquals(this.node.leases.take(QuotaPlay.TEAM, this.node.clock()).kind(),
 				QuotaAdmission.Kind.NO_LEADER);
 	}
@@ -40,6 +41,7 @@
 		this.node.leases.failed(this.node.clock());
 		QuotaPlay.Node other = this.play.nodes[1];
 		for (long end = this.play.now + 10_000; this.play.now < end; this.play.now += 20) {
+			this.node.leases.failed(this.node.clock());
 			if (this.node.leases.take(QuotaPlay.TEAM, this.node.clock()).kind() == QuotaAdmission.Kind.ADMITTED) {
 				this.play.use();
 			}
@@ -72,9 +74,20 @@
 		Assert.assertTrue(this.node.leases.next(this.node.clock()).isEmpty());
 	}
 
+	@Test
+	public void oldFailureDoesNotRefuseTheFirstRequestOfAnIdleNode() {
+		this.node.leases.failed(this.node.clock());
+		Assert.assertEquals(this.node.attempt(), QuotaAdmission.Kind.NO_LEADER);
+		this.play.now += 1_000;
+		Assert.assertEquals(this.node.attempt(), QuotaAdmission.Kind.ADMITTED);
+	}
+
 	private int attempts(long millis) {
 		int admitted = 0;
 		for (long end = this.play.now + millis; this.play.now < end; this.play.now += 125) {
+			if (this.node.leases.isWithoutLeader()) {
+				this.node.leases.failed(this.node.clock());
+			}
 			QuotaAdmission.Kind kind = this.node.leases.isWithoutLeader()
 					? this.node.leases.take(QuotaPlay.TEAM, this.node.clock()).kind() : this.node.attempt();
 			if (kind == QuotaAdmission.Kind.ADMITTED) {
--- a/policy/src/test/java/io/lavenderroad/policy/quota/QuotaPlay.java
+++ b/policy/src/test/java/io/lavenderroad/policy/quota/QuotaPlay.java
@@ -84,6 +84,8 @@
 
 		long frozenAt = -1;
 
+		Optional<QuotaRequest> delayed = Optional.empty();
+
 		Node(String id, QuotaLedger leader) {
 			this.id = id;
 			this.leader = leader;
@@ -121,6 +123,19 @@
 						this.leader.grant(request, (team) -> Optional.of(QuotaPlay.this.quota), QuotaPlay.this.now)));
 		}
 
+		/**
+		 * Creates a request that is delivered by the next call, when the node no longer
+		 * waits for the answer.
+		 */
+		void delayOrDeliver() {
+			if (this.delayed.isEmpty()) {
+				this.delayed = this.leases.next(clock());
+				return;
+			}
+			this.leader.grant(this.delayed.get(), (team) -> Optional.of(QuotaPlay.this.quota), QuotaPlay.this.now);
+			this.delayed = Optional.empty();
+		}
+
 		QuotaAdmission.Kind attempt() {
 			QuotaAdmission.Kind kind = this.leases.take(TEAM, clock()).kind();
 			if (kind == QuotaAdmission.Kind.WAIT) {
