--- a/tool/src/main/java/io/lavenderroad/tool/Main.java
+++ b/tool/src/main/java/io/lavenderroad/tool/Main.java
@@ -38,6 +38,7 @@
 		this.commands.put("evacuate", new EvacuateCommand());
 		this.commands.put("members", new MembersCommand());
 		this.commands.put("nodes", new NodesCommand());
+		this.commands.put("teams", new TeamsCommand());
 	}
 
 	/**
