Serve teams in proportion to their usual demand

The team is the customer of a call. Turns and evictions now follow the usual demand, refusals for a share are 503 and happen only in a full queue, and no nested call or call of a higher rank is evicted for a customer.

evictForCustomer takes the priority of the call; AdmissionQueueTests passes 0, which is what it tested before.

--- a/node/src/main/java/io/lavenderroad/node/Admission.java
+++ b/node/src/main/java/io/lavenderroad/node/Admission.java
@@ -113,8 +113,11 @@
 				return Either.left(drainRefusal());
 			}
 			this.queue.setLimits(limits.queueLength(), limits.customerShareBasisPoints());
+			if (!request.nested()) {
+				this.queue.recordDemand(customer, now);
+			}
 			AdmissionDecision decision = offer(call, now);
-			if (decision == AdmissionDecision.FULL && (evictLowerPriority(request) || evictOverShare(customer))) {
+			if (decision == AdmissionDecision.FULL && (evictLowerPriority(request) || evictOverShare(request))) {
 				decision = offer(call, now);
 			}
 			if (!request.nested()) {
@@ -317,8 +320,8 @@
 		}).orElse(false);
 	}
 
-	private boolean evictOverShare(String customer) {
-		return this.queue.evictForCustomer(customer).map((call) -> {
+	private boolean evictOverShare(SlotRequest request) {
+		return this.queue.evictForCustomer(request.customer(), request.priority()).map((call) -> {
 			call.result.complete(refusal(AdmissionDecision.OVER_SHARE));
 			return true;
 		}).orElse(false);
@@ -357,7 +360,7 @@
 		Avoidance avoidance = Avoidance.ofPriority(AVOID_FULL_MILLIS / 2 + this.random.nextInt(AVOID_FULL_MILLIS));
 		return switch (decision) {
 			case OVER_SHARE ->
-				CallAnswer.notRun(HttpStatus.TOO_MANY_REQUESTS, "customer holds its share of the backend server");
+				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "customer holds its share of the backend server");
 			case TOO_LATE ->
 				CallAnswer.notRun(HttpStatus.UNAVAILABLE, "expected wait is too long").withAvoidance(avoidance);
 			default -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, "queue of the backend server is full")
--- a/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
@@ -19,10 +19,12 @@
 /**
  * Slots of one backend server and a bounded queue in front of them. A free slot goes to
  * the waiting call with the highest priority. Among calls of the same priority, customers
- * are served fairly: the slot goes to the waiting customer with the fewest running calls
- * and, if several have the same number, to the one served least recently. When the queue
- * is full, a call of higher priority can evict the newest call of the lowest priority.
- * Not thread-safe: the caller holds a lock and passes in clock readings.
+ * are served fairly: they take turns in proportion to their usual demand; among those
+ * whose turn it is, the slot goes to the one with the fewest running calls and then to
+ * the one served least recently. When the queue is full, a call of higher priority can
+ * evict the newest call of the lowest priority, and a call of a customer can evict the
+ * newest call of one that uses much more than its part. Not thread-safe: the caller holds
+ * a lock and passes in clock readings.
  *
  * @param <T> type of the waiting calls
  */
@@ -50,10 +52,19 @@
 	 */
 	static final double NESTED_OVERDUE_SHARE = 0.15;
 
+	/**
+	 * Use of slots and queue places by a customer, relative to its usual share, from
+	 * which on its calls are evicted for a customer that uses less than its usual share.
+	 * Lower factors evict calls for ordinary variations of the arrivals.
+	 */
+	private static final double EXCESS_FACTOR = 1.25;
+
 	private static final double SERVICE_TIME_WEIGHT = 0.1;
 
 	private final Map<String, Integer> runningByCustomer = new HashMap<>();
 
+	private final CustomerTurns turns = new CustomerTurns();
+
 	/**
 	 * Waiting calls by queue level and customer. Higher priorities come first, and at the
 	 * same priority nested calls come before new ones. Within a level, the customers with
@@ -195,9 +206,10 @@
 		}
 		if (this.running < this.slots && this.waiting == 0) {
 			start(customer);
+			this.turns.recordStart(customer);
 			return AdmissionDecision.RUN;
 		}
-		if (othersWait(customer) && usage(customer) >= shareLimit()) {
+		if (isFullFor(priority) && othersWait(customer) && usage(customer) >= shareLimit()) {
 			return AdmissionDecision.OVER_SHARE;
 		}
 		if (nowMillis + expectedMillis(callsAhead(customer, priority)) > deadlineMillis) {
@@ -230,30 +242,45 @@
 
 	/**
 	 * Makes space for a customer below its share by evicting a waiting call of the
-	 * customer that uses the most slots and queue places, if that customer exceeds its
-	 * share: the newest one of its lowest priority.
+	 * customer that uses the most slots and queue places for its usual demand, if that
+	 * customer exceeds its share or uses much more than this one: the newest one of its
+	 * lowest priority. Nested calls and calls of a higher priority are not evicted.
 	 * @param customer the customer that was refused with {@code FULL}
+	 * @param priority priority of its call, 0 is the highest
 	 * @return the evicted call, which must be refused, or empty if no other customer
 	 * exceeds its share or the usage is already balanced
 	 */
-	public Optional<T> evictForCustomer(String customer) {
+	public Optional<T> evictForCustomer(String customer, int priority) {
 		String largest = null;
-		for (String name : waitingCustomers()) {
-			if (!name.equals(customer) && (largest == null || usage(name) > usage(largest))) {
+		for (String name : waitingCustomers(priority)) {
+			if (!name.equals(customer) && (largest == null || relativeUsage(name) > relativeUsage(largest))) {
 				largest = name;
 			}
 		}
-		if (largest == null || usage(largest) <= shareLimit() || usage(customer) + 1 >= usage(largest)) {
+		if (largest == null || usage(customer) + 1 >= usage(largest)) {
+			return Optional.empty();
+		}
+		boolean excess = relativeUsage(largest) >= EXCESS_FACTOR && usage(customer) + 1 <= usualUsage(customer);
+		if (usage(largest) <= shareLimit() && !excess) {
 			return Optional.empty();
 		}
-		for (Integer level : this.levels.descendingKeySet()) {
-			if (this.levels.get(level).containsKey(largest)) {
+		for (Integer level : this.levels.tailMap(level(priority), true).descendingKeySet()) {
+			if (!isNested(level) && this.levels.get(level).containsKey(largest)) {
 				return Optional.of(removeNewest(level, largest));
 			}
 		}
 		return Optional.empty();
 	}
 
+	/**
+	 * Records an offered call as demand of its customer. Refused calls count, too.
+	 * @param customer customer of the call
+	 * @param nowMillis clock reading in milliseconds
+	 */
+	public void recordDemand(String customer, long nowMillis) {
+		this.turns.recordOffer(customer, nowMillis);
+	}
+
 	/**
 	 * Releases a slot and gives it to the next waiting call.
 	 * @param customer customer of the call that ended
@@ -375,7 +402,7 @@
 		}
 		int level = nextLevel(nowMillis);
 		LinkedHashMap<String, Deque<WaitingCall<T>>> byCustomer = this.levels.get(level);
-		String chosen = customerWithFewestRunning(byCustomer.keySet());
+		String chosen = customerWithNextTurn(byCustomer.keySet());
 		Deque<WaitingCall<T>> calls = byCustomer.remove(chosen);
 		T call = calls.removeFirst().call();
 		this.waiting--;
@@ -387,16 +414,22 @@
 			this.levels.remove(level);
 		}
 		start(chosen);
+		if (!isNested(level)) {
+			this.turns.recordStart(chosen);
+		}
 		return Optional.of(call);
 	}
 
-	private String customerWithFewestRunning(Collection<String> customers) {
+	private String customerWithNextTurn(Collection<String> customers) {
 		String chosen = null;
+		double earliest = Double.MAX_VALUE;
 		int fewest = Integer.MAX_VALUE;
 		for (String customer : customers) {
+			double turn = this.turns.turn(customer);
 			int count = this.runningByCustomer.getOrDefault(customer, 0);
-			if (count < fewest) {
+			if (turn < earliest || (turn == earliest && count < fewest)) {
 				chosen = customer;
+				earliest = turn;
 				fewest = count;
 			}
 		}
@@ -434,12 +467,30 @@
 		this.runningByCustomer.merge(customer, 1, Integer::sum);
 	}
 
-	private Set<String> waitingCustomers() {
+	private Set<String> waitingCustomers(int priority) {
 		Set<String> customers = new LinkedHashSet<>();
-		this.levels.values().forEach((byCustomer) -> customers.addAll(byCustomer.keySet()));
+		this.levels.tailMap(level(priority)).forEach((level, byCustomer) -> {
+			if (!isNested(level)) {
+				customers.addAll(byCustomer.keySet());
+			}
+		});
 		return customers;
 	}
 
+	private double relativeUsage(String customer) {
+		return usage(customer) / usualUsage(customer);
+	}
+
+	private double usualUsage(String customer) {
+		return Math.max(1, this.turns.share(customer) * (this.slots + this.queueLength));
+	}
+
+	// A call that can evict one of a lower priority finds the queue not full.
+	private boolean isFullFor(int priority) {
+		return this.waiting >= this.queueLength
+				&& this.levels.tailMap(level(priority), false).keySet().stream().allMatch(AdmissionQueue::isNested);
+	}
+
 	private boolean othersWait(String customer) {
 		return this.levels.values()
 			.stream()
--- a/policy/src/main/java/io/lavenderroad/policy/calls/StartShare.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/StartShare.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 
 /**
  * Computes the share of requests that may start if they call a given backend server while
@@ -44,7 +46,7 @@
 
 	private final Map<Integer, PriorityShare> byPriority = new HashMap<>();
 
-	private final Map<Integer, AdmittedShare> newCalls = new HashMap<>();
+	private final NavigableMap<Integer, AdmittedShare> newCalls = new TreeMap<>();
 
 	/**
 	 * Records how long a call waited for its slot.
@@ -79,10 +81,8 @@
 	public double share(int priority, long nowMillis) {
 		PriorityShare recorded = this.byPriority.get(priority);
 		double share = (recorded != null) ? recorded.current(nowMillis) : 1;
-		for (Map.Entry<Integer, AdmittedShare> entry : this.newCalls.entrySet()) {
-			if (entry.getKey() <= priority) {
-				share = Math.min(share, entry.getValue().share(nowMillis));
-			}
+		for (AdmittedShare admitted : this.newCalls.headMap(priority, true).values()) {
+			share = Math.min(share, admitted.share(nowMillis));
 		}
 		return Math.max(MINIMUM_SHARE, share);
 	}
--- a/policy/src/test/java/io/lavenderroad/policy/calls/AdmissionQueueTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/AdmissionQueueTests.java
@@ -42,7 +42,7 @@
 			queue.offer("large " + index, "large", 0, LATER);
 		}
 		Assert.assertEquals(queue.offer("small", "small", 0, LATER), AdmissionDecision.FULL);
-		Assert.assertEquals(queue.evictForCustomer("small"), Optional.of("large 4"));
+		Assert.assertEquals(queue.evictForCustomer("small", 0), Optional.of("large 4"));
 		Assert.assertEquals(queue.offer("small", "small", 0, LATER), AdmissionDecision.WAIT);
 		Assert.assertEquals(queue.offer("large 5", "large", 0, LATER), AdmissionDecision.OVER_SHARE);
 	}
