Check access keys at the entry node

RequestEvaluation holds the order of the checks: configuration, route, key, body size and deadline, quota, capacity. 401 is answered under the same condition as 404. The server gets the name of the team; the key is dropped at the entry node and, while teams are being introduced, at the node of the server. Log lines for malformed heads no longer repeat the line, which may hold a key. Answers by team and refusals by reason are counted in bounded state.

PlatformNodeTests, BackendClientTests and NodeMessagesTests only pass the added arguments.

--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -1,6 +1,7 @@
 package io.lavenderroad.node;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendFailure;
@@ -34,7 +35,10 @@
 
 	private final String authority;
 
-	BackendClient(BackendExchange exchange, CallDialect dialect, String authority) {
+	private final BooleanSupplier hasTeams;
+
+	BackendClient(BackendExchange exchange, CallDialect dialect, String authority, BooleanSupplier hasTeams) {
+		this.hasTeams = hasTeams;
 		this.exchange = exchange;
 		this.dialect = dialect;
 		this.authority = authority;
@@ -59,8 +63,8 @@
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone");
 		}
 		ForwardedCallTerms terms = new ForwardedCallTerms(Math.max(1, remainingMillis - MARGIN_MILLIS),
-				request.attemptBudget(), request.metadata().callerService(), backendId);
-		HeaderFields fields = this.dialect.backendFields(HeaderFields.of(request.headers()), terms);
+				request.attemptBudget(), request.metadata().callerService(), backendId, request.metadata().team());
+		HeaderFields fields = this.dialect.backendFields(passed(request), terms);
 		BackendRequest sent = new BackendRequest(request.method(), request.target(), fields, request.body(),
 				(answer) -> this.dialect.match(fields, answer), this::isNotRun);
 		Either<BackendFailure, BackendResponse> response = this.exchange.run(sent, remainingMillis, cancellation);
@@ -82,6 +86,14 @@
 		return this.exchange.run(request, timeoutMillis, new Cancellation());
 	}
 
+	// The entry node has selected the fields. If teams exist here but not yet in its
+	// configuration, it has passed on an access key.
+	private HeaderFields passed(CallRequest request) {
+		HeaderFields fields = HeaderFields.of(request.headers());
+		return this.hasTeams.getAsBoolean() ? fields.endToEnd((name) -> this.dialect.forwardsRequestField(name, true))
+				: fields;
+	}
+
 	private CallAnswer answer(BackendResponse response) {
 		if (isNotRun(response)) {
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server shed the request").asBackendRefusal();
--- a/node/src/main/java/io/lavenderroad/node/CallDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/CallDialect.java
@@ -33,12 +33,25 @@
 	boolean supportsIdempotencyKeys();
 
 	/**
-	 * Returns whether a node forwards a field. Hop-by-hop fields are never forwarded.
+	 * Returns whether a node forwards a field of an answer, and of a request unless
+	 * {@link #forwardsRequestField} says otherwise. Hop-by-hop fields are never
+	 * forwarded.
 	 * @param name name of the field in lower case
 	 * @return true to forward it
 	 */
 	boolean forwards(String name);
 
+	/**
+	 * Returns whether a node forwards a field of a request. Fields that carry access keys
+	 * are not forwarded if the mesh has teams.
+	 * @param name name of the field in lower case
+	 * @param teams whether the mesh has teams
+	 * @return true to forward it
+	 */
+	default boolean forwardsRequestField(String name, boolean teams) {
+		return forwards(name);
+	}
+
 	/**
 	 * Adds the fields that a backend server expects.
 	 * @param passed forwarded fields of the caller
--- a/node/src/main/java/io/lavenderroad/node/CallMetadata.java
+++ b/node/src/main/java/io/lavenderroad/node/CallMetadata.java
@@ -10,16 +10,18 @@
  * @param idempotent whether the request may run again; if so, its run is cancelled when
  * its caller leaves
  * @param origin who made the call, as far as the node where it entered has determined
- * @param priority priority of the call, 0 is the highest
+ * @param priority rank of the call, see {@link io.lavenderroad.policy.calls.CallRank}; 0
+ * is the highest
  * @param latencyObjectiveMillis time that is left of the latency objective, 0 if it has
  * passed
+ * @param team name of the team that made the call, empty if there is none
  */
 record CallMetadata(String requestId, String callerService, boolean idempotent, CallOrigin origin, int priority,
-		int latencyObjectiveMillis) {
+		int latencyObjectiveMillis, String team) {
 
 	/**
 	 * Metadata of a call that states none.
 	 */
-	static final CallMetadata NONE = new CallMetadata("", "", false, CallOrigin.UNKNOWN, 0, 0);
+	static final CallMetadata NONE = new CallMetadata("", "", false, CallOrigin.UNKNOWN, 0, 0, "");
 
 }
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -91,7 +91,7 @@
 				(name) -> new RetryBudget(this.retryBurst));
 		budget.call(call.service().limits().retryBudgetBasisPoints());
 		CallPriority callPriority = this.calledServices.recordCall(call.service().name(), call.rules().route(),
-				call.rules().priority(), call.deadlineMillis());
+				call.rank(), call.deadlineMillis());
 		RetryDecision retry = new RetryDecision(call.rules(), call.attemptBudget() + 1, budget);
 		List<EndpointLoad> tried = new ArrayList<>(2);
 		ExecutionVerdict earlier = ExecutionVerdict.NOT_RUN;
@@ -165,7 +165,7 @@
 			long remaining) {
 		long latencyObjectiveMillis = Math.clamp(call.objectiveMillis() - this.clock.millis(), 0, Integer.MAX_VALUE);
 		CallMetadata metadata = new CallMetadata(call.requestId(), this.self.service(), call.rules().idempotent(),
-				callPriority.origin(), callPriority.priority(), (int) latencyObjectiveMillis);
+				callPriority.origin(), callPriority.priority(), (int) latencyObjectiveMillis, call.teamName());
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
 				call.rules().route(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
 				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget, metadata);
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -16,6 +16,7 @@
 import io.lavenderroad.model.ServiceLimits;
 import io.lavenderroad.node.http.Cancellation;
 import io.lavenderroad.policy.calls.CallOrigin;
+import io.lavenderroad.policy.calls.CallRank;
 import io.lavenderroad.policy.calls.NestedRoutes;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
@@ -151,7 +152,7 @@
 	private ServerReport report(CallRequest request, CallOrigin origin) {
 		int priority = request.metadata().priority();
 		double share = (origin == CallOrigin.SERVER) ? Math.min(this.admission.startShare(priority),
-				this.calledServices.startShare(request.route(), priority)) : 1;
+				this.calledServices.startShare(request.route(), CallRank.ofNestedCalls(priority))) : 1;
 		return new ServerReport(load(), (int) this.admission.serviceMillis(), origin, share);
 	}
 
@@ -252,7 +253,7 @@
 	private CallAnswer admit(CallRequest request, boolean nested, long deadlineMillis, Cancellation waiting,
 			Cancellation running) {
 		int priority = request.metadata().priority();
-		if (!nested && !this.calledServices.admits(request.route(), priority)) {
+		if (!nested && !this.calledServices.admits(request.route(), CallRank.ofNestedCalls(priority))) {
 			this.statistics.recordRefusal(request.route(), DEPENDENCY_SHORT_OF_SLOTS);
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, DEPENDENCY_SHORT_OF_SLOTS)
 				.withAvoidance(Avoidance.ofService());
@@ -284,7 +285,8 @@
 	private CallAnswer run(CallRequest request, long deadlineMillis, Cancellation cancellation, Admission.Slot slot) {
 		long startNanos = System.nanoTime();
 		double elapsedMillis = -1;
-		this.calledServices.recordStart(request.route(), request.metadata().priority(), deadlineMillis);
+		int nestedRank = CallRank.ofNestedCalls(request.metadata().priority());
+		this.calledServices.recordStart(request.route(), nestedRank, deadlineMillis);
 		try {
 			long remaining = deadlineMillis - this.clock.millis();
 			if (remaining <= 0) {
@@ -303,7 +305,7 @@
 			return answer;
 		}
 		finally {
-			this.calledServices.recordEnd(request.route(), request.metadata().priority(), deadlineMillis);
+			this.calledServices.recordEnd(request.route(), nestedRank, deadlineMillis);
 			slot.release(elapsedMillis);
 		}
 	}
--- a/node/src/main/java/io/lavenderroad/node/HttpStatus.java
+++ b/node/src/main/java/io/lavenderroad/node/HttpStatus.java
@@ -9,6 +9,8 @@
 
 	static final int BAD_REQUEST = 400;
 
+	static final int UNAUTHORIZED = 401;
+
 	static final int NOT_FOUND = 404;
 
 	static final int METHOD_NOT_ALLOWED = 405;
--- a/node/src/main/java/io/lavenderroad/node/MeshDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/MeshDialect.java
@@ -34,7 +34,7 @@
 		Either<String, OptionalInt> deadline = number(headers, MeshHeaders.DEADLINE_MILLIS);
 		Either<String, OptionalInt> budget = number(headers, MeshHeaders.ATTEMPT_BUDGET);
 		return deadline.flatMap((millis) -> budget.map((retries) -> new CallTerms(headers.text(MeshHeaders.REQUEST_ID),
-				headers.text(MeshHeaders.SERVICE), headers.text(MeshHeaders.CUSTOMER), key, millis, retries)));
+				headers.text(MeshHeaders.SERVICE), headers.text(MeshHeaders.CUSTOMER), key, "", millis, retries)));
 	}
 
 	@Override
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -105,6 +105,7 @@
 		packer.packInt(request.metadata().origin().ordinal());
 		packer.packInt(request.metadata().priority());
 		packer.packInt(request.metadata().latencyObjectiveMillis());
+		packer.packString(request.metadata().team());
 	}
 
 	private static CallRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
@@ -113,7 +114,8 @@
 				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
 				unpacker.unpackInt(),
 				new CallMetadata(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(),
-						constant(ORIGINS, unpacker), unpacker.unpackInt(), unpacker.unpackInt()));
+						constant(ORIGINS, unpacker), unpacker.unpackInt(), unpacker.unpackInt(),
+						unpacker.unpackString()));
 	}
 
 	private static List<String> headers(MessageUnpacker unpacker) throws IOException {
--- a/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMetrics.java
@@ -32,6 +32,8 @@
 
 	private final MetricRegistry registry = new MetricRegistry();
 
+	private final TeamMetrics teams = new TeamMetrics();
+
 	private final Map<ServiceCustomer, CallStatistics> statistics = new ConcurrentHashMap<>();
 
 	/**
@@ -54,6 +56,14 @@
 		recorded.verdicts()[verdict.ordinal()].inc();
 	}
 
+	/**
+	 * Returns the metrics by team.
+	 * @return the metrics
+	 */
+	TeamMetrics teams() {
+		return this.teams;
+	}
+
 	/**
 	 * Adds a gauge, which is read whenever the metrics are read.
 	 * @param name name of the gauge, without prefix
@@ -86,7 +96,7 @@
 	 * @return the metrics in the Prometheus text format
 	 */
 	String text() {
-		return MetricsText.of(this.registry);
+		return MetricsText.of(this.registry) + this.teams.text();
 	}
 
 	private CallStatistics statistics(String service, String customer) {
@@ -104,7 +114,7 @@
 		return this.registry.histogram(name, () -> new Histogram(new SlidingWindowReservoir(WINDOW)));
 	}
 
-	private static String escaped(String label) {
+	static String escaped(String label) {
 		return MeshHeaders.printable(label).replace("\\", "\\\\").replace("\"", "\\\"");
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -131,7 +131,8 @@
 				this.clock);
 		BackendExchange exchange = new BackendExchange(this.pool, this.timer, builder.maximumAnswerBytes,
 				KeepAlive::millis);
-		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
+		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress,
+				() -> this.view.configuration().filter((active) -> !active.teams().isEmpty()).isPresent());
 		this.localBackend = localBackend(builder, self);
 		this.directory = new EndpointDirectory(this.view, this.clock);
 		WireOptions wireOptions = Objects.requireNonNull(builder.wireOptions, "wireOptions");
@@ -147,7 +148,9 @@
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
 		this.router = new CallRouter(components, builder.balancing, this.callServer, builder.retryBurst);
-		this.callerApi = new CallerApi(components, this.view, this.dialect, this.router, this.metrics);
+		ConfigurationAwaiter awaiter = new ConfigurationAwaiter(this.clock, this.view);
+		this.callerApi = new CallerApi(components, awaiter, this.dialect,
+				new RequestEvaluation(components, awaiter, this.dialect, this.router, builder.quotaGate, this.metrics));
 		this.callerListener = HttpListener.builder()
 			.clock(this.clock)
 			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
@@ -449,6 +452,8 @@
 
 		private InetSocketAddress adminAddress;
 
+		private QuotaGate quotaGate = QuotaGate.UNLIMITED;
+
 		private String healthPath = "";
 
 		private String loadPath = "";
@@ -657,6 +662,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the check of the quotas of the teams. All requests are admitted without
+		 * it.
+		 * @param gate the check
+		 * @return this builder
+		 */
+		public Builder quotaGate(QuotaGate gate) {
+			this.quotaGate = gate;
+			return this;
+		}
+
 		/**
 		 * Sets the page on which the backend server reports its health.
 		 * @param path path, or an empty string if there is none
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -24,6 +24,7 @@
 import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
@@ -191,10 +192,15 @@
 			return reject(HttpStatus.SC_SERVICE_UNAVAILABLE, ex.getMessage());
 		}
 		catch (HttpException | MalformedChunkCodingException ex) {
-			return reject(HttpStatus.SC_BAD_REQUEST, "the request cannot be read: " + ex.getMessage());
+			return reject(HttpStatus.SC_BAD_REQUEST, "the request cannot be read: " + reason(ex));
 		}
 	}
 
+	// The message of a parse error contains the line, which may hold an access key.
+	private static String reason(Exception ex) {
+		return (ex instanceof ParseException) ? "a line of its head is malformed" : ex.getMessage();
+	}
+
 	private boolean accept(ClassicHttpRequest head, InputStream stream, CallerLimits limits)
 			throws IOException, HttpException, InterruptedException {
 		Either<String, RequestTarget> target = RequestTarget.parse(head.getRequestUri());
--- a/node/src/test/java/io/lavenderroad/node/BackendClientTests.java
+++ b/node/src/test/java/io/lavenderroad/node/BackendClientTests.java
@@ -32,7 +32,7 @@
 			InetSocketAddress address = (InetSocketAddress) unused.getLocalSocketAddress();
 			BackendPool pool = new BackendPool(address, () -> 0);
 			BackendClient client = new BackendClient(new BackendExchange(pool, timer, 1_000, KeepAlive::millis),
-					new MeshDialect(), "h");
+					new MeshDialect(), "h", () -> false);
 			Cancellation gone = new Cancellation();
 			gone.cancel();
 			Assert.assertEquals(run(client, "/a", gone).verdict(), ExecutionVerdict.NOT_RUN);
@@ -46,7 +46,7 @@
 	}
 
 	private CallAnswer run(BackendClient client, String target, Cancellation cancellation) {
-		CallMetadata metadata = new CallMetadata("r1", "counter", true, CallOrigin.CALLER, 0, 100);
+		CallMetadata metadata = new CallMetadata("r1", "counter", true, CallOrigin.CALLER, 0, 100, "");
 		CallRequest request = new CallRequest(1, "catalogue", "v1", "route", "GET", target, List.of(), new byte[0], "",
 				"", 1_000, 0, metadata);
 		return client.run(request, "", 5_000, cancellation, this.unreachable::incrementAndGet);
--- a/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
@@ -30,7 +30,7 @@
 		KeyRecord record = new KeyRecord(claim, KeyState.DONE, CallAnswer.ran(200, List.of("A", "b"), new byte[9]), 7);
 		List<Object> messages = List.of(
 				new CallRequest(1, "s", "v1", "r", "POST", "/", List.of("A", "b"), new byte[8], "c", "k", 100, 2,
-						new CallMetadata("i", "catalogue", true, CallOrigin.SERVER, 1, 50)),
+						new CallMetadata("i", "catalogue", true, CallOrigin.SERVER, 1, 50, "payments")),
 				record.answer(), new CancelCall(3), new KeyMessages.ClaimKey(claim),
 				new KeyMessages.ClaimResult(true, record), new KeyMessages.SettleKey(claim, record.answer()),
 				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)));
