--- a/daemon/src/test/java/io/lavenderroad/daemon/SettingsBindingTests.java
+++ b/daemon/src/test/java/io/lavenderroad/daemon/SettingsBindingTests.java
@@ -65,7 +65,7 @@
 	@Test
 	public void templateOfControlMembersNamesTheFailureDomains() throws IOException {
 		String text = Files.readString(Path.of("../deploy/control.yml"))
-			.replace("{{#zones}}\"{{@}}\"{{,}} {{/zones}}", "\"north\", \"south\" ")
+			.replace("{{zones|json}}", "{\"north\":\"r\",\"south\":\"r\"}")
 			.replaceAll("\\{\\{[a-z_]*port_range[.]0}}", "7400")
 			.replaceAll("\\{\\{[a-z_]*port_range[.]1}}", "7401")
 			.replace("{{first_start}}", "true")
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -137,7 +137,8 @@
 				this.clock);
 		BackendExchange exchange = new BackendExchange(this.pool, this.timer, builder.maximumAnswerBytes,
 				KeepAlive::millis);
-		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
+		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress,
+				() -> this.view.configuration().filter((active) -> !active.teams().isEmpty()).isPresent());
 		this.localBackend = localBackend(builder, self);
 		this.directory = new EndpointDirectory(this.view, this.clock);
 		WireOptions wireOptions = Objects.requireNonNull(builder.wireOptions, "wireOptions");
@@ -158,7 +159,9 @@
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
 		this.router = new CallRouter(components, builder.balancing, this.callServer, builder.retryBurst);
-		this.callerApi = new CallerApi(components, this.view, this.dialect, this.router, this.metrics);
+		ConfigurationAwaiter awaiter = new ConfigurationAwaiter(this.clock, this.view);
+		this.callerApi = new CallerApi(components, awaiter, this.dialect,
+				new RequestEvaluation(components, awaiter, this.dialect, this.router, this.quotas, this.metrics));
 		this.callerListener = HttpListener.builder()
 			.clock(this.clock)
 			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
@@ -314,14 +317,6 @@
 		this.executor.shutdownNow();
 	}
 
-	/**
-	 * Returns the component that admits the requests of teams with quotas.
-	 * @return the gate of this node
-	 */
-	QuotaGate quotaGate() {
-		return this.quotas;
-	}
-
 	private void start() {
 		this.callerListener.start();
 		if (this.adminServer != null) {
