Read the load that backend servers state in answers

Cause: the node of a backend server ignored X-Server-Load, so senders knew neither work that the node had not admitted nor the present slowness of the VM. Change: the platform dialect reads the field; missing and impossible values are counted. The node keeps the newest reading for 200 ms. ServerReport carries the slowness, and the service time without it; ShortestTime multiplies both. The remaining cold time is read from all answers of the server. Measurement: tests of policy, node, platform and their dependencies pass.

--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -48,11 +48,11 @@
 	 * none
 	 * @param remainingMillis time until the deadline
 	 * @param cancellation ends the exchange early
-	 * @param onUnreachable runs if the backend server accepts no connection
+	 * @param observer receives what the exchange shows about the backend server
 	 * @return the outcome
 	 */
 	CallAnswer run(CallRequest request, String backendId, long remainingMillis, Cancellation cancellation,
-			Runnable onUnreachable) {
+			BackendObserver observer) {
 		if (!request.target().startsWith("/")) {
 			return CallAnswer.notRun(HttpStatus.BAD_REQUEST, "path does not start with a slash");
 		}
@@ -66,8 +66,9 @@
 				(answer) -> this.dialect.match(fields, answer), this::isNotRun);
 		Either<BackendFailure, BackendResponse> response = this.exchange.run(sent, remainingMillis, cancellation);
 		if (response.isLeft() && response.getLeft().kind() == BackendFailure.Kind.UNREACHABLE) {
-			onUnreachable.run();
+			observer.unreachable();
 		}
+		response.forEach((answer) -> observer.answered(this.dialect.serverLoad(answer.headers()), coldMillis(answer)));
 		return response.fold(BackendClient::failure, this::answer);
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/CallDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/CallDialect.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.node;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.lavenderroad.core.kernel.ExtensionPoint;
@@ -58,6 +59,15 @@
 	 */
 	boolean isNotRun(int status, HeaderFields headers);
 
+	/**
+	 * Reads the load that a backend server states in one of its answers.
+	 * @param answer fields of the answer
+	 * @return the load, or empty if the answer states none or an impossible one
+	 */
+	default Optional<ServerLoad> serverLoad(HeaderFields answer) {
+		return Optional.empty();
+	}
+
 	/**
 	 * Reads how much longer a backend server stays cold from one of its answers.
 	 * @param answer fields of the answer
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -193,7 +193,7 @@
 		long now = this.clock.millis();
 		ServerReport report = answer.report();
 		if (report.isKnown()) {
-			target.recordReport(now, report.load(), report.serviceMillis());
+			target.recordReport(now, report.load(), report.serviceMillis(), report.pace(), report.slownessPercent());
 		}
 		this.calledServices.recordReport(call.service().name(), call.rules().route(), callPriority.priority(), report);
 		if (answer.verdict() != ExecutionVerdict.NOT_RUN && answer.isObservation()) {
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -63,6 +64,10 @@
 
 	private final StartControl startControl;
 
+	private final ReportedLoad reportedLoad;
+
+	private final BackendObserver observer = new Observer();
+
 	private final NestedRoutes nestedRoutes = new NestedRoutes();
 
 	private final Map<RunningCall, Cancellation> running = new ConcurrentHashMap<>();
@@ -72,8 +77,9 @@
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
-			LocalBackend localBackend, StartControl startControl, KeyLedger keys, AdmissionStatistics statistics,
-			CalledServices calledServices) {
+			LocalBackend localBackend, StartControl startControl, ReportedLoad reportedLoad, KeyLedger keys,
+			AdmissionStatistics statistics, CalledServices calledServices) {
+		this.reportedLoad = reportedLoad;
 		this.startControl = startControl;
 		this.calledServices = calledServices;
 		this.statistics = statistics;
@@ -162,7 +168,9 @@
 		int priority = request.metadata().priority();
 		double share = (origin == CallOrigin.SERVER) ? Math.min(this.admission.startShare(priority),
 				this.calledServices.startShare(request.route(), priority)) : 1;
-		return new ServerReport(load(), (int) this.admission.serviceMillis(), origin, share);
+		double serviceMillis = this.reportedLoad.atUsualSpeed(this.admission.serviceMillis());
+		return new ServerReport(load(), (int) serviceMillis, origin, share, 1,
+				this.reportedLoad.slownessPercent(this.clock.millis()));
 	}
 
 	/**
@@ -293,7 +301,8 @@
 
 	// Reported health and load only affect balancing; they never refuse a call.
 	private int load() {
-		int load = Math.max(this.admission.load(), this.localBackend.reportedRunning());
+		int load = Math.max(this.admission.load() + this.reportedLoad.otherRequests(this.clock.millis()),
+				this.localBackend.reportedRunning());
 		return this.localBackend.isHealthy() ? load : load + this.self.slots();
 	}
 
@@ -310,7 +319,7 @@
 				return Admission.drainRefusal();
 			}
 			CallAnswer answer = this.backend.run(request, this.localBackend.backendId(), remaining, cancellation,
-					this.localBackend::unreachable);
+					this.observer);
 			// A timeout is a lower bound of the service time; other failures carry no
 			// information on it.
 			if (answer.status() < HttpStatus.INTERNAL_ERROR || answer.status() == HttpStatus.GATEWAY_TIMEOUT) {
@@ -331,6 +340,23 @@
 			.orElse(ServiceLimits.DEFAULT);
 	}
 
+	private final class Observer implements BackendObserver {
+
+		@Override
+		public void unreachable() {
+			CallServer.this.localBackend.unreachable();
+		}
+
+		@Override
+		public void answered(Optional<ServerLoad> load, OptionalLong coldMillis) {
+			CallServer.this.reportedLoad.record(load, CallServer.this.admission.load(), CallServer.this.clock.millis());
+			if (coldMillis.orElse(0) > 0) {
+				CallServer.this.localBackend.observeCold(coldMillis.getAsLong());
+			}
+		}
+
+	}
+
 	private record RunningCall(Connection connection, long callId) {
 
 	}
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -59,6 +59,8 @@
 		packer.packInt(answer.report().serviceMillis());
 		packer.packInt(answer.report().origin().ordinal());
 		packer.packDouble(answer.report().startShare());
+		packer.packDouble(answer.report().pace());
+		packer.packInt(answer.report().slownessPercent());
 		packer.packInt(answer.avoidance().scope().ordinal());
 		packer.packInt(answer.avoidance().millis());
 		packer.packBoolean(answer.received());
@@ -72,7 +74,14 @@
 
 	private static ServerReport report(MessageUnpacker unpacker) throws IOException {
 		return new ServerReport(unpacker.unpackInt(), unpacker.unpackInt(), constant(ORIGINS, unpacker),
-				share(unpacker.unpackDouble()));
+				share(unpacker.unpackDouble()), share(unpacker.unpackDouble()), slowness(unpacker.unpackInt()));
+	}
+
+	private static int slowness(int percent) {
+		if (percent <= 0) {
+			throw new WireException("slowness " + percent + "% is not above 0");
+		}
+		return percent;
 	}
 
 	private static double share(double value) {
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -143,8 +143,9 @@
 		this.calledServices = new CalledServices(this.clock);
 		StartControl startControl = new StartControl(this.clock, builder.random, this.view, self, this.localBackend,
 				this.admission::refuseWaiting);
+		ReportedLoad reportedLoad = new ReportedLoad();
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
-				startControl, this.keys, this.admissionStatistics, this.calledServices);
+				startControl, reportedLoad, this.keys, this.admissionStatistics, this.calledServices);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
@@ -159,6 +160,7 @@
 				: null;
 		builder.metricSets.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
+		this.metrics.gauge("answers_without_load", reportedLoad::ignored);
 		this.metrics.gauge("cold_refusals", startControl::coldRefusals);
 		this.metrics.gauge("evacuation_refusals", startControl::evacuationRefusals);
 		this.metrics.gauge("evacuated", () -> startControl.isEvacuated() ? 1 : 0);
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -27,6 +27,14 @@
 	 */
 	private static final long REPORT_VALIDITY_MILLIS = 1_000;
 
+	/**
+	 * Time for which a reported slowness is used. It changes many times a second, and an
+	 * older one would direct calls by the past.
+	 */
+	private static final long SLOWNESS_VALIDITY_MILLIS = 200;
+
+	private static final int USUAL_SLOWNESS_PERCENT = 100;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private final AtomicInteger failedConnections = new AtomicInteger();
@@ -53,6 +61,10 @@
 
 	private volatile double reportedServiceMillis;
 
+	private volatile double reportedPace = 1;
+
+	private volatile int reportedSlownessPercent = USUAL_SLOWNESS_PERCENT;
+
 	/**
 	 * Creates the state of an endpoint without observations.
 	 * @param endpoint the announced endpoint
@@ -162,6 +174,22 @@
 	 * callers; 0 if not reported
 	 */
 	public void recordReport(long nowMillis, int load, double serviceMillis) {
+		recordReport(nowMillis, load, serviceMillis, 1, USUAL_SLOWNESS_PERCENT);
+	}
+
+	/**
+	 * Records the load, service time, pace and slowness that the endpoint reported with
+	 * an answer. An answer also proves that the endpoint is reachable.
+	 * @param nowMillis clock reading in milliseconds
+	 * @param load number of calls running and waiting at the endpoint
+	 * @param serviceMillis service time of a call at the endpoint at the usual speed of
+	 * its VM, over the calls of all callers; 0 if not reported
+	 * @param pace share of its slots that the endpoint may use, 0 to 1
+	 * @param slownessPercent how long work takes on the VM at the moment, 100 is usual
+	 */
+	public void recordReport(long nowMillis, int load, double serviceMillis, double pace, int slownessPercent) {
+		this.reportedPace = pace;
+		this.reportedSlownessPercent = slownessPercent;
 		this.failedConnections.set(0);
 		this.reportedServiceMillis = serviceMillis;
 		this.reportedLoad = load;
@@ -228,6 +256,16 @@
 		return (age > 0) ? reported * Math.pow(0.5, age / LATENCY_HALF_LIFE_MILLIS) : reported;
 	}
 
+	/**
+	 * Returns how much longer than usual work takes on the VM of the endpoint.
+	 * @param nowMillis clock reading in milliseconds
+	 * @return factor, 1 if no recent value was reported
+	 */
+	public double slowness(long nowMillis) {
+		boolean recent = nowMillis - this.reportedMillis <= SLOWNESS_VALIDITY_MILLIS;
+		return recent ? (double) this.reportedSlownessPercent / USUAL_SLOWNESS_PERCENT : 1;
+	}
+
 	/**
 	 * Returns the exponentially smoothed share of failed calls.
 	 * @return 0 to 1
--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -87,7 +87,7 @@
 
 	private static Scored score(EndpointLoad load, BalancingContext context, double average) {
 		double observed = load.serviceMillis(context.nowMillis());
-		double service = (observed > 0) ? observed : average;
+		double service = ((observed > 0) ? observed : average) * load.slowness(context.nowMillis());
 		int slots = Math.max(1, load.endpoint().slots());
 		double utilization = (load.load(context.nowMillis()) + 1.0) / slots;
 		double millis = service * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
