Let the answers of a recovering server decide its share

Cause: SlowStart raised the share of a cold endpoint by the clock, from 0.1 to 1 in 10 s, whatever the server answered. Change: Pace limits how many calls run at once at a server that is cold, returned after silence, failed in a series or became far slower than before. StartControl refuses the others as not run with a short avoidance. ServerReport carries the pace; the balancing policies weight endpoints by it. The failure share at a sender decays without calls. StartControlTests ends each call that it starts, as the pace counts running calls. The rate of cold servers holds with 66 and 1,000 senders.

--- a/node/src/main/java/io/lavenderroad/node/AdminApi.java
+++ b/node/src/main/java/io/lavenderroad/node/AdminApi.java
@@ -95,7 +95,8 @@
 				endpoint.put("slots", load.endpoint().slots());
 				endpoint.put("inFlight", load.inFlight());
 				endpoint.put("latencyMillis", load.latencyMillis(now));
-				endpoint.put("errorShare", load.errorShare());
+				endpoint.put("errorShare", load.errorShare(now));
+				endpoint.put("pace", load.paceShare(now));
 				endpoint.put("avoided", load.isAvoided(now, Integer.MAX_VALUE));
 				endpoints.add(endpoint);
 			}
--- a/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
@@ -10,6 +10,7 @@
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
 import io.lavenderroad.node.http.BackendResponse;
+import io.lavenderroad.policy.calls.Pace;
 import org.tinylog.Logger;
 
 /**
@@ -43,6 +44,9 @@
 
 	private volatile EndpointState state;
 
+	private volatile Consumer<Pace.Cause> onSetback = (cause) -> {
+	};
+
 	private volatile long coldUntilMillis = Long.MIN_VALUE / 2;
 
 	private volatile boolean coldUntilStated;
@@ -74,6 +78,11 @@
 		return "";
 	}
 
+	@Override
+	public void onSetback(Consumer<Pace.Cause> receiver) {
+		this.onSetback = receiver;
+	}
+
 	@Override
 	public boolean isCold() {
 		return this.state == EndpointState.COLD || this.coldUntilStated || this.clock.millis() < this.coldUntilMillis;
@@ -166,6 +175,9 @@
 
 	// A stated value replaces the earlier one; a server that states none keeps its state.
 	private void observeStatedCold(long remainingMillis) {
+		if (remainingMillis > 0 && this.clock.millis() >= this.coldUntilMillis) {
+			this.onSetback.accept(Pace.Cause.COLD);
+		}
 		this.coldUntilMillis = this.clock.millis() + remainingMillis;
 		this.coldUntilStated = this.coldUntilStated && remainingMillis > 0;
 		if (remainingMillis > 0 && this.state == EndpointState.READY) {
--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -3,12 +3,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.UnaryOperator;
 
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.policy.calls.Pace;
 import org.tinylog.Logger;
 
 /**
@@ -54,6 +56,9 @@
 	private IntConsumer onSlotsAnnounced = (slots) -> {
 	};
 
+	private Consumer<Pace.Cause> onSetback = (cause) -> {
+	};
+
 	private BackendAnnouncement current;
 
 	private boolean deregistered;
@@ -202,6 +207,11 @@
 		this.onSlotsAnnounced = receiver;
 	}
 
+	@Override
+	public void onSetback(Consumer<Pace.Cause> receiver) {
+		this.onSetback = receiver;
+	}
+
 	@Override
 	public EndpointState state() {
 		this.lock.lock();
@@ -258,6 +268,9 @@
 	public void observeCold(long remainingMillis) {
 		this.lock.lock();
 		try {
+			if (!isCold()) {
+				this.onSetback.accept(Pace.Cause.COLD);
+			}
 			this.coldUntilMillis = Math.max(this.coldUntilMillis, this.clock.millis() + remainingMillis);
 		}
 		finally {
@@ -336,10 +349,18 @@
 		this.unresponsive = false;
 		this.lastAnnouncementMillis = this.clock.millis();
 		this.onSlotsAnnounced.accept(applied.slots());
+		boolean coldBefore = sameIncarnation && this.lastAnnouncementMillis < this.coldUntilMillis;
 		this.coldUntilMillis = this.lastAnnouncementMillis + applied.remainingColdMillis();
 		// The announcement with which a silent server returns may have been sent before
 		// the silence, so only a later one shows that the server is not cold.
-		this.coldUntilAnnounced = returns || (this.coldUntilAnnounced && applied.remainingColdMillis() > 0);
+		this.coldUntilAnnounced = (returns && sameIncarnation)
+				|| (this.coldUntilAnnounced && applied.remainingColdMillis() > 0);
+		if (applied.remainingColdMillis() > 0 && !coldBefore) {
+			this.onSetback.accept(Pace.Cause.COLD);
+		}
+		else if (returns) {
+			this.onSetback.accept(Pace.Cause.RETURNED);
+		}
 		publish();
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -19,6 +19,7 @@
 import io.lavenderroad.node.http.Cancellation;
 import io.lavenderroad.policy.calls.CallOrigin;
 import io.lavenderroad.policy.calls.NestedRoutes;
+import io.lavenderroad.policy.calls.Pace;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
 
@@ -169,7 +170,7 @@
 		double share = (origin == CallOrigin.SERVER) ? Math.min(this.admission.startShare(priority),
 				this.calledServices.startShare(request.route(), priority)) : 1;
 		double serviceMillis = this.reportedLoad.atUsualSpeed(this.admission.serviceMillis());
-		return new ServerReport(load(), (int) serviceMillis, origin, share, 1,
+		return new ServerReport(load(), (int) serviceMillis, origin, share, this.startControl.pace(serviceMillis),
 				this.reportedLoad.slownessPercent(this.clock.millis()));
 	}
 
@@ -308,7 +309,9 @@
 
 	private CallAnswer run(CallRequest request, long deadlineMillis, Cancellation cancellation, Admission.Slot slot) {
 		long startNanos = System.nanoTime();
+		long startMillis = this.clock.millis();
 		double elapsedMillis = -1;
+		Pace.Outcome outcome = Pace.Outcome.NONE;
 		this.calledServices.recordStart(request.route(), request.metadata().priority(), deadlineMillis);
 		try {
 			long remaining = deadlineMillis - this.clock.millis();
@@ -320,6 +323,7 @@
 			}
 			CallAnswer answer = this.backend.run(request, this.localBackend.backendId(), remaining, cancellation,
 					this.observer);
+			outcome = RunOutcome.of(answer, cancellation.isCancelled());
 			// A timeout is a lower bound of the service time; other failures carry no
 			// information on it.
 			if (answer.status() < HttpStatus.INTERNAL_ERROR || answer.status() == HttpStatus.GATEWAY_TIMEOUT) {
@@ -329,6 +333,9 @@
 		}
 		finally {
 			this.calledServices.recordEnd(request.route(), request.metadata().priority(), deadlineMillis);
+			double ranMillis = (System.nanoTime() - startNanos) / 1e6 * ServerLoad.USUAL_SLOWNESS_PERCENT
+					/ this.reportedLoad.slownessPercent(this.clock.millis());
+			this.startControl.ended(request.route(), startMillis, outcome, ranMillis);
 			slot.release(elapsedMillis);
 		}
 	}
--- a/node/src/main/java/io/lavenderroad/node/EndpointDirectory.java
+++ b/node/src/main/java/io/lavenderroad/node/EndpointDirectory.java
@@ -94,7 +94,7 @@
 		for (Endpoint endpoint : this.view.endpoints(service)) {
 			EndpointLoad load = (previous != null) ? previous.byNode().get(endpoint.nodeId()) : null;
 			if (load == null || load.endpoint().incarnation() != endpoint.incarnation()) {
-				load = new EndpointLoad(endpoint, this.clock.millis());
+				load = new EndpointLoad(endpoint);
 			}
 			load.update(endpoint);
 			byNode.put(endpoint.nodeId(), load);
--- a/node/src/main/java/io/lavenderroad/node/LocalBackend.java
+++ b/node/src/main/java/io/lavenderroad/node/LocalBackend.java
@@ -1,6 +1,9 @@
 package io.lavenderroad.node;
 
+import java.util.function.Consumer;
+
 import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.policy.calls.Pace;
 
 /**
  * State of the local backend server, as its node observes or receives it.
@@ -58,6 +61,12 @@
 	 */
 	void observeCold(long remainingMillis);
 
+	/**
+	 * Sets the receiver of events that restrict the pace of the backend server.
+	 * @param receiver the receiver; may be called with a lock held, must not block
+	 */
+	void onSetback(Consumer<Pace.Cause> receiver);
+
 	/**
 	 * Announces that the backend server accepts no new work because this node is leaving.
 	 */
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -142,7 +142,14 @@
 				KeyLedger.COPIES);
 		this.calledServices = new CalledServices(this.clock);
 		StartControl startControl = new StartControl(this.clock, builder.random, this.view, self, this.localBackend,
-				this.admission::refuseWaiting);
+				this.admission::refuseWaiting, builder.limited);
+		if (builder.registration != null) {
+			builder.registration.onSlotsAnnounced((slots) -> {
+				this.admission.slots(slots);
+				startControl.setSlots(slots);
+			});
+		}
+		this.localBackend.onSetback(startControl::restrict);
 		ReportedLoad reportedLoad = new ReportedLoad();
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
 				startControl, reportedLoad, this.keys, this.admissionStatistics, this.calledServices);
@@ -161,6 +168,9 @@
 		builder.metricSets.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
 		this.metrics.gauge("answers_without_load", reportedLoad::ignored);
+		this.metrics.gauge("pace_percent", startControl::pacePercent);
+		this.metrics.gauge("pace_restrictions", startControl::restrictions);
+		this.metrics.gauge("pace_refusals", startControl::paceRefusals);
 		this.metrics.gauge("cold_refusals", startControl::coldRefusals);
 		this.metrics.gauge("evacuation_refusals", startControl::evacuationRefusals);
 		this.metrics.gauge("evacuated", () -> startControl.isEvacuated() ? 1 : 0);
@@ -329,7 +339,6 @@
 					builder.announcer);
 		}
 		builder.registration.onLeaving(this.admission::refuseWaiting);
-		builder.registration.onSlotsAnnounced(this.admission::slots);
 		return builder.registration;
 	}
 
--- a/node/src/test/java/io/lavenderroad/node/StartControlTests.java
+++ b/node/src/test/java/io/lavenderroad/node/StartControlTests.java
@@ -23,6 +23,7 @@
 import io.lavenderroad.model.ServiceLimits;
 import io.lavenderroad.model.TeamSet;
 import io.lavenderroad.node.http.Cancellation;
+import io.lavenderroad.policy.calls.Pace;
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
@@ -57,7 +58,7 @@
 				(change) -> change.apply(SELF));
 		this.admission = new Admission(Clock.system(), this.random, 1, true);
 		this.control = new StartControl(() -> this.nowMillis, this.random, this.view, SELF, this.registration,
-				this.admission::refuseWaiting);
+				this.admission::refuseWaiting, true);
 	}
 
 	@Test
@@ -108,6 +109,22 @@
 		Assert.assertEquals(startsIn(500), 100);
 	}
 
+	@Test
+	public void recoveringServerRunsFewCallsAtOnceAndTheOthersGoElsewhere() {
+		announce(1, 0);
+		this.view.configure(0);
+		Assert.assertEquals(this.control.pace(50), 1.0);
+		this.control.restrict(Pace.Cause.RETURNED);
+		Assert.assertTrue(this.control.start().isEmpty());
+		CallAnswer refused = this.control.refusal().get();
+		Assert.assertEquals(refused.verdict(), ExecutionVerdict.NOT_RUN);
+		Assert.assertTrue(refused.avoidance().millis() < 20, refused.avoidance().toString());
+		Assert.assertEquals(this.control.pace(50), 1.0 / 12);
+		this.control.ended("look", this.nowMillis, Pace.Outcome.ANSWERED, 5);
+		Assert.assertEquals(startsIn(60), 12);
+		Assert.assertEquals(this.control.pace(50), 1.0);
+	}
+
 	@Test
 	public void serviceWithoutARateIsNotLimited() {
 		announce(1, 30_000);
@@ -134,7 +151,10 @@
 	private int startsIn(long millis) {
 		int starts = 0;
 		for (long end = this.nowMillis + millis; this.nowMillis < end; this.nowMillis += 5) {
-			starts += this.control.start().isEmpty() ? 1 : 0;
+			if (this.control.start().isEmpty()) {
+				starts++;
+				this.control.ended("look", this.nowMillis, Pace.Outcome.ANSWERED, 5);
+			}
 		}
 		return starts;
 	}
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -22,6 +22,8 @@
 	 */
 	private static final double LATENCY_HALF_LIFE_MILLIS = 5_000;
 
+	private static final double ERROR_HALF_LIFE_MILLIS = 5_000;
+
 	/**
 	 * Time for which a load that the endpoint reported with an answer is used.
 	 */
@@ -33,14 +35,23 @@
 	 */
 	private static final long SLOWNESS_VALIDITY_MILLIS = 200;
 
+	/**
+	 * Share of a cold endpoint without a recent report. It is above zero because a server
+	 * without calls never warms up and shows nothing.
+	 */
+	static final double COLD_SHARE = 0.1;
+
+	/**
+	 * Smallest share of an endpoint that accepts work, for the same reason.
+	 */
+	private static final double MINIMUM_SHARE = 0.01;
+
 	private static final int USUAL_SLOWNESS_PERCENT = 100;
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private final AtomicInteger failedConnections = new AtomicInteger();
 
-	private final long discoveredMillis;
-
 	private volatile Endpoint endpoint;
 
 	private volatile double latencyMillis;
@@ -68,11 +79,9 @@
 	/**
 	 * Creates the state of an endpoint without observations.
 	 * @param endpoint the announced endpoint
-	 * @param nowMillis clock reading in milliseconds
 	 */
-	public EndpointLoad(Endpoint endpoint, long nowMillis) {
+	public EndpointLoad(Endpoint endpoint) {
 		this.endpoint = endpoint;
-		this.discoveredMillis = nowMillis;
 	}
 
 	/**
@@ -111,7 +120,8 @@
 		// slows down is detected after a few calls.
 		double weight = (millis > previous) ? 3 * LATENCY_WEIGHT : LATENCY_WEIGHT;
 		this.latencyMillis = (previous == 0) ? Math.max(0.01, millis) : previous + weight * (millis - previous);
-		this.errorShare += ERROR_WEIGHT * ((error ? 1 : 0) - this.errorShare);
+		double errors = errorShare(nowMillis);
+		this.errorShare = errors + ERROR_WEIGHT * ((error ? 1 : 0) - errors);
 		this.observedMillis = nowMillis;
 	}
 
@@ -267,23 +277,28 @@
 	}
 
 	/**
-	 * Returns the exponentially smoothed share of failed calls.
+	 * Returns the exponentially smoothed share of failed calls, halved for each half-life
+	 * without an observation. Without that, an endpoint whose few calls from this node
+	 * failed would get no further ones that could show its recovery.
+	 * @param nowMillis clock reading in milliseconds
 	 * @return 0 to 1
 	 */
-	public double errorShare() {
-		return this.errorShare;
+	public double errorShare(long nowMillis) {
+		double age = Math.max(0, nowMillis - this.observedMillis);
+		return (this.errorShare == 0) ? 0 : this.errorShare * Math.pow(0.5, age / ERROR_HALF_LIFE_MILLIS);
 	}
 
 	/**
-	 * Returns the share of its regular traffic that the endpoint may currently get.
+	 * Returns the share of its slots that the endpoint may use: the pace that it reported
+	 * with a recent answer, else a small share if it is cold.
 	 * @param nowMillis clock reading in milliseconds
 	 * @return above 0, at most 1
 	 */
-	public double slowStartShare(long nowMillis) {
-		if (this.endpoint.state() != EndpointState.COLD) {
-			return 1;
+	public double paceShare(long nowMillis) {
+		if (nowMillis - this.reportedMillis < REPORT_VALIDITY_MILLIS) {
+			return Math.max(MINIMUM_SHARE, this.reportedPace);
 		}
-		return SlowStart.share(nowMillis - this.discoveredMillis);
+		return (this.endpoint.state() == EndpointState.COLD) ? COLD_SHARE : 1;
 	}
 
 }
--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -47,9 +47,10 @@
 	private static final double UTILIZATION_PENALTY = 2;
 
 	/**
-	 * Factor on the expected latency of a server in slow start.
+	 * Factor on the reported pace of a server. The report is a round trip old, in which
+	 * the limit of a sound server doubles.
 	 */
-	private static final double COLD_PENALTY = 2;
+	private static final double PACE_AHEAD = 2;
 
 	/**
 	 * Minimum share of its slots that counts as free for an endpoint.
@@ -89,15 +90,19 @@
 		double observed = load.serviceMillis(context.nowMillis());
 		double service = ((observed > 0) ? observed : average) * load.slowness(context.nowMillis());
 		int slots = Math.max(1, load.endpoint().slots());
-		double utilization = (load.load(context.nowMillis()) + 1.0) / slots;
+		double share = load.paceShare(context.nowMillis());
+		int calls = load.load(context.nowMillis());
+		// An endpoint at the limit of its pace has no free slot; below it, a restricted
+		// endpoint must get calls, since only answers raise its pace.
+		boolean full = calls >= Math.max(1, slots * share);
+		double utilization = (calls + 1.0) / (full ? Math.max(1, slots * share) : slots);
 		double millis = service * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
-		millis *= 1 + ERROR_PENALTY * load.errorShare();
+		millis *= 1 + ERROR_PENALTY * load.errorShare(context.nowMillis());
 		if (!load.endpoint().failureDomain().equals(context.failureDomain())) {
 			millis *= REMOTE_PENALTY;
 		}
-		double share = load.slowStartShare(context.nowMillis());
-		millis *= (share < 1) ? COLD_PENALTY : 1;
-		return new Scored(load, millis, Math.max(MINIMUM_FREE_SHARE, 1 - utilization) * slots * share / service);
+		return new Scored(load, millis,
+				Math.max(MINIMUM_FREE_SHARE, 1 - utilization) * slots * Math.min(1, PACE_AHEAD * share) / service);
 	}
 
 	// An endpoint without observations gets the average service time, not zero.
--- a/policy/src/main/java/io/lavenderroad/policy/calls/TwoChoices.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/TwoChoices.java
@@ -39,8 +39,8 @@
 	private static final double TOLERATED_SLOWDOWN = 3;
 
 	/**
-	 * Maximum number of draws for an endpoint that its slow-start share and latency
-	 * admit; the last one drawn is used in any case.
+	 * Maximum number of draws for an endpoint that its pace and latency admit; the last
+	 * one drawn is used in any case.
 	 */
 	private static final int MAXIMUM_DRAWS = 8;
 
@@ -91,7 +91,7 @@
 			drawn = (excluded < 0) ? context.random().nextInt(candidates.size())
 					: (excluded + 1 + context.random().nextInt(candidates.size() - 1)) % candidates.size();
 			double latency = candidates.get(drawn).latencyMillis(context.nowMillis());
-			double share = candidates.get(drawn).slowStartShare(context.nowMillis());
+			double share = candidates.get(drawn).paceShare(context.nowMillis());
 			if (latency > 0) {
 				share *= Math.min(1, TOLERATED_SLOWDOWN * latencies.fastest() / latency);
 			}
@@ -107,7 +107,7 @@
 		// An endpoint without observations gets the average latency, not zero.
 		double expected = (latency > 0) ? latency : latencies.average();
 		int slots = Math.max(1, load.endpoint().slots());
-		return (load.load(nowMillis) + 1.0) / slots * expected * (1 + ERROR_PENALTY * load.errorShare());
+		return (load.load(nowMillis) + 1.0) / slots * expected * (1 + ERROR_PENALTY * load.errorShare(nowMillis));
 	}
 
 	private static Latencies latencies(List<EndpointLoad> candidates, long nowMillis) {
--- a/policy/src/test/java/io/lavenderroad/policy/calls/BalancingSimulation.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/BalancingSimulation.java
@@ -65,7 +65,7 @@
 	List<Double> run(double callsPerSecond, double millis) {
 		List<List<EndpointLoad>> loadsByNode = new ArrayList<>();
 		for (int node = 0; node < NODES; node++) {
-			loadsByNode.add(this.servers.stream().map((server) -> new EndpointLoad(server.endpoint, 0)).toList());
+			loadsByNode.add(this.servers.stream().map((server) -> new EndpointLoad(server.endpoint)).toList());
 		}
 		double arrival = 0;
 		while (arrival < millis) {
--- a/policy/src/test/java/io/lavenderroad/policy/calls/CallPoliciesTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/CallPoliciesTests.java
@@ -65,7 +65,7 @@
 	@Test
 	public void coldServerGetsASmallShare() {
 		List<EndpointLoad> candidates = endpoints(8, EndpointState.READY);
-		EndpointLoad cold = new EndpointLoad(endpoint(8, EndpointState.COLD), NOW);
+		EndpointLoad cold = new EndpointLoad(endpoint(8, EndpointState.COLD));
 		candidates.add(cold);
 		int share = choose(candidates, 9_000).getOrDefault("node-8", 0);
 		Assert.assertTrue(share > 20 && share < 300, "cold server got " + share + " of 9000");
@@ -120,7 +120,7 @@
 	private static List<EndpointLoad> endpoints(int count, EndpointState state) {
 		List<EndpointLoad> endpoints = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
-			endpoints.add(new EndpointLoad(endpoint(index, state), NOW));
+			endpoints.add(new EndpointLoad(endpoint(index, state)));
 		}
 		return endpoints;
 	}
--- a/policy/src/test/java/io/lavenderroad/policy/calls/OverloadSimulation.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/OverloadSimulation.java
@@ -398,7 +398,7 @@
 				this.views.put(each,
 						OverloadSimulation.this.servers.get(each)
 							.stream()
-							.map((server) -> new EndpointLoad(server.endpoint, 0))
+							.map((server) -> new EndpointLoad(server.endpoint))
 							.toList());
 				this.budgets.put(each, new RetryBudget(RETRY_BURST));
 			}
--- /dev/null
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/PaceTests.java
@@ -0,0 +1,143 @@
+package io.lavenderroad.policy.calls;
+
+import java.util.Random;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.IntStream;
+
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against returning servers that are overloaded before they are sound or that stay
+ * underused afterwards, and against sound servers that are restricted without an event.
+ */
+public class PaceTests {
+
+	private static final int COUNT = 9;
+
+	private static final int SENDERS = 20;
+
+	private static final double COLD_PER_SECOND = 13.3;
+
+	private static final double UTILIZATION = 0.5;
+
+	@DataProvider
+	Object[][] recoveries() {
+		return new Object[][] { { 2_000, 1 }, { 10_000, 1 }, { 40_000, 1 }, { 2_000, 3 }, { 10_000, 3 },
+				{ 40_000, 3 } };
+	}
+
+	@Test(dataProvider = "recoveries")
+	public void recoveringServersAreFollowed(double recoveryMillis, int returning) {
+		double end = PaceSimulation.RETURN_MILLIS + recoveryMillis + 20_000;
+		PaceSimulation simulation = simulate(returning, (millis) -> Math.min(1, 0.1 + 0.9 * millis / recoveryMillis),
+				end);
+		for (int index = 0; index < returning; index++) {
+			PaceSimulation.Server server = simulation.server(index);
+			Assert.assertTrue(server.failedShare() < 0.05, "failed " + server.failedShare());
+			double share = share(simulation, index, end - 10_000, end);
+			Assert.assertTrue(share > 0.6, "share after recovery " + share);
+		}
+		Assert.assertTrue(simulation.refused() < 0.005 * simulation.sent(), simulation.refused() + " refused");
+	}
+
+	@Test
+	public void soundServerHasItsFullShareAfterAFewRoundTrips() {
+		PaceSimulation simulation = simulate(3, (millis) -> 1, 10_000);
+		for (int index = 0; index < 3; index++) {
+			Assert.assertTrue(simulation.server(index).restrictedMillis() < 1_200,
+					"restricted for " + simulation.server(index).restrictedMillis());
+		}
+		Assert.assertTrue(simulation.refused() < 0.001 * simulation.sent(), simulation.refused() + " refused");
+	}
+
+	@DataProvider
+	Object[][] fleets() {
+		return new Object[][] { { 66 }, { 1_000 } };
+	}
+
+	@Test(dataProvider = "fleets")
+	public void coldServersGetTheirRateFromAllSendersTogetherAndNoMore(int senders) {
+		PaceSimulation simulation = new PaceSimulation(COUNT, 3, senders, (millis) -> 1);
+		simulation.coldAfterReturn(COLD_PER_SECOND);
+		simulation.run(0.9, 23_000);
+		for (int index = 0; index < 3; index++) {
+			long busiest = simulation.server(index).startsInBusiestSecond();
+			Assert.assertTrue(busiest <= COLD_PER_SECOND, busiest + " starts in a second");
+			long starts = simulation.server(index).starts(PaceSimulation.RETURN_MILLIS + 1_000, 23_000);
+			Assert.assertTrue(starts > 0.85 * Math.floor(COLD_PER_SECOND) * 19, starts + " starts in 19 s");
+		}
+	}
+
+	@Test
+	public void serverThatNeverRecoversKeepsASmallShare() {
+		PaceSimulation simulation = simulate(1, (millis) -> 0, 33_000);
+		double share = share(simulation, 0, 13_000, 33_000);
+		Assert.assertTrue(share > 0 && share < 0.05, "share " + share);
+	}
+
+	@Test
+	public void serversWithoutAnEventAreNotRestricted() {
+		PaceSimulation simulation = simulate(0, (millis) -> 1, 30_000);
+		for (int index = 0; index < COUNT; index++) {
+			Assert.assertTrue(simulation.server(index).cause().isEmpty());
+		}
+		Assert.assertTrue(simulation.refused() < 0.001 * simulation.sent(), simulation.refused() + " refused");
+	}
+
+	@Test
+	public void failuresAndSlownessRestrictButNeverBelowOneCall() {
+		Pace pace = new Pace(8, new Random(1));
+		end(pace, 0, Pace.Outcome.ANSWERED, 10, 60);
+		end(pace, 100, Pace.Outcome.FAILED, 10, Pace.FAILURE_SERIES - 1);
+		end(pace, 200, Pace.Outcome.ANSWERED, 10, 1);
+		end(pace, 300, Pace.Outcome.OVERDUE, 12, 100);
+		end(pace, 400, Pace.Outcome.NONE, 900, 100);
+		Assert.assertTrue(pace.cause().isEmpty());
+		end(pace, 500, Pace.Outcome.FAILED, 10, 50);
+		Assert.assertEquals(pace.cause().get(), Pace.Cause.FAILURES);
+		Assert.assertEquals(pace.limit(), 1);
+		Assert.assertFalse(pace.isFull());
+		end(pace, 600, Pace.Outcome.ANSWERED, 10, 100);
+		Assert.assertTrue(pace.cause().isEmpty());
+		end(pace, 1_000, Pace.Outcome.ANSWERED, 90, 20);
+		Assert.assertEquals(pace.cause().get(), Pace.Cause.SLOW);
+		Assert.assertTrue(pace.limit() >= 2, "limit " + pace.limit());
+	}
+
+	@Test
+	public void limitStaysLowWhileTheRateOfAColdServerIsLimited() {
+		Pace pace = new Pace(12, new Random(1));
+		pace.hold(true);
+		pace.restrict(Pace.Cause.COLD, 0);
+		end(pace, 0, Pace.Outcome.ANSWERED, 10, 100);
+		Assert.assertEquals(pace.limit(), 3);
+		pace.hold(false);
+		end(pace, 1_000, Pace.Outcome.ANSWERED, 10, 9);
+		Assert.assertTrue(pace.cause().isEmpty());
+	}
+
+	private static void end(Pace pace, long millis, Pace.Outcome outcome, double serviceMillis, int count) {
+		for (int call = 0; call < count; call++) {
+			pace.started();
+			pace.ended("route", millis + call, millis + call, outcome, serviceMillis);
+		}
+	}
+
+	private static PaceSimulation simulate(int returning, DoubleUnaryOperator soundness, double millis) {
+		PaceSimulation simulation = new PaceSimulation(COUNT, returning, SENDERS, soundness);
+		simulation.run(UTILIZATION, millis);
+		return simulation;
+	}
+
+	// Compares with the mean of the six servers that never return.
+	private static double share(PaceSimulation simulation, int index, double fromMillis, double untilMillis) {
+		double others = IntStream.range(3, COUNT)
+			.mapToLong((other) -> simulation.server(other).starts(fromMillis, untilMillis))
+			.average()
+			.orElseThrow();
+		return simulation.server(index).starts(fromMillis, untilMillis) / others;
+	}
+
+}
