--- a/node/src/main/java/io/lavenderroad/node/CallServer.java
+++ b/node/src/main/java/io/lavenderroad/node/CallServer.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,6 +20,7 @@
 import io.lavenderroad.policy.calls.CallOrigin;
 import io.lavenderroad.policy.calls.CallRank;
 import io.lavenderroad.policy.calls.NestedRoutes;
+import io.lavenderroad.policy.calls.Pace;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
 
@@ -64,6 +66,10 @@
 
 	private final StartControl startControl;
 
+	private final ReportedLoad reportedLoad;
+
+	private final BackendObserver observer = new Observer();
+
 	private final NestedRoutes nestedRoutes = new NestedRoutes();
 
 	private final Map<RunningCall, Cancellation> running = new ConcurrentHashMap<>();
@@ -73,8 +79,9 @@
 	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
 	CallServer(Clock clock, MeshView view, Endpoint self, Admission admission, BackendClient backend,
-			LocalBackend localBackend, StartControl startControl, KeyLedger keys, AdmissionStatistics statistics,
-			CalledServices calledServices) {
+			LocalBackend localBackend, StartControl startControl, ReportedLoad reportedLoad, KeyLedger keys,
+			AdmissionStatistics statistics, CalledServices calledServices) {
+		this.reportedLoad = reportedLoad;
 		this.startControl = startControl;
 		this.calledServices = calledServices;
 		this.statistics = statistics;
@@ -163,7 +170,9 @@
 		int priority = request.metadata().priority();
 		double share = (origin == CallOrigin.SERVER) ? Math.min(this.admission.startShare(priority),
 				this.calledServices.startShare(request.route(), CallRank.ofNestedCalls(priority))) : 1;
-		return new ServerReport(load(), (int) this.admission.serviceMillis(), origin, share);
+		double serviceMillis = this.reportedLoad.atUsualSpeed(this.admission.serviceMillis());
+		return new ServerReport(load(), (int) serviceMillis, origin, share, this.startControl.pace(serviceMillis),
+				this.reportedLoad.slownessPercent(this.clock.millis()));
 	}
 
 	/**
@@ -294,13 +303,16 @@
 
 	// Reported health and load only affect balancing; they never refuse a call.
 	private int load() {
-		int load = Math.max(this.admission.load(), this.localBackend.reportedRunning());
+		int load = Math.max(this.admission.load() + this.reportedLoad.otherRequests(this.clock.millis()),
+				this.localBackend.reportedRunning());
 		return this.localBackend.isHealthy() ? load : load + this.self.slots();
 	}
 
 	private CallAnswer run(CallRequest request, long deadlineMillis, Cancellation cancellation, Admission.Slot slot) {
 		long startNanos = System.nanoTime();
+		long startMillis = this.clock.millis();
 		double elapsedMillis = -1;
+		Pace.Outcome outcome = Pace.Outcome.NONE;
 		int nestedRank = CallRank.ofNestedCalls(request.metadata().priority());
 		this.calledServices.recordStart(request.route(), nestedRank, deadlineMillis);
 		try {
@@ -312,7 +324,8 @@
 				return Admission.drainRefusal();
 			}
 			CallAnswer answer = this.backend.run(request, this.localBackend.backendId(), remaining, cancellation,
-					this.localBackend::unreachable);
+					this.observer);
+			outcome = RunOutcome.of(answer, cancellation.isCancelled());
 			// A timeout is a lower bound of the service time; other failures carry no
 			// information on it.
 			if (answer.status() < HttpStatus.INTERNAL_ERROR || answer.status() == HttpStatus.GATEWAY_TIMEOUT) {
@@ -322,6 +335,9 @@
 		}
 		finally {
 			this.calledServices.recordEnd(request.route(), nestedRank, deadlineMillis);
+			double ranMillis = (System.nanoTime() - startNanos) / 1e6 * ServerLoad.USUAL_SLOWNESS_PERCENT
+					/ this.reportedLoad.slownessPercent(this.clock.millis());
+			this.startControl.ended(request.route(), startMillis, outcome, ranMillis);
 			slot.release(elapsedMillis);
 		}
 	}
@@ -333,6 +349,23 @@
 			.orElse(ServiceLimits.DEFAULT);
 	}
 
+	private final class Observer implements BackendObserver {
+
+		@Override
+		public void unreachable() {
+			CallServer.this.localBackend.unreachable();
+		}
+
+		@Override
+		public void answered(Optional<ServerLoad> load, OptionalLong coldMillis) {
+			CallServer.this.reportedLoad.record(load, CallServer.this.admission.load(), CallServer.this.clock.millis());
+			if (coldMillis.orElse(0) > 0) {
+				CallServer.this.localBackend.observeCold(coldMillis.getAsLong());
+			}
+		}
+
+	}
+
 	private record RunningCall(Connection connection, long callId) {
 
 	}
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -152,9 +152,17 @@
 				KeyLedger.COPIES);
 		this.calledServices = new CalledServices(this.clock);
 		StartControl startControl = new StartControl(this.clock, builder.random, this.view, self, this.localBackend,
-				this.admission::refuseWaiting);
+				this.admission::refuseWaiting, builder.limited);
+		if (builder.registration != null) {
+			builder.registration.onSlotsAnnounced((slots) -> {
+				this.admission.slots(slots);
+				startControl.setSlots(slots);
+			});
+		}
+		this.localBackend.onSetback(startControl::restrict);
+		ReportedLoad reportedLoad = new ReportedLoad();
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
-				startControl, this.keys, this.admissionStatistics, this.calledServices);
+				startControl, reportedLoad, this.keys, this.admissionStatistics, this.calledServices);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
@@ -171,6 +179,10 @@
 				: null;
 		builder.metricSets.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
+		this.metrics.gauge("answers_without_load", reportedLoad::ignored);
+		this.metrics.gauge("pace_percent", startControl::pacePercent);
+		this.metrics.gauge("pace_restrictions", startControl::restrictions);
+		this.metrics.gauge("pace_refusals", startControl::paceRefusals);
 		this.metrics.gauge("cold_refusals", startControl::coldRefusals);
 		this.metrics.gauge("evacuation_refusals", startControl::evacuationRefusals);
 		this.metrics.gauge("evacuated", () -> startControl.isEvacuated() ? 1 : 0);
@@ -341,7 +353,6 @@
 					builder.announcer);
 		}
 		builder.registration.onLeaving(this.admission::refuseWaiting);
-		builder.registration.onSlotsAnnounced(this.admission::slots);
 		return builder.registration;
 	}
 
