--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -167,9 +167,10 @@
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
 		this.router = new CallRouter(components, builder.balancing, this.callServer, builder.retryBurst);
+		QuotaGate quotaGate = (builder.quotaGate != null) ? builder.quotaGate : this.quotas;
 		ConfigurationAwaiter awaiter = new ConfigurationAwaiter(this.clock, this.view);
 		this.callerApi = new CallerApi(components, awaiter, this.dialect,
-				new RequestEvaluation(components, awaiter, this.dialect, this.router, this.quotas, this.metrics));
+				new RequestEvaluation(components, awaiter, this.dialect, this.router, quotaGate, this.metrics));
 		this.callerListener = HttpListener.builder()
 			.clock(this.clock)
 			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
@@ -481,6 +482,8 @@
 
 		private InetSocketAddress adminAddress;
 
+		private QuotaGate quotaGate;
+
 		private String healthPath = "";
 
 		private String loadPath = "";
@@ -700,6 +703,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the check of the quotas of the teams. Without it, the leader of the control
+		 * group grants them.
+		 * @param gate the check
+		 * @return this builder
+		 */
+		public Builder quotaGate(QuotaGate gate) {
+			this.quotaGate = gate;
+			return this;
+		}
+
 		/**
 		 * Sets the page on which the backend server reports its health.
 		 * @param path path, or an empty string if there is none
--- a/node/src/main/java/io/lavenderroad/node/QuotaGate.java
+++ b/node/src/main/java/io/lavenderroad/node/QuotaGate.java
@@ -10,23 +10,6 @@
  */
 public interface QuotaGate {
 
-	/**
-	 * Admits every request.
-	 */
-	QuotaGate UNLIMITED = new QuotaGate() {
-
-		@Override
-		public Optional<QuotaRefusal> admit(Team team, long deadlineMillis) {
-			return Optional.empty();
-		}
-
-		@Override
-		public void giveBack(Team team) {
-			// Nothing was taken.
-		}
-
-	};
-
 	/**
 	 * Takes one request from the quota of a team. It may block while a lease is
 	 * requested.
