--- a/bench/src/main/java/io/lavenderroad/bench/backend/StandInBackend.java
+++ b/bench/src/main/java/io/lavenderroad/bench/backend/StandInBackend.java
@@ -11,6 +11,7 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -38,8 +39,9 @@
  * report its state; {@code POST /script?name=value} changes its behaviour. The request
  * header {@code Stand-In} selects the behaviour for one request: {@code error},
  * {@code truncate}, {@code drop}, {@code no-length}, {@code chunked}, {@code shed},
- * {@code sleep=MILLIS}, or {@code raw=RESPONSE}, which sends the percent-encoded bytes as
- * the whole response and closes the connection.
+ * {@code sleep=MILLIS}, {@code bytes=COUNT}, which adds as many bytes to the body, or
+ * {@code raw=RESPONSE}, which sends the percent-encoded bytes as the whole response and
+ * closes the connection.
  */
 public final class StandInBackend implements AutoCloseable {
 
@@ -57,6 +59,8 @@
 
 	private static final String RAW_SCRIPT = "raw=";
 
+	private static final String BYTES_SCRIPT = "bytes=";
+
 	private final String name;
 
 	private final ServerSocket server;
@@ -327,6 +331,9 @@
 		byte[] body = new byte[id.length + request.body().length];
 		System.arraycopy(id, 0, body, 0, id.length);
 		System.arraycopy(request.body(), 0, body, id.length, request.body().length);
+		if (script.startsWith(BYTES_SCRIPT)) {
+			body = Arrays.copyOf(body, body.length + Integer.parseInt(script.substring(BYTES_SCRIPT.length())));
+		}
 		boolean errorsHere = request.path().startsWith(now.errorPath());
 		if (script.equals("error") || (errorsHere && random.nextDouble() < now.errorShare())) {
 			return write(socket, STATUS_ERROR, headers(request), body);
--- a/bench/src/main/java/io/lavenderroad/bench/cluster/DaemonProcess.java
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/DaemonProcess.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.lavenderroad.core.LavenderroadException;
 
@@ -127,6 +128,19 @@
 			.orElse(OptionalLong.empty());
 	}
 
+	/**
+	 * Counts the open descriptors.
+	 * @return the number, or empty if the process has ended
+	 */
+	public OptionalLong openDescriptors() {
+		try (Stream<Path> descriptors = Files.list(Path.of("/proc/" + this.process.pid() + "/fd"))) {
+			return OptionalLong.of(descriptors.count());
+		}
+		catch (IOException ex) {
+			return OptionalLong.empty();
+		}
+	}
+
 	/**
 	 * Reads the processor time used so far.
 	 * @return milliseconds, or 0 if the process has ended
--- a/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/ProcessCluster.java
@@ -62,6 +62,8 @@
 
 	private final Map<String, FaultProxy> proxies = new TreeMap<>();
 
+	private List<String> daemonCommand;
+
 	private int controlCount;
 
 	private int nodeCount;
@@ -81,6 +83,7 @@
 		this.home = home;
 		this.folder = folder;
 		this.failureDomains = List.copyOf(failureDomains);
+		this.daemonCommand = List.of(home.resolve("bin/lavenderroadd").toString());
 		try {
 			Files.createDirectories(folder);
 		}
@@ -89,6 +92,14 @@
 		}
 	}
 
+	/**
+	 * Sets the command that starts a daemon, in place of the launcher in {@code bin/}.
+	 * @param command program and its arguments before those of the daemon
+	 */
+	public void daemonCommand(List<String> command) {
+		this.daemonCommand = List.copyOf(command);
+	}
+
 	/**
 	 * Starts the initial control members, distributed over the failure domains.
 	 * @param count number of members
@@ -125,16 +136,23 @@
 	 * @return id of the node
 	 */
 	public String startWorker(String service, String version, int slots, List<String> backendArguments) {
-		int index = this.nodeCount++;
-		String domain = this.failureDomains.get(index % this.failureDomains.size());
-		String id = domain + "-" + (index + 1);
-		this.addresses.put(id, address(1 + index / MAXIMUM_HOST, 1 + index % MAXIMUM_HOST));
+		String id = addNode();
 		startBackend(id, service, version, slots, backendArguments);
-		startProxy(id);
-		String settings = commonSettings(id, "node", domain, PROXIED_PORT) + seeds() + """
-				backend: { service: %s, version: %s, http-port: %d, slots: %d }
-				""".formatted(service, version, BACKEND_PORT, slots);
-		startDaemon(id, settings);
+		startNode(id, service, version, slots);
+		return id;
+	}
+
+	/**
+	 * Starts a node for a backend server that the caller runs at
+	 * {@link #backendAddress(String)}.
+	 * @param service service of the backend server
+	 * @param version version of the backend server
+	 * @param slots number of slots of the backend server
+	 * @return id of the node
+	 */
+	public String startNode(String service, String version, int slots) {
+		String id = addNode();
+		startNode(id, service, version, slots);
 		return id;
 	}
 
@@ -247,6 +265,23 @@
 		this.proxies.values().forEach(FaultProxy::close);
 	}
 
+	private String addNode() {
+		int index = this.nodeCount++;
+		String domain = this.failureDomains.get(index % this.failureDomains.size());
+		String id = domain + "-" + (index + 1);
+		this.addresses.put(id, address(1 + index / MAXIMUM_HOST, 1 + index % MAXIMUM_HOST));
+		return id;
+	}
+
+	private void startNode(String id, String service, String version, int slots) {
+		String domain = id.substring(0, id.lastIndexOf('-'));
+		startProxy(id);
+		String settings = commonSettings(id, "node", domain, PROXIED_PORT) + seeds() + """
+				backend: { service: %s, version: %s, http-port: %d, slots: %d }
+				""".formatted(service, version, BACKEND_PORT, slots);
+		startDaemon(id, settings);
+	}
+
 	private void startControlMember(String id, List<String> members) {
 		String domain = this.failureDomains.get(this.controlCount % this.failureDomains.size());
 		this.controlCount++;
@@ -289,7 +324,8 @@
 		catch (IOException ex) {
 			throw new LavenderroadException("cannot write settings", ex, Location.of(file.toString()));
 		}
-		List<String> command = List.of(this.home.resolve("bin/lavenderroadd").toString(), "run", file.toString());
+		List<String> command = new ArrayList<>(this.daemonCommand);
+		command.addAll(List.of("run", file.toString()));
 		this.processes.put(id, DaemonProcess.start(id, command, this.folder.resolve(id + ".out")));
 	}
 
