Bound what callers make a node hold

The parser of the library made objects of each field while a head arrived, nothing limited the sum of unread answers, and a connection referred to its last response until the next request. 100 connections ended a node with 32 MB of heap in two of three loads of HostileClientTests.

CallerMemory is one byte budget of a quarter of the heap for heads, bodies, running requests and unread answers: reading waits, then the connections that hold most are closed. RequestReader keeps a head as text until it is complete and reads it by the strict rules of answers. Readers without progress for 30 s are closed; connections follow from heap and descriptors, and idle ones make room. The metric caller_body_bytes covers the whole budget.

--- a/core/src/main/java/io/lavenderroad/core/http/ChunkedBodyInputStream.java
+++ b/core/src/main/java/io/lavenderroad/core/http/ChunkedBodyInputStream.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.io.InputStream;
 
-import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
-import org.apache.hc.core5.http.impl.io.AbstractMessageParser;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
@@ -144,14 +144,32 @@
 	}
 
 	private void readTrailerSection() throws IOException {
-		long maximumBytes = (long) MAXIMUM_TRAILER_FIELDS * MAXIMUM_TRAILER_FIELD_BYTES;
+		MessageHeadInputStream section = new MessageHeadInputStream(this.stream,
+				(long) MAXIMUM_TRAILER_FIELDS * MAXIMUM_TRAILER_FIELD_BYTES);
+		int fields = 0;
 		try {
-			AbstractMessageParser.parseHeaders(this.buffer, new MessageHeadInputStream(this.stream, maximumBytes),
-					MAXIMUM_TRAILER_FIELDS, MAXIMUM_TRAILER_FIELD_BYTES, StrictLineParser.INSTANCE);
+			while (!readTrailerLine(section).isEmpty()) {
+				fields++;
+				if (fields > MAXIMUM_TRAILER_FIELDS) {
+					throw new MessageConstraintException("there are too many trailer fields");
+				}
+				StrictLineParser.INSTANCE.parseHeader(this.line);
+			}
 		}
-		catch (HttpException ex) {
+		catch (ParseException ex) {
 			throw new MalformedChunkCodingException("a trailer field is malformed: " + ex.getMessage());
 		}
 	}
 
+	private CharArrayBuffer readTrailerLine(MessageHeadInputStream section) throws IOException {
+		this.line.clear();
+		if (this.buffer.readLine(this.line, section) < 0) {
+			throw new MalformedChunkCodingException("the connection ended between chunks");
+		}
+		if (this.line.length() > MAXIMUM_TRAILER_FIELD_BYTES) {
+			throw new MessageConstraintException("a trailer field is too large");
+		}
+		return this.line;
+	}
+
 }
--- a/core/src/main/java/io/lavenderroad/core/http/MessageLength.java
+++ b/core/src/main/java/io/lavenderroad/core/http/MessageLength.java
@@ -29,13 +29,16 @@
 	 * ambiguous, or another transfer coding than {@code chunked}
 	 */
 	public static long of(HttpMessage head) throws ProtocolException {
-		Header[] codings = head.getHeaders(HttpHeaders.TRANSFER_ENCODING);
-		Header[] lengths = head.getHeaders(HttpHeaders.CONTENT_LENGTH);
+		return of(head.getHeaders(HttpHeaders.TRANSFER_ENCODING), head.getHeaders(HttpHeaders.CONTENT_LENGTH),
+				head.getVersion());
+	}
+
+	static long of(Header[] codings, Header[] lengths, ProtocolVersion version) throws ProtocolException {
 		if (codings.length + lengths.length > 1) {
 			throw new ProtocolException("the length of the body is stated more than once");
 		}
 		if (codings.length > 0) {
-			requireChunked(codings[0].getValue(), head.getVersion());
+			requireChunked(codings[0].getValue(), version);
 			return ContentLengthStrategy.CHUNKED;
 		}
 		return (lengths.length > 0) ? parse(lengths[0].getValue()) : ContentLengthStrategy.UNDEFINED;
--- a/core/src/main/java/io/lavenderroad/core/http/StrictLineBuffer.java
+++ b/core/src/main/java/io/lavenderroad/core/http/StrictLineBuffer.java
@@ -21,7 +21,7 @@
 
 	private static final int END_OF_STREAM = -1;
 
-	private final int maximumLineBytes;
+	private int maximumLineBytes;
 
 	/**
 	 * Creates an empty buffer.
@@ -34,6 +34,14 @@
 		this.maximumLineBytes = maximumLineBytes;
 	}
 
+	/**
+	 * Changes the limit for the following lines.
+	 * @param bytes maximum length of a line without its end
+	 */
+	void maximumLineBytes(int bytes) {
+		this.maximumLineBytes = bytes;
+	}
+
 	/**
 	 * Reads one line.
 	 * @param line receives the characters of the line without its end
--- a/core/src/main/java/io/lavenderroad/core/http/StrictLineParser.java
+++ b/core/src/main/java/io/lavenderroad/core/http/StrictLineParser.java
@@ -9,12 +9,13 @@
 import org.apache.hc.core5.http.ProtocolVersion;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.message.BasicLineParser;
+import org.apache.hc.core5.http.message.RequestLine;
 import org.apache.hc.core5.http.message.StatusLine;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
  * Parses the lines of a message head as RFC 9112 defines them. The parser of the library
- * also accepts field names that are no tokens, and status lines with other separators,
+ * also accepts field names that are no tokens, and first lines with other separators,
  * versions and numbers.
  */
 final class StrictLineParser extends BasicLineParser {
@@ -27,9 +28,31 @@
 	 */
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.([0-9]) ([1-5][0-9]{2}) (.*)", Pattern.DOTALL);
 
+	/**
+	 * Method, target without spaces, and version 1.0 to 1.9, separated by single spaces
+	 * (RFC 9112, section 3).
+	 */
+	private static final Pattern REQUEST_LINE = Pattern.compile("([^ ]+) ([^ ]+) HTTP/1\\.([0-9])");
+
 	private StrictLineParser() {
 	}
 
+	/**
+	 * Parses the request line.
+	 * @param line the line
+	 * @return the request line
+	 * @throws ParseException if the line is malformed
+	 */
+	@Override
+	public RequestLine parseRequestLine(CharArrayBuffer line) throws ParseException {
+		Matcher matcher = REQUEST_LINE.matcher(line);
+		if (!matcher.matches() || !HttpGrammar.isToken(matcher.group(1))) {
+			throw new ParseException("the request line is malformed");
+		}
+		ProtocolVersion version = HttpVersion.get(1, Integer.parseInt(matcher.group(3)));
+		return new RequestLine(matcher.group(1), matcher.group(2), version);
+	}
+
 	/**
 	 * Parses the status line of a response.
 	 * @param line the line
--- a/node/src/main/java/io/lavenderroad/node/HttpProperties.java
+++ b/node/src/main/java/io/lavenderroad/node/HttpProperties.java
@@ -10,7 +10,7 @@
 	}
 
 	/**
-	 * Sets the properties that the node depends on.
+	 * Sets the properties that nodes and control members depend on.
 	 */
 	public static void set() {
 		// One attempt for each exchange: by default the client resends a request when a
@@ -27,6 +27,15 @@
 		System.setProperty("sun.net.httpserver.nodelay", "true");
 		// Maximum time in which a caller must send its request, in seconds.
 		System.setProperty("sun.net.httpserver.maxReqTime", "30");
+		// Maximum time in which a caller must read its answer, in seconds. Pages are at
+		// most some hundred kilobytes.
+		System.setProperty("sun.net.httpserver.maxRspTime", "60");
+		// The usual value, stated because the heap of a process depends on it: a head of
+		// 200 fields is far below the cost of one with thousands.
+		System.setProperty("sun.net.httpserver.maxReqHeaders", "200");
+		// In bytes, with 32 bytes added for each field: 16 KB of text in 200 fields are
+		// 22 KB. The usual value of 384 KB for each of 400 connections exceeds the heap.
+		System.setProperty("sun.net.httpserver.maxReqHeaderSize", "32768");
 		// Further connections are closed immediately. Each open one takes about 20 KB of
 		// heap.
 		System.setProperty("jdk.httpserver.maxConnections", "400");
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -35,6 +35,8 @@
 import io.lavenderroad.model.MeshView;
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendPool;
+import io.lavenderroad.node.http.CallerMemory;
+import io.lavenderroad.node.http.CallerRefusals;
 import io.lavenderroad.node.http.HttpListener;
 import io.lavenderroad.node.http.KeepAlive;
 import io.lavenderroad.policy.calls.BalancingPolicy;
@@ -129,7 +131,8 @@
 		this.timer = newTimer();
 		this.pool = new BackendPool(parse(Objects.requireNonNull(builder.backendAddress, "backendAddress")),
 				this.clock);
-		BackendExchange exchange = new BackendExchange(this.pool, this.timer, builder.maximumAnswerBytes,
+		CallerMemory callerMemory = CallerMemory.ofHeap();
+		BackendExchange exchange = new BackendExchange(this.pool, callerMemory, this.timer, builder.maximumAnswerBytes,
 				KeepAlive::millis);
 		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
 		this.localBackend = localBackend(builder, self);
@@ -152,6 +155,7 @@
 			.clock(this.clock)
 			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
 			.handler(this.callerApi)
+			.memory(callerMemory)
 			.bind(Objects.requireNonNull(builder.callerAddress, "callerAddress"));
 		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress, builder.adminPages)
 				: null;
@@ -159,7 +163,13 @@
 		this.metrics.gauge("load", this.admission::load);
 		this.metrics.gauge("caller_connections_reading", this.callerListener::readingConnections);
 		this.metrics.gauge("caller_connections_answering", this.callerListener::answeringConnections);
-		this.metrics.gauge("caller_body_bytes", this.callerListener::bodyBytes);
+		this.metrics.gauge("caller_body_bytes", this.callerListener::heldBytes);
+		for (CallerRefusals.Reason reason : CallerRefusals.Reason.values()) {
+			this.metrics.gauge("caller_refusals_total{reason=\"" + reason.label() + "\"}",
+					() -> this.callerListener.refusals().count(reason));
+		}
+		Logger.info("node: Callers may hold {} bytes and {} connections.", callerMemory.maximumBytes(),
+				this.callerListener.maximumConnections());
 		this.metrics.gauge("key_records", store::size);
 		this.metrics.gauge("key_bytes", store::bytes);
 		this.metrics.gauge("heap_bytes", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -84,16 +84,17 @@
 	 * Sends a request and reads its response.
 	 * @param request the request
 	 * @param maximumBytes maximum size of the response body
-	 * @param memory limit for the bodies of all responses together
+	 * @param account account that the memory of the body is reserved from
 	 * @return the complete response
 	 * @throws IOException if the connection fails or the response is malformed or too
 	 * large
 	 */
-	BackendResponse exchange(BackendRequest request, int maximumBytes, BodyMemoryBudget memory) throws IOException {
+	BackendResponse exchange(BackendRequest request, int maximumBytes, CallerMemory.Account account)
+			throws IOException {
 		this.notReusable = true;
 		try {
 			write(request);
-			BackendResponse response = read(request, maximumBytes, memory);
+			BackendResponse response = read(request, maximumBytes, account);
 			this.notReusable = !response.framed() || response.headers().closesConnection()
 					|| this.reader.hasBufferedData() || isUnsafeAfter(request, response);
 			return response;
@@ -160,12 +161,12 @@
 		return method.equals("GET") || method.equals("HEAD") || method.equals("DELETE") || method.equals("OPTIONS");
 	}
 
-	private BackendResponse read(BackendRequest request, int maximumBytes, BodyMemoryBudget memory)
+	private BackendResponse read(BackendRequest request, int maximumBytes, CallerMemory.Account account)
 			throws IOException, HttpException {
 		for (int mismatched = 0; mismatched <= MAXIMUM_MISMATCHED_RESPONSES; mismatched++) {
 			ClassicHttpResponse head = this.reader.readHead();
 			HeaderFields headers = HeaderFields.ofHeaders(head.getHeaders());
-			BackendResponse response = readBody(request.method(), head, headers, maximumBytes, memory);
+			BackendResponse response = readBody(request.method(), head, headers, maximumBytes, account);
 			if (belongsTo(request, headers)) {
 				return response;
 			}
@@ -199,12 +200,12 @@
 	}
 
 	private BackendResponse readBody(String method, ClassicHttpResponse head, HeaderFields headers, int maximumBytes,
-			BodyMemoryBudget memory) throws IOException, HttpException {
+			CallerMemory.Account account) throws IOException, HttpException {
 		int status = head.getCode();
 		if (method.equals("HEAD") || ResponseReader.isBodyForbidden(status)) {
 			return new BackendResponse(status, headers, new byte[0], true);
 		}
-		byte[] body = MessageBody.readResponse(head, this.reader, maximumBytes, memory);
+		byte[] body = MessageBody.readResponse(head, this.reader, maximumBytes, account);
 		if (body == null) {
 			throw new ProtocolException("the body is over " + maximumBytes + " bytes");
 		}
--- a/node/src/main/java/io/lavenderroad/node/http/BackendExchange.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendExchange.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 
 import io.vavr.control.Either;
@@ -18,12 +19,7 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-	/**
-	 * Maximum size of all response bodies that are being read at the same time.
-	 */
-	private static final long MAXIMUM_TOTAL_BODY_BYTES = 16L * 1024 * 1024;
-
-	private final BodyMemoryBudget memory = new BodyMemoryBudget(MAXIMUM_TOTAL_BODY_BYTES);
+	private final CallerMemory memory;
 
 	private final BackendPool pool;
 
@@ -36,14 +32,16 @@
 	/**
 	 * Creates an exchange.
 	 * @param pool connections to the backend server
+	 * @param memory budget that the bodies of all responses share with what callers send
 	 * @param timer closes connections whose response is not complete in time
 	 * @param maximumResponseBytes maximum size of a response body
 	 * @param keepAliveMillis returns the keep-alive time stated in the response of the
 	 * backend server, in milliseconds, 0 if it states none
 	 */
-	public BackendExchange(BackendPool pool, ScheduledExecutorService timer, int maximumResponseBytes,
-			ToLongFunction<HeaderFields> keepAliveMillis) {
+	public BackendExchange(BackendPool pool, CallerMemory memory, ScheduledExecutorService timer,
+			int maximumResponseBytes, ToLongFunction<HeaderFields> keepAliveMillis) {
 		this.pool = pool;
+		this.memory = memory;
 		this.timer = timer;
 		this.maximumResponseBytes = maximumResponseBytes;
 		this.keepAliveMillis = keepAliveMillis;
@@ -80,11 +78,16 @@
 	private Either<BackendFailure, BackendResponse> run(BackendConnection connection, BackendRequest request,
 			long remainingMillis, Cancellation cancellation) {
 		ExchangeState state = new ExchangeState();
-		ScheduledFuture<?> timeout = this.timer.schedule(() -> state.abort(connection, BackendFailure.OVERDUE),
-				remainingMillis, TimeUnit.MILLISECONDS);
-		cancellation.onCancel(() -> state.abort(connection, BackendFailure.CANCELLED));
+		CallerMemory.Account account = this.memory.open();
+		Consumer<BackendFailure> abort = (failure) -> {
+			state.abort(connection, failure);
+			account.cancel();
+		};
+		ScheduledFuture<?> timeout = this.timer.schedule(() -> abort.accept(BackendFailure.OVERDUE), remainingMillis,
+				TimeUnit.MILLISECONDS);
+		cancellation.onCancel(() -> abort.accept(BackendFailure.CANCELLED));
 		try {
-			BackendResponse response = connection.exchange(request, this.maximumResponseBytes, this.memory);
+			BackendResponse response = connection.exchange(request, this.maximumResponseBytes, account);
 			if (state.complete()) {
 				this.pool.release(connection, this.keepAliveMillis.applyAsLong(response.headers()));
 			}
@@ -97,6 +100,7 @@
 		}
 		finally {
 			timeout.cancel(false);
+			account.releaseAll();
 		}
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -1,7 +1,6 @@
 package io.lavenderroad.node.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -14,22 +13,17 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-import io.lavenderroad.core.http.MessageHeadInputStream;
+import io.lavenderroad.core.http.MalformedLineException;
+import io.lavenderroad.core.http.RequestHead;
+import io.lavenderroad.core.http.RequestReader;
 import io.lavenderroad.core.http.ResponseReader;
 import io.lavenderroad.model.CallerLimits;
 import io.vavr.control.Either;
-import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
-import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
-import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseWriter;
-import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.tinylog.Logger;
@@ -58,6 +52,23 @@
 	 */
 	private static final long LINGER_MILLIS = 2_000;
 
+	/**
+	 * Size of the answers on a connection that wait to be written, from which no further
+	 * request is read. Larger than most answers, so that pipelining works for them.
+	 */
+	private static final long ANSWER_WINDOW_BYTES = 256 * 1024;
+
+	/**
+	 * Size of the parts in which an answer is written; after each one the caller has made
+	 * progress.
+	 */
+	private static final int WRITE_BYTES = 16 * 1024;
+
+	/**
+	 * Memory of a queued response besides its body and fields: threads and objects.
+	 */
+	private static final long RESPONSE_BYTES = 2 * 1024;
+
 	/**
 	 * Value of {@code Retry-After} if a request body exceeds the common memory budget.
 	 */
@@ -65,7 +76,7 @@
 
 	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
-	private static final CompletableFuture<OutgoingResponse> COMPLETED = CompletableFuture.completedFuture(null);
+	private static final CompletableFuture<Void> COMPLETED = CompletableFuture.completedFuture(null);
 
 	private final HttpListener listener;
 
@@ -73,15 +84,20 @@
 
 	private final ResponseQueue responses = new ResponseQueue(MAXIMUM_PIPELINED_REQUESTS);
 
-	private final SessionInputBufferImpl input;
+	private final CallerMemory.Account account;
+
+	private final CallerInputStream input;
+
+	private final RequestReader reader;
 
 	private final SessionOutputBufferImpl output = new SessionOutputBufferImpl(BUFFER_BYTES,
 			StandardCharsets.ISO_8859_1.newEncoder());
 
 	/**
-	 * Response to the request read last. Only the reader thread uses it.
+	 * Completed when the response to the request read last is ready. It does not refer to
+	 * the response, which an idle connection would keep. Only the reader thread uses it.
 	 */
-	private CompletableFuture<OutgoingResponse> previousResponse = COMPLETED;
+	private CompletableFuture<Void> previousReady = COMPLETED;
 
 	private final CountDownLatch readerEnded = new CountDownLatch(1);
 
@@ -89,11 +105,19 @@
 
 	private volatile long lastActivityMillis;
 
-	HttpConnection(HttpListener listener, Socket socket) {
+	/**
+	 * When the writer began to wait for the caller to read, 0 while it does not wait.
+	 */
+	private volatile long writingSinceMillis;
+
+	private volatile boolean idle;
+
+	HttpConnection(HttpListener listener, Socket socket) throws IOException {
 		this.listener = listener;
 		this.socket = socket;
-		this.input = new SessionInputBufferImpl(new BasicHttpTransportMetrics(), BUFFER_BYTES, BUFFER_BYTES,
-				listener.limits().maximumHeaderBytes(), StandardCharsets.ISO_8859_1.newDecoder());
+		this.input = new CallerInputStream(socket);
+		this.reader = new RequestReader(this.input);
+		this.account = listener.memory().open(this::closeAsLargest);
 		this.lastActivityMillis = listener.clock().millis();
 	}
 
@@ -115,16 +139,53 @@
 		}
 	}
 
+	/**
+	 * Returns since when the connection has been idle.
+	 * @return time of the last activity, or the largest number if the connection is not
+	 * idle
+	 */
+	long idleSinceMillis() {
+		return (this.idle && this.responses.size() == 0) ? this.lastActivityMillis : Long.MAX_VALUE;
+	}
+
+	void closeAsIdle() {
+		this.listener.refusals()
+			.closed(CallerRefusals.Reason.IDLE_AT_LIMIT, this.socket.getRemoteSocketAddress(),
+					"all connections are open");
+		close();
+	}
+
+	/**
+	 * Closes the connection if its caller has read nothing for too long.
+	 * @param nowMillis current time
+	 * @param maximumMillis maximum time without progress
+	 */
+	void closeIfStalled(long nowMillis, long maximumMillis) {
+		long since = this.writingSinceMillis;
+		if (since != 0 && nowMillis - since > maximumMillis) {
+			this.listener.refusals()
+				.closed(CallerRefusals.Reason.STALLED_READER, this.socket.getRemoteSocketAddress(),
+						"nothing of an answer was read for " + (nowMillis - since) + " ms");
+			close();
+		}
+	}
+
+	private void closeAsLargest() {
+		this.listener.refusals()
+			.closed(CallerRefusals.Reason.HOLDS_MOST, this.socket.getRemoteSocketAddress(),
+					"callers hold " + this.listener.memory().usedBytes() + " bytes");
+		close();
+	}
+
 	private void readRequests() {
 		try {
 			this.socket.setTcpNoDelay(true);
-			InputStream stream = this.socket.getInputStream();
 			boolean open = true;
-			while (open && awaitData(stream)) {
-				open = readRequest(stream);
+			while (open && awaitData()) {
+				open = readRequest();
 			}
 			if (!open) {
-				awaitDisconnect(stream);
+				awaitDisconnect();
 			}
 		}
 		catch (IOException ex) {
@@ -140,93 +201,111 @@
 
 	/**
 	 * Waits for the first byte of the next request.
-	 * @param stream input of the caller
 	 * @return false if the caller has disconnected or exceeded the idle timeout
 	 * @throws IOException if the socket fails
+	 * @throws InterruptedException if the thread is interrupted
 	 */
-	private boolean awaitData(InputStream stream) throws IOException {
-		while (!this.input.hasBufferedData()) {
-			long idleTimeout = this.listener.limits().idleTimeoutMillis();
-			this.socket.setSoTimeout((int) Math.max(1, idleTimeout));
+	private boolean awaitData() throws IOException, InterruptedException {
+		this.responses.awaitWindow(this.account::answerBytes, ANSWER_WINDOW_BYTES);
+		this.idle = true;
+		while (!this.reader.hasBufferedData()) {
+			int idleTimeout = Math.max(1, this.listener.limits().idleTimeoutMillis());
+			this.input.timeout(idleTimeout);
 			try {
-				if (this.input.fillBuffer(stream) < 0) {
+				if (!this.reader.fill()) {
 					return false;
 				}
 			}
 			catch (SocketTimeoutException ex) {
-				boolean idle = this.responses.size() == 0
+				boolean expired = this.responses.size() == 0
 						&& this.listener.clock().millis() - this.lastActivityMillis >= idleTimeout;
-				if (idle) {
+				if (expired) {
 					return false;
 				}
 			}
 		}
+		this.idle = false;
 		return true;
 	}
 
 	/**
 	 * Reads one request.
-	 * @param stream input of the caller
 	 * @return false if no further request may follow
 	 * @throws IOException if the socket fails
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	private boolean readRequest(InputStream stream) throws IOException, InterruptedException {
+	private boolean readRequest() throws IOException, InterruptedException {
 		CallerLimits limits = this.listener.limits();
-		this.socket.setSoTimeout(limits.headerTimeoutMillis());
-		Http1Config config = Http1Config.custom().setMaxHeaderCount(limits.maximumHeaderBytes() / 4).build();
+		HeldRequest held = new HeldRequest(this.account);
 		try {
-			ClassicHttpRequest head = new DefaultHttpRequestParser(config, null, RawTargetRequest.FACTORY)
-				.parse(this.input, new MessageHeadInputStream(stream, limits.maximumHeaderBytes() + BUFFER_BYTES));
-			return accept(head, stream, limits);
+			this.input.deadline(limits.headerTimeoutMillis());
+			RequestHead head = this.reader.readHead(limits.maximumHeaderBytes(), held::reserve);
+			this.input.timeout(limits.headerTimeoutMillis());
+			return accept(head, held, limits);
 		}
 		catch (SocketTimeoutException ex) {
-			return reject(HttpStatus.SC_REQUEST_TIMEOUT, "the request did not arrive in time");
+			return reject(HttpStatus.SC_REQUEST_TIMEOUT, CallerRefusals.Reason.TIMEOUT,
+					"the request did not arrive in time");
 		}
-		catch (MessageConstraintException | RequestHeaderFieldsTooLargeException ex) {
-			return reject(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE,
+		catch (MessageConstraintException ex) {
+			return reject(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, CallerRefusals.Reason.HEAD_TOO_LARGE,
 					"the headers are over " + limits.maximumHeaderBytes() + " bytes");
 		}
-		catch (BodyMemoryExhaustedException ex) {
-			return reject(HttpStatus.SC_SERVICE_UNAVAILABLE, ex.getMessage());
+		catch (CallerMemoryExhaustedException ex) {
+			return reject(HttpStatus.SC_SERVICE_UNAVAILABLE, CallerRefusals.Reason.MEMORY, ex.getMessage());
 		}
-		catch (HttpException | MalformedChunkCodingException ex) {
-			return reject(HttpStatus.SC_BAD_REQUEST, "the request cannot be read: " + ex.getMessage());
+		catch (HttpException | MalformedLineException | MalformedChunkCodingException ex) {
+			return reject(HttpStatus.SC_BAD_REQUEST, CallerRefusals.Reason.MALFORMED,
+					"the request cannot be read: " + ex.getMessage());
+		}
+		finally {
+			held.releaseUnlessPassedOn();
 		}
 	}
 
-	private boolean accept(ClassicHttpRequest head, InputStream stream, CallerLimits limits)
-			throws IOException, HttpException, InterruptedException {
-		Either<String, RequestTarget> target = RequestTarget.parse(head.getRequestUri());
-		HeaderFields headers = HeaderFields.ofHeaders(head.getHeaders());
+	private boolean accept(RequestHead head, HeldRequest held, CallerLimits limits)
+			throws IOException, InterruptedException {
+		Either<String, RequestTarget> target = RequestTarget.parse(head.target());
+		HeaderFields headers = HeaderFields.of(head.fields());
 		if (target.isLeft() || namesOtherHost(target.get(), headers)) {
-			return reject(HttpStatus.SC_BAD_REQUEST,
+			return reject(HttpStatus.SC_BAD_REQUEST, CallerRefusals.Reason.MALFORMED,
 					target.isLeft() ? target.getLeft() : "the request target names another host than the Host field");
 		}
-		byte[] body = MessageBody.readRequest(head, this.input, stream, limits.maximumBodyBytes(),
-				this.listener.bodyMemory());
+		byte[] body = MessageBody.readRequest(head, this.reader, limits.maximumBodyBytes(), this.account);
 		if (body == null) {
-			return reject(HttpStatus.SC_REQUEST_TOO_LONG, "the body is over " + limits.maximumBodyBytes() + " bytes");
+			return reject(HttpStatus.SC_REQUEST_TOO_LONG, CallerRefusals.Reason.BODY_TOO_LARGE,
+					"the body is over " + limits.maximumBodyBytes() + " bytes");
 		}
-		IncomingRequest request = new IncomingRequest(head.getMethod(), target.get().path(),
+		held.add(body.length);
+		IncomingRequest request = new IncomingRequest(head.method(), target.get().path(),
 				withHost(target.get(), headers), body, this.socket.getInetAddress(), this.socket.getLocalAddress(),
 				new Cancellation());
-		boolean http10OrOlder = head.getVersion() != null && head.getVersion().lessEquals(HttpVersion.HTTP_1_0);
-		boolean last = http10OrOlder || headers.closesConnection();
+		boolean last = !head.persistent() || headers.closesConnection();
 		CompletableFuture<OutgoingResponse> response = new CompletableFuture<>();
 		if (!this.responses.add(new PendingResponse(request.method(), response, last, request.departure()))) {
 			return false;
 		}
-		CompletableFuture<?> predecessor = SAFE_METHODS.contains(request.method()) ? COMPLETED : this.previousResponse;
-		this.previousResponse = response;
-		Thread.ofVirtual().name("answer request").start(() -> run(request, predecessor, response));
+		CompletableFuture<Void> predecessor = SAFE_METHODS.contains(request.method()) ? COMPLETED : this.previousReady;
+		CompletableFuture<Void> ready = new CompletableFuture<>();
+		this.previousReady = ready;
+		held.passOn();
+		Thread.ofVirtual().name("answer request").start(() -> {
+			predecessor.join();
+			run(request, response, held);
+			ready.complete(null);
+		});
 		return !last;
 	}
 
-	private void run(IncomingRequest request, CompletableFuture<?> predecessor,
-			CompletableFuture<OutgoingResponse> response) {
-		predecessor.join();
-		response.complete(handle(request));
+	private void run(IncomingRequest request, CompletableFuture<OutgoingResponse> response, HeldRequest held) {
+		OutgoingResponse answer = handle(request);
+		this.account.addAnswer(bytes(answer));
+		held.release();
+		response.complete(answer);
+	}
+
+	private static long bytes(OutgoingResponse response) {
+		return RESPONSE_BYTES + response.body().length;
 	}
 
 	private static boolean namesOtherHost(RequestTarget target, HeaderFields headers) {
@@ -245,9 +324,8 @@
 		return HeaderFields.of(pairs);
 	}
 
-	private boolean reject(int status, String reason) throws InterruptedException {
-		Logger.info("node: Rejected a request from caller {} with status {}: {}.", this.socket.getRemoteSocketAddress(),
-				status, reason);
+	private boolean reject(int status, CallerRefusals.Reason cause, String reason) throws InterruptedException {
+		this.listener.refusals().rejected(cause, this.socket.getRemoteSocketAddress(), status, reason);
 		byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
 		HeaderFields headers = (status == HttpStatus.SC_SERVICE_UNAVAILABLE)
 				? HeaderFields.of(List.of("Retry-After", MEMORY_RETRY_AFTER_SECONDS)) : HeaderFields.NONE;
@@ -258,11 +336,11 @@
 		return false;
 	}
 
-	private void awaitDisconnect(InputStream stream) throws IOException {
-		this.socket.setSoTimeout(0);
+	private void awaitDisconnect() throws IOException {
+		this.input.timeout(0);
 		byte[] ignored = new byte[BUFFER_BYTES];
-		this.input.clear();
-		while (stream.read(ignored) >= 0) {
+		this.reader.clear();
+		while (this.input.read(ignored) >= 0) {
 			this.lastActivityMillis = this.listener.clock().millis();
 		}
 	}
@@ -280,9 +358,9 @@
 	private void writeResponses() {
 		try {
 			OutputStream stream = this.socket.getOutputStream();
-			Optional<PendingResponse> next = this.responses.awaitNext();
-			while (next.isPresent() && writeNext(next.get(), stream)) {
-				next = this.responses.awaitNext();
+			boolean open = true;
+			while (open) {
+				open = writeNext(stream);
 			}
 			if (this.rejected) {
 				linger();
@@ -297,6 +375,7 @@
 		finally {
 			this.responses.close();
 			close();
+			this.account.end();
 			this.listener.removeAnswered(this);
 		}
 	}
@@ -308,11 +387,25 @@
 		}
 	}
 
-	private boolean writeNext(PendingResponse pending, OutputStream stream) throws IOException {
+	/**
+	 * Waits for the next response and writes it. The response is referred to only within
+	 * this method, so that it can be reclaimed while the next one is awaited.
+	 * @param stream output of the connection
+	 * @return false if no further response is written
+	 * @throws IOException if the connection fails
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	private boolean writeNext(OutputStream stream) throws IOException, InterruptedException {
+		Optional<PendingResponse> next = this.responses.awaitNext();
+		return next.isPresent() && write(next.get(), stream);
+	}
+
+	private boolean write(PendingResponse pending, OutputStream stream) throws IOException {
 		OutgoingResponse response = pending.response().join();
 		boolean last = isLast(pending, response);
 		write(pending.method(), response, last, stream);
 		this.lastActivityMillis = this.listener.clock().millis();
+		this.account.removeAnswer(bytes(response));
 		this.responses.removeWritten();
 		return !last;
 	}
@@ -352,16 +445,32 @@
 		if (!withoutBody) {
 			head.addHeader("Content-Length", response.body().length);
 		}
+		beginWriting();
 		try {
 			new DefaultHttpResponseWriter().write(head, this.output, stream);
+			if (!withoutBody && !method.equals("HEAD")) {
+				writeBody(response.body(), stream);
+			}
+			this.output.flush(stream);
 		}
 		catch (HttpException ex) {
 			throw new IOException("response head cannot be encoded: " + ex.getMessage(), ex);
 		}
-		if (!withoutBody && !method.equals("HEAD")) {
-			this.output.write(response.body(), stream);
+		finally {
+			this.writingSinceMillis = 0;
 		}
-		this.output.flush(stream);
+	}
+
+	private void writeBody(byte[] body, OutputStream stream) throws IOException {
+		for (int offset = 0; offset < body.length; offset += WRITE_BYTES) {
+			this.output.write(body, offset, Math.min(WRITE_BYTES, body.length - offset), stream);
+			beginWriting();
+		}
+	}
+
+	private void beginWriting() {
+		// The clock may stand at 0, which means that nothing is written.
+		this.writingSinceMillis = Math.max(1, this.listener.clock().millis());
 	}
 
 }
--- a/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpListener.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Comparator;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -23,9 +24,15 @@
 	private static final int BACKLOG = 1_024;
 
 	/**
-	 * Maximum size of all request bodies that are being read at the same time.
+	 * Maximum time in which a caller reads nothing of its answer. Twice the idle limit of
+	 * ordinary clients; a window of a slow but moving reader opens more often.
 	 */
-	private static final long MAXIMUM_TOTAL_BODY_BYTES = 16L * 1024 * 1024;
+	private static final long STALLED_READER_MILLIS = 30_000;
+
+	/**
+	 * Interval in which stalled readers are looked for.
+	 */
+	private static final long SWEEP_MILLIS = 1_000;
 
 	/**
 	 * Delay after a failed accept, for example when no file descriptors are left.
@@ -40,7 +47,11 @@
 
 	private final RequestHandler handler;
 
-	private final BodyMemoryBudget bodyMemory = new BodyMemoryBudget(MAXIMUM_TOTAL_BODY_BYTES);
+	private final CallerMemory memory;
+
+	private final CallerRefusals refusals;
+
+	private final long stalledReaderMillis;
 
 	private final int maximumConnections;
 
@@ -60,6 +71,9 @@
 		this.limits = builder.limits;
 		this.handler = Objects.requireNonNull(builder.handler, "handler");
 		this.maximumConnections = builder.maximumConnections;
+		this.memory = builder.memory;
+		this.refusals = new CallerRefusals(builder.clock);
+		this.stalledReaderMillis = builder.stalledReaderMillis;
 	}
 
 	/**
@@ -75,6 +89,7 @@
 	 */
 	public void start() {
 		Thread.ofVirtual().name("accept callers").start(this::acceptAll);
+		Thread.ofVirtual().name("close stalled callers").start(this::closeStalled);
 	}
 
 	/**
@@ -141,19 +156,35 @@
 	}
 
 	/**
-	 * Returns the total size of the request bodies that are being read.
+	 * Returns how much memory callers make the process hold.
 	 * @return the number of bytes
 	 */
-	public long bodyBytes() {
-		return this.bodyMemory.reservedBytes();
+	public long heldBytes() {
+		return this.memory.usedBytes();
+	}
+
+	/**
+	 * Returns the counts of refused requests and closed connections.
+	 * @return the counts, which change while the listener runs
+	 */
+	public CallerRefusals refusals() {
+		return this.refusals;
+	}
+
+	/**
+	 * Returns the maximum number of open connections.
+	 * @return count
+	 */
+	public int maximumConnections() {
+		return this.maximumConnections;
 	}
 
 	boolean isDraining() {
 		return this.draining;
 	}
 
-	BodyMemoryBudget bodyMemory() {
-		return this.bodyMemory;
+	CallerMemory memory() {
+		return this.memory;
 	}
 
 	CallerLimits limits() {
@@ -179,6 +210,7 @@
 	private void acceptAll() {
 		while (!this.server.isClosed()) {
 			try {
+				awaitFreeConnection();
 				accept(this.server.accept());
 			}
 			catch (IOException ex) {
@@ -190,13 +222,29 @@
 		}
 	}
 
-	private void accept(Socket socket) throws IOException {
-		if (this.connections.size() >= this.maximumConnections) {
-			Logger.warn("node: Closed a new caller connection, because the maximum of {} connections is open.",
-					this.maximumConnections);
-			socket.close();
-			return;
+	/**
+	 * Waits while the maximum number of connections is open; callers then wait in the
+	 * backlog of the socket. The connection that has been idle for longest is closed.
+	 */
+	private void awaitFreeConnection() {
+		while (this.answering.size() >= this.maximumConnections && !this.server.isClosed()) {
+			this.connections.stream()
+				.filter((connection) -> connection.idleSinceMillis() != Long.MAX_VALUE)
+				.min(Comparator.comparingLong(HttpConnection::idleSinceMillis))
+				.ifPresent(HttpConnection::closeAsIdle);
+			pauseBeforeRetry();
+		}
+	}
+
+	private void closeStalled() {
+		while (!this.server.isClosed() || !this.answering.isEmpty()) {
+			long now = this.clock.millis();
+			this.answering.forEach((connection) -> connection.closeIfStalled(now, this.stalledReaderMillis));
+			pause(SWEEP_MILLIS);
 		}
+	}
+
+	private void accept(Socket socket) throws IOException {
 		HttpConnection connection = new HttpConnection(this, socket);
 		this.connections.add(connection);
 		this.answering.add(connection);
@@ -204,8 +252,12 @@
 	}
 
 	private static void pauseBeforeRetry() {
+		pause(ACCEPT_RETRY_DELAY_MILLIS);
+	}
+
+	private static void pause(long millis) {
 		try {
-			Thread.sleep(ACCEPT_RETRY_DELAY_MILLIS);
+			Thread.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -223,7 +275,11 @@
 
 		private RequestHandler handler;
 
-		private int maximumConnections = 2_000;
+		private int maximumConnections = ConnectionLimit.ofProcess();
+
+		private CallerMemory memory = CallerMemory.ofHeap();
+
+		private long stalledReaderMillis = STALLED_READER_MILLIS;
 
 		private Builder() {
 		}
@@ -259,8 +315,27 @@
 		}
 
 		/**
-		 * Sets the maximum number of open connections; further ones are closed
-		 * immediately.
+		 * Sets the budget for what callers make the process hold.
+		 * @param budget the budget
+		 * @return this builder
+		 */
+		public Builder memory(CallerMemory budget) {
+			this.memory = budget;
+			return this;
+		}
+
+		/**
+		 * Sets the maximum time in which a caller reads nothing of its answer.
+		 * @param millis the time in milliseconds
+		 * @return this builder
+		 */
+		public Builder stalledReaderMillis(long millis) {
+			this.stalledReaderMillis = millis;
+			return this;
+		}
+
+		/**
+		 * Sets the maximum number of open connections; further ones wait in the backlog.
 		 * @param count the maximum
 		 * @return this builder
 		 */
--- a/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
+++ b/node/src/main/java/io/lavenderroad/node/http/MessageBody.java
@@ -1,16 +1,15 @@
 package io.lavenderroad.node.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 
-import io.lavenderroad.core.http.MessageBodyStreams;
 import io.lavenderroad.core.http.MessageLength;
+import io.lavenderroad.core.http.RequestHead;
+import io.lavenderroad.core.http.RequestReader;
 import io.lavenderroad.core.http.ResponseReader;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
-import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
  * Reads complete message bodies. A truncated body is an error and is never returned as
@@ -26,21 +25,19 @@
 	/**
 	 * Reads the body of a request.
 	 * @param head the request
-	 * @param buffer buffer with the bytes already received
-	 * @param stream input after the buffered bytes
+	 * @param reader reader of the connection
 	 * @param maximumBytes maximum size of this body
-	 * @param memory limit for all bodies together
+	 * @param account account that the memory is reserved from
 	 * @return the body, or null if it is larger
-	 * @throws IOException if the body is truncated or cannot be read
-	 * @throws HttpException if the message framing is malformed
+	 * @throws IOException if the body is truncated, malformed or cannot be read
 	 */
-	static byte[] readRequest(HttpMessage head, SessionInputBuffer buffer, InputStream stream, int maximumBytes,
-			BodyMemoryBudget memory) throws IOException, HttpException {
-		long length = MessageLength.of(head);
-		if (length == ContentLengthStrategy.UNDEFINED) {
-			return EMPTY;
+	static byte[] readRequest(RequestHead head, RequestReader reader, int maximumBytes, CallerMemory.Account account)
+			throws IOException {
+		if (head.bodyLength() > maximumBytes) {
+			return null;
 		}
-		return readBounded(length, MessageBodyStreams.decode(length, buffer, stream), maximumBytes, memory);
+		boolean empty = head.bodyLength() == 0 || head.bodyLength() == ContentLengthStrategy.UNDEFINED;
+		return empty ? EMPTY : BoundedBody.read(reader.body(head), maximumBytes, account);
 	}
 
 	/**
@@ -48,14 +45,21 @@
 	 * @param head the response
 	 * @param reader reader of the connection
 	 * @param maximumBytes maximum size of this body
-	 * @param memory limit for all bodies together
+	 * @param account account that the memory is reserved from
 	 * @return the body, or null if it is larger
 	 * @throws IOException if the body is truncated or cannot be read
 	 * @throws HttpException if the message framing is malformed
 	 */
 	static byte[] readResponse(ClassicHttpResponse head, ResponseReader reader, int maximumBytes,
-			BodyMemoryBudget memory) throws IOException, HttpException {
-		return readBounded(MessageLength.of(head), reader.body(head), maximumBytes, memory);
+			CallerMemory.Account account) throws IOException, HttpException {
+		long length = MessageLength.of(head);
+		if (length > maximumBytes) {
+			return null;
+		}
+		if (length >= 0) {
+			return (length == 0) ? EMPTY : BoundedBody.readExactly(reader.body(head), (int) length, account);
+		}
+		return BoundedBody.read(reader.body(head), maximumBytes, account);
 	}
 
 	/**
@@ -68,12 +72,4 @@
 		return MessageLength.of(head) != ContentLengthStrategy.UNDEFINED;
 	}
 
-	private static byte[] readBounded(long length, InputStream body, int maximumBytes, BodyMemoryBudget memory)
-			throws IOException {
-		if (length > maximumBytes) {
-			return null;
-		}
-		return (length == 0) ? EMPTY : memory.read(body, maximumBytes);
-	}
-
 }
--- a/node/src/main/java/io/lavenderroad/node/http/ResponseQueue.java
+++ b/node/src/main/java/io/lavenderroad/node/http/ResponseQueue.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
 
 /**
  * Responses of one connection in the order of its requests. The reader of the connection
@@ -60,6 +61,25 @@
 		}
 	}
 
+	/**
+	 * Waits until another request may be read: few bytes of answers wait to be written,
+	 * or no response does.
+	 * @param answerBytes returns the size of the answers that wait to be written
+	 * @param maximumBytes maximum size of these answers
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	void awaitWindow(LongSupplier answerBytes, long maximumBytes) throws InterruptedException {
+		this.lock.lockInterruptibly();
+		try {
+			while (!this.closed && !this.pending.isEmpty() && answerBytes.getAsLong() > maximumBytes) {
+				this.changed.await();
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Waits for the response that is to be written next. It stays in the queue.
 	 * @return the response, or empty if all are written and no further one can follow
