--- a/daemon/src/main/java/io/lavenderroad/daemon/Main.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/Main.java
@@ -13,6 +13,7 @@
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.Problem;
 import io.lavenderroad.core.kernel.Kernel;
+import io.lavenderroad.node.HttpProperties;
 import io.vavr.collection.Seq;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
@@ -96,6 +97,8 @@
 
 	private int start(DaemonSettings settings, Kernel kernel, SettingsReloader reloader) {
 		LogConfiguration.apply(settings.log());
+		Thread.setDefaultUncaughtExceptionHandler(Main::endWithoutMemory);
+		HttpProperties.set();
 		try {
 			Role role = kernel.find(Role.EXTENSION_POINT, settings.role()).orElseThrow();
 			RunningRole running = role.start(settings, kernel);
@@ -115,6 +118,21 @@
 		}
 	}
 
+	/**
+	 * Ends the process if a thread ends for lack of memory. The option
+	 * {@code -XX:+ExitOnOutOfMemoryError} of the launchers covers the heap only, not for
+	 * example the stacks of threads. A process that goes on without some of its threads
+	 * looks alive and does not serve.
+	 * @param thread the thread
+	 * @param failure why it ended
+	 */
+	private static void endWithoutMemory(Thread thread, Throwable failure) {
+		if (failure instanceof OutOfMemoryError) {
+			Runtime.getRuntime().halt(FAILURE);
+		}
+		Logger.error(failure, "daemon: Thread {} ended unexpectedly.", thread.getName());
+	}
+
 	private static CountDownLatch stopOnSignal(RunningRole running, DaemonSettings settings) {
 		CountDownLatch done = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().unstarted(() -> {
