--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -131,7 +131,7 @@
 		this.timer = newTimer();
 		this.pool = new BackendPool(parse(Objects.requireNonNull(builder.backendAddress, "backendAddress")),
 				this.clock);
-		CallerMemory callerMemory = CallerMemory.ofHeap();
+		CallerMemory callerMemory = callerMemory(builder.maximumAnswerBytes);
 		BackendExchange exchange = new BackendExchange(this.pool, callerMemory, this.timer, builder.maximumAnswerBytes,
 				KeepAlive::millis);
 		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
@@ -336,6 +336,22 @@
 		return builder.registration;
 	}
 
+	/**
+	 * Creates the budget for callers and checks that an answer of the largest size fits,
+	 * which would otherwise fail in calm, too.
+	 * @param maximumAnswerBytes size of the largest answer
+	 * @return the budget
+	 * @throws IOException if the heap is too small
+	 */
+	private static CallerMemory callerMemory(int maximumAnswerBytes) throws IOException {
+		CallerMemory memory = CallerMemory.ofHeap();
+		if (memory.maximumBytes() < maximumAnswerBytes) {
+			throw new IOException("the heap is too small: callers may hold " + memory.maximumBytes()
+					+ " bytes of it, and an answer has up to " + maximumAnswerBytes);
+		}
+		return memory;
+	}
+
 	private static ScheduledExecutorService newTimer() {
 		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1,
 				Thread.ofPlatform().name("deadlines").daemon().factory());
