--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -36,6 +36,8 @@
 import io.lavenderroad.model.MeshView;
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendPool;
+import io.lavenderroad.node.http.CallerMemory;
+import io.lavenderroad.node.http.CallerRefusals;
 import io.lavenderroad.node.http.HttpListener;
 import io.lavenderroad.node.http.KeepAlive;
 import io.lavenderroad.policy.calls.BalancingPolicy;
@@ -135,7 +137,8 @@
 		this.timer = newTimer();
 		this.pool = new BackendPool(parse(Objects.requireNonNull(builder.backendAddress, "backendAddress")),
 				this.clock);
-		BackendExchange exchange = new BackendExchange(this.pool, this.timer, builder.maximumAnswerBytes,
+		CallerMemory callerMemory = callerMemory(builder.maximumAnswerBytes);
+		BackendExchange exchange = new BackendExchange(this.pool, callerMemory, this.timer, builder.maximumAnswerBytes,
 				KeepAlive::millis);
 		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress,
 				() -> this.view.configuration().filter((active) -> !active.teams().isEmpty()).isPresent());
@@ -175,6 +178,7 @@
 			.clock(this.clock)
 			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
 			.handler(this.callerApi)
+			.memory(callerMemory)
 			.bind(Objects.requireNonNull(builder.callerAddress, "callerAddress"));
 		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress, builder.adminPages)
 				: null;
@@ -189,7 +193,13 @@
 		this.metrics.gauge("evacuated", () -> startControl.isEvacuated() ? 1 : 0);
 		this.metrics.gauge("caller_connections_reading", this.callerListener::readingConnections);
 		this.metrics.gauge("caller_connections_answering", this.callerListener::answeringConnections);
-		this.metrics.gauge("caller_body_bytes", this.callerListener::bodyBytes);
+		this.metrics.gauge("caller_body_bytes", this.callerListener::heldBytes);
+		for (CallerRefusals.Reason reason : CallerRefusals.Reason.values()) {
+			this.metrics.gauge("caller_refusals_total{reason=\"" + reason.label() + "\"}",
+					() -> this.callerListener.refusals().count(reason));
+		}
+		Logger.info("node: Callers may hold {} bytes and {} connections.", callerMemory.maximumBytes(),
+				this.callerListener.maximumConnections());
 		this.metrics.gauge("key_records", store::size);
 		this.metrics.gauge("key_bytes", store::bytes);
 		this.metrics.gauge("heap_bytes", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
@@ -357,6 +367,22 @@
 		return builder.registration;
 	}
 
+	/**
+	 * Creates the budget for callers and checks that an answer of the largest size fits,
+	 * which would otherwise fail in calm, too.
+	 * @param maximumAnswerBytes size of the largest answer
+	 * @return the budget
+	 * @throws IOException if the heap is too small
+	 */
+	private static CallerMemory callerMemory(int maximumAnswerBytes) throws IOException {
+		CallerMemory memory = CallerMemory.ofHeap();
+		if (memory.maximumBytes() < maximumAnswerBytes) {
+			throw new IOException("the heap is too small: callers may hold " + memory.maximumBytes()
+					+ " bytes of it, and an answer has up to " + maximumAnswerBytes);
+		}
+		return memory;
+	}
+
 	private static ScheduledExecutorService newTimer() {
 		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1,
 				Thread.ofPlatform().name("deadlines").daemon().factory());
@@ -704,8 +730,8 @@
 		}
 
 		/**
-		 * Sets the check of the quotas of the teams. Without it, the leader of the control
-		 * group grants them.
+		 * Sets the check of the quotas of the teams. Without it, the leader of the
+		 * control group grants them.
 		 * @param gate the check
 		 * @return this builder
 		 */
