Take the number of descriptors from the environment where it is stated

Cause: on the prepared platform the limit in /proc is 200, which holds for files only, so a node accepted 100 connections of callers.

--- a/node/src/main/java/io/lavenderroad/node/http/ConnectionLimit.java
+++ b/node/src/main/java/io/lavenderroad/node/http/ConnectionLimit.java
@@ -33,13 +33,22 @@
 	 */
 	private static final long DESCRIPTOR_DIVISOR = 2;
 
+	/**
+	 * Environment variable with the number of descriptors that the process may open. It
+	 * is for platforms on which sockets do not count against the limit that the operating
+	 * system states.
+	 */
+	static final String DESCRIPTORS_VARIABLE = "LAVENDERROAD_DESCRIPTORS";
+
+	private static final Pattern NUMBER = Pattern.compile("[1-9][0-9]{0,8}");
+
 	private static final Pattern SOFT_LIMIT = Pattern.compile("(?m)^Max open files +([0-9]{1,9}) ");
 
 	private ConnectionLimit() {
 	}
 
 	static int ofProcess() {
-		return of(Runtime.getRuntime().maxMemory(), descriptors(limits()));
+		return of(Runtime.getRuntime().maxMemory(), descriptors(System.getenv(DESCRIPTORS_VARIABLE), limits()));
 	}
 
 	static int of(long heapBytes, long descriptors) {
@@ -48,11 +57,16 @@
 	}
 
 	/**
-	 * Reads the number of descriptors that the process may open.
+	 * Returns the number of descriptors that the process may open.
+	 * @param stated number that the environment states, or null
 	 * @param limits text of the limits of the process
-	 * @return the number, or the largest one if the text does not state it
+	 * @return the stated number, else the one of the text, or the largest one if neither
+	 * is readable
 	 */
-	static long descriptors(String limits) {
+	static long descriptors(String stated, String limits) {
+		if (stated != null && NUMBER.matcher(stated).matches()) {
+			return Long.parseLong(stated);
+		}
 		Matcher matcher = SOFT_LIMIT.matcher(limits);
 		return matcher.find() ? Long.parseLong(matcher.group(1)) : Long.MAX_VALUE;
 	}
--- a/node/src/test/java/io/lavenderroad/node/http/CallerMemoryTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/CallerMemoryTests.java
@@ -83,8 +83,10 @@
 		Assert.assertEquals(ConnectionLimit.of(96 * mebibyte, 4_100), 2_000);
 		Assert.assertEquals(ConnectionLimit.of(24 * mebibyte, 4_100), 512);
 		Assert.assertEquals(ConnectionLimit.of(96 * mebibyte, 1_024), 512);
-		Assert.assertEquals(ConnectionLimit.descriptors("Max open files            1024     4096     files \n"), 1_024);
-		Assert.assertEquals(ConnectionLimit.descriptors(""), Long.MAX_VALUE);
+		Assert.assertEquals(ConnectionLimit.descriptors(null, "Max open files            1024     4096     files \n"),
+				1_024);
+		Assert.assertEquals(ConnectionLimit.descriptors("odd", ""), Long.MAX_VALUE);
+		Assert.assertEquals(ConnectionLimit.descriptors("4100", "Max open files  200  200  files \n"), 4_100);
 	}
 
 	/**
