Keep calls in their failure domain while answers come early enough

Change: ShortestTime prefers endpoints in the caller's failure domain while one of them is expected to answer within half of the target latency of the route.

--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -39,6 +39,13 @@
 	 */
 	private static final Backoff UNREACHABLE_BACKOFF = new Backoff(500, 5_000);
 
+	/**
+	 * Share of the target latency within which an endpoint in the failure domain of the
+	 * caller must be expected to answer to be preferred to remote ones. The rest covers
+	 * the spread of service times.
+	 */
+	private static final double LOCAL_SHARE_OF_TARGET = 0.5;
+
 	private final Clock clock;
 
 	private final RandomGenerator random;
@@ -218,7 +225,8 @@
 	private Optional<EndpointLoad> choose(RoutedCall call, CallPriority callPriority, Collection<EndpointLoad> tried) {
 		ServiceConfiguration service = call.service();
 		BalancingContext context = new BalancingContext(this.self.failureDomain(), this.clock.millis(), tried,
-				this.random, balancingPriority(callPriority));
+				this.random, balancingPriority(callPriority),
+				call.rules().targetLatencyMillis() * LOCAL_SHARE_OF_TARGET);
 		List<String> versions = VersionChoice.order(this.withdrawn.split(service),
 				service.move().map(MoveParameters::from), this.random);
 		for (String version : versions) {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/BalancingContext.java
@@ -14,9 +14,12 @@
  * @param priority priority of the call, lower numbers for higher priorities;
  * {@link #NESTED_PRIORITY} for a nested call, which a backend server makes for a running
  * request
+ * @param localLatencyMillis expected latency in milliseconds up to which an endpoint in
+ * the caller's failure domain is preferred to all others, 0 if there is no such
+ * preference
  */
 public record BalancingContext(String failureDomain, long nowMillis, Collection<EndpointLoad> tried,
-		RandomGenerator random, int priority) {
+		RandomGenerator random, int priority, double localLatencyMillis) {
 
 	/**
 	 * Priority of nested calls. They are also sent to endpoints that have no free
@@ -30,6 +33,19 @@
 		Objects.requireNonNull(random, "random");
 	}
 
+	/**
+	 * Creates the context of a call without a preference for its failure domain.
+	 * @param failureDomain failure domain of the node of the caller
+	 * @param nowMillis clock reading in milliseconds
+	 * @param tried endpoints that this call has already tried
+	 * @param random source of randomness
+	 * @param priority priority of the call, lower numbers for higher priorities
+	 */
+	public BalancingContext(String failureDomain, long nowMillis, Collection<EndpointLoad> tried,
+			RandomGenerator random, int priority) {
+		this(failureDomain, nowMillis, tried, random, priority, 0);
+	}
+
 	/**
 	 * Creates the context of a call of the lowest priority.
 	 * @param failureDomain failure domain of the node of the caller
--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -9,7 +9,9 @@
  * differ widely in speed and are partly idle: a slow server gets no calls while faster
  * ones have free capacity. Calls are distributed over all endpoints whose expected
  * latency is close to the shortest one, weighted by their free capacity, so that callers
- * with the same information do not all choose the same endpoint.
+ * with the same information do not all choose the same endpoint. Calls stay in their
+ * failure domain while an endpoint there is expected to answer early enough for the
+ * caller, also if a remote one is faster: traffic between failure domains is expensive.
  */
 public final class ShortestTime implements BalancingPolicy {
 
@@ -69,6 +71,11 @@
 				best = Math.min(best, entry.millis());
 			}
 		}
+		double bestLocal = scored.stream().filter(Scored::local).mapToDouble(Scored::millis).min().orElse(best);
+		if (bestLocal > best && bestLocal <= context.localLatencyMillis()) {
+			scored.removeIf((entry) -> !entry.local());
+			best = bestLocal;
+		}
 		double limit = best * TOLERATED_SLOWDOWN;
 		scored.removeIf((entry) -> entry.millis() > limit);
 		return drawByFreeCapacity(scored, context);
@@ -98,10 +105,9 @@
 		double utilization = (calls + 1.0) / (full ? Math.max(1, slots * share) : slots);
 		double millis = service * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
 		millis *= 1 + ERROR_PENALTY * load.errorShare(context.nowMillis());
-		if (!load.endpoint().failureDomain().equals(context.failureDomain())) {
-			millis *= REMOTE_PENALTY;
-		}
-		return new Scored(load, millis,
+		boolean local = load.endpoint().failureDomain().equals(context.failureDomain());
+		millis *= local ? 1 : REMOTE_PENALTY;
+		return new Scored(load, local, millis,
 				Math.max(MINIMUM_FREE_SHARE, 1 - utilization) * slots * Math.min(1, PACE_AHEAD * share) / service);
 	}
 
@@ -118,10 +124,11 @@
 	 * An endpoint that may get the call.
 	 *
 	 * @param endpoint the endpoint
+	 * @param local whether it is in the failure domain of the caller
 	 * @param millis expected latency of the call
 	 * @param freeCapacity free capacity of the endpoint, in calls per millisecond
 	 */
-	private record Scored(EndpointLoad endpoint, double millis, double freeCapacity) {
+	private record Scored(EndpointLoad endpoint, boolean local, double millis, double freeCapacity) {
 
 	}
 
