Serve a team whose quota the leader has already removed

The leader applies a removed quota before the nodes. Its grant left the team out, so requests at nodes with the earlier configuration asked again without pause, waited up to 100 ms and were refused with 503. The grant now holds what the waiting requests want. QuotaLeasesTests failed before with WAIT in place of ADMITTED.

--- a/policy/src/main/java/io/lavenderroad/policy/quota/QuotaGrant.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/QuotaGrant.java
@@ -9,7 +9,7 @@
  * @param granting whether the member is the leader and grants tokens at present
  * @param leaderAddress frame address of the leader if the member does not grant and knows
  * the leader
- * @param teams one entry for each team of the request that has a quota
+ * @param teams one entry for each team of the request
  */
 public record QuotaGrant(boolean granting, Optional<String> leaderAddress, List<TeamGrant> teams) {
 
--- a/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLedger.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLedger.java
@@ -35,8 +35,8 @@
 	 * @param request the request
 	 * @param quotas finds the quota of a team; empty if it has none
 	 * @param nowMillis clock reading in milliseconds
-	 * @return a grant for each team with a quota; empty for a request that is older than
-	 * one seen before
+	 * @return a grant for each team, which is what it wants now if it has no quota; empty
+	 * for a request that is older than one seen before
 	 */
 	public List<TeamGrant> grant(QuotaRequest request, Function<String, Optional<Quota>> quotas, long nowMillis) {
 		if (!isNewest(request)) {
@@ -46,7 +46,10 @@
 		for (TeamDemand demand : request.teams()) {
 			Optional<Quota> quota = quotas.apply(demand.team());
 			if (quota.isEmpty()) {
+				// The node may still have a configuration with a quota. Without tokens it
+				// would refuse the team until it has the newer one.
 				this.buckets.remove(demand.team());
+				grants.add(new TeamGrant(demand.team(), demand.wanted(), 0, 0));
 				continue;
 			}
 			TeamBucket bucket = this.buckets.computeIfAbsent(demand.team(),
--- a/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
@@ -133,8 +133,7 @@
 		expire(nowMillis);
 		boolean denied = isDenied(nowMillis);
 		// Tokens that waiting requests are about to take count as used. Otherwise the
-		// leader
-		// would grant the whole level in addition to them.
+		// leader would grant the whole level in addition to them.
 		int unused = Math.max(0, this.held - this.waiting);
 		TeamDemand demand = new TeamDemand(team, denied ? 0 : wanted(), denied ? 0 : target, unused, this.returned);
 		this.returned = 0;
--- a/policy/src/test/java/io/lavenderroad/policy/quota/QuotaLeasesTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/quota/QuotaLeasesTests.java
@@ -1,5 +1,7 @@
 package io.lavenderroad.policy.quota;
 
+import java.util.Optional;
+
 import io.lavenderroad.model.Quota;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
@@ -82,6 +84,16 @@
 		Assert.assertEquals(this.node.attempt(), QuotaAdmission.Kind.ADMITTED);
 	}
 
+	@Test
+	public void requestIsAdmittedIfTheLeaderHasAlreadyRemovedTheQuota() {
+		long clock = this.node.clock();
+		this.node.leases.waiting(QuotaPlay.TEAM, 1);
+		QuotaRequest request = this.node.leases.next(clock).orElseThrow();
+		this.node.leases.granted(new QuotaGrant(true, Optional.empty(),
+				this.play.ledger.grant(request, (team) -> Optional.empty(), this.play.now)), clock);
+		Assert.assertEquals(this.node.leases.take(QuotaPlay.TEAM, clock).kind(), QuotaAdmission.Kind.ADMITTED);
+	}
+
 	private int attempts(long millis) {
 		int admitted = 0;
 		for (long end = this.play.now + millis; this.play.now < end; this.play.now += 125) {
