Hold a token for three seconds after a use

Tokens in advance expired after 1 s and were not renewed without a use in the last second, so callers with one or two requests a second often found none and waited for the leader. A node now holds at least one token for 3 s after a use. It renews it with other messages or after 500 ms. QuotaLeasesTests failed before with WAIT at the first request.

--- a/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLeases.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLeases.java
@@ -15,7 +15,8 @@
 
 	/**
 	 * Minimum time between requests for tokens in advance, milliseconds. It bounds the
-	 * load of the leader to ten messages a second from each node.
+	 * load of the leader to ten messages a second from each node. Teams without a use in
+	 * the last second cause no request before {@link #REPORT_INTERVAL_MILLIS}.
 	 */
 	private static final long ADVANCE_INTERVAL_MILLIS = 100;
 
@@ -177,10 +178,15 @@
 			return false;
 		}
 		return lease.isUrgent(nowMillis)
-				|| pause >= ADVANCE_INTERVAL_MILLIS && lease.needsTokens(nowMillis, target(lease, nowMillis))
+				|| pause >= advanceIntervalMillis(lease, nowMillis)
+						&& lease.needsTokens(nowMillis, target(lease, nowMillis))
 				|| pause >= REPORT_INTERVAL_MILLIS && lease.needsReport(target(lease, nowMillis)) || this.withoutLeader;
 	}
 
+	private static long advanceIntervalMillis(TeamLease lease, long nowMillis) {
+		return lease.isBusy(nowMillis) ? ADVANCE_INTERVAL_MILLIS : REPORT_INTERVAL_MILLIS;
+	}
+
 	private TeamLease lease(String team) {
 		return this.leases.computeIfAbsent(team, (name) -> new TeamLease());
 	}
--- a/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/TeamLease.java
@@ -16,6 +16,12 @@
 
 	private static final long DEMAND_MILLIS = 1_000;
 
+	/**
+	 * Time after a use for which at least one token is held in advance. With 1 s, callers
+	 * with one request a second find no token.
+	 */
+	private static final long KEEP_MILLIS = 3_000;
+
 	/**
 	 * Minimum time between two requests for a team that is beyond its quota.
 	 */
@@ -125,8 +131,16 @@
 	 * @return tokens
 	 */
 	int expected(long nowMillis) {
-		int demand = this.uses.sumOfLast(DEMAND_MILLIS, nowMillis) + this.waiting;
-		return (int) Math.ceil(demand * ADVANCE_SECONDS);
+		int expected = (int) Math.ceil(demand(nowMillis) * ADVANCE_SECONDS);
+		return (expected > 0) ? expected : Math.min(1, this.uses.sumOfLast(KEEP_MILLIS, nowMillis));
+	}
+
+	boolean isBusy(long nowMillis) {
+		return demand(nowMillis) > 0;
+	}
+
+	private int demand(long nowMillis) {
+		return this.uses.sumOfLast(DEMAND_MILLIS, nowMillis) + this.waiting;
 	}
 
 	TeamDemand report(String team, long nowMillis, int target) {
--- a/policy/src/test/java/io/lavenderroad/policy/quota/QuotaLeasesTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/quota/QuotaLeasesTests.java
@@ -8,7 +8,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Guards the node's side of quotas: the bound while no leader is reachable, expiry, and
+ * Guards the node's side of quotas: the bound while no leader is reachable, expiry,
+ * requests that wait for the leader although their team is far below its quota, and
  * tokens that are lost although their requests have not run.
  */
 public class QuotaLeasesTests {
@@ -94,6 +95,19 @@
 		Assert.assertEquals(this.node.leases.take(QuotaPlay.TEAM, clock).kind(), QuotaAdmission.Kind.ADMITTED);
 	}
 
+	@Test
+	public void callerWithLessThanOneRequestASecondFindsTokensInAdvance() {
+		this.node.attempt();
+		for (int request = 1; request <= 10; request++) {
+			long gapMillis = (request % 2 == 0) ? 1_250 : 1_700;
+			for (long end = this.play.now + gapMillis; this.play.now < end; this.play.now += 50) {
+				this.node.request();
+			}
+			Assert.assertEquals(this.node.leases.take(QuotaPlay.TEAM, this.node.clock()).kind(),
+					QuotaAdmission.Kind.ADMITTED, "request " + request);
+		}
+	}
+
 	private int attempts(long millis) {
 		int admitted = 0;
 		for (long end = this.play.now + millis; this.play.now < end; this.play.now += 125) {
