Let callers pass answers that wait for other answers

Memory of callers is reserved in the order of arrival. An answer of the backend server that waited only because other answers took half of the budget held up the heads and bodies of all callers for up to 5 s, although there was room for them. Such answers are now passed over.

The new test failed before: the caller waited 5.06 s, until the answer had given up.

--- a/node/src/main/java/io/lavenderroad/node/http/CallerMemory.java
+++ b/node/src/main/java/io/lavenderroad/node/http/CallerMemory.java
@@ -152,6 +152,8 @@
 
 		private long answerBytes;
 
+		private long wantedBytes;
+
 		private boolean closing;
 
 		private boolean ended;
@@ -169,6 +171,7 @@
 		void reserve(long bytes) throws CallerMemoryExhaustedException {
 			CallerMemory.this.lock.lock();
 			try {
+				this.wantedBytes = bytes;
 				CallerMemory.this.waiting.add(this);
 				awaitRoom(bytes);
 				changeRequest(bytes);
@@ -317,11 +320,11 @@
 		private void awaitRoom(long bytes) throws CallerMemoryExhaustedException {
 			long start = System.nanoTime();
 			long waitMillis = 0;
-			while (this.closing || CallerMemory.this.waiting.peekFirst() != this || !hasRoom(bytes)) {
+			while (this.closing || !isNext() || !hasRoom(bytes)) {
 				if (this.closing || bytes > CallerMemory.this.maximumBytes || waitMillis >= MAXIMUM_WAIT_MILLIS) {
 					throw new CallerMemoryExhaustedException(CallerMemory.this.maximumBytes);
 				}
-				if (waitMillis >= RELEASE_WAIT_MILLIS && CallerMemory.this.waiting.peekFirst() == this) {
+				if (waitMillis >= RELEASE_WAIT_MILLIS && isNext()) {
 					makeRoom(bytes);
 				}
 				awaitChange();
@@ -338,10 +341,27 @@
 		 * @return true if they can be reserved
 		 */
 		private boolean hasRoom(long bytes) {
+			return !isReadingFull() && CallerMemory.this.usedBytes + bytes <= CallerMemory.this.maximumBytes;
+		}
+
+		private boolean isReadingFull() {
 			long others = CallerMemory.this.readingBytes - this.requestBytes;
-			boolean readingFull = this.close == null && others > 0
-					&& CallerMemory.this.readingBytes + bytes > CallerMemory.this.maximumBytes / 2;
-			return !readingFull && CallerMemory.this.usedBytes + bytes <= CallerMemory.this.maximumBytes;
+			return this.close == null && others > 0
+					&& CallerMemory.this.readingBytes + this.wantedBytes > CallerMemory.this.maximumBytes / 2;
+		}
+
+		// Answers that wait only for the end of other answers do not hold up callers, for
+		// whom there is room.
+		private boolean isNext() {
+			for (Account account : CallerMemory.this.waiting) {
+				if (account == this) {
+					return true;
+				}
+				if (!account.isReadingFull()) {
+					return false;
+				}
+			}
+			return false;
 		}
 
 		private void changeRequest(long bytes) {
--- a/node/src/test/java/io/lavenderroad/node/http/CallerMemoryTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/CallerMemoryTests.java
@@ -70,6 +70,23 @@
 		Assert.assertFalse(closed.get(2).isDone());
 	}
 
+	/**
+	 * Guards against slow answers of a backend server that hold up the requests of all
+	 * callers although there is room for them.
+	 */
+	@Test
+	public void callersDoNotWaitBehindAnswersThatWaitForOtherAnswers() throws Exception {
+		CallerMemory memory = new CallerMemory(1_000);
+		memory.open().reserve(400);
+		CallerMemory.Account second = memory.open();
+		CompletableFuture<Void> answer = reserve(second, 200);
+		Thread.sleep(100);
+		CallerMemory.Account caller = memory.open(() -> Assert.fail("the caller was closed"));
+		reserve(caller, 100).get(WAIT_SECONDS, TimeUnit.SECONDS);
+		Assert.assertFalse(answer.isDone(), "the caller waited until the answer had given up");
+		second.cancel();
+	}
+
 	@Test
 	public void whatCanNeverFitIsRefusedAtOnce() {
 		CallerMemory memory = new CallerMemory(1_000);
