Count the answers to rejected requests as held memory

The answer to a rejected request was subtracted from the account of its connection when it was written, but never added. Until the connection ended, up to 2 s later, the used memory was too low by some 2 KB for each such connection.

The new test failed before: 0 bytes expected, -2,108 found.

--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -337,6 +337,7 @@
 				? HeaderFields.of(List.of("Retry-After", MEMORY_RETRY_AFTER_SECONDS)) : HeaderFields.NONE;
 		OutgoingResponse response = new OutgoingResponse(status, headers, body, true);
 		this.rejected = true;
+		this.account.addAnswer(bytes(response));
 		this.responses
 			.add(new PendingResponse("", CompletableFuture.completedFuture(response), true, new Cancellation()));
 		return false;
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -154,6 +154,21 @@
 		}
 	}
 
+	/**
+	 * Guards against the answer to a rejected request that is subtracted from the used
+	 * memory without having been added.
+	 */
+	@Test
+	public void answerToARejectedRequestLeavesTheMemoryBalanced() throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, "no request\r\n\r\n");
+			Assert.assertTrue(
+					new BufferedReader(new InputStreamReader(socket.getInputStream())).readLine().contains("400"));
+			awaitZero(this.listener::unansweredRequests);
+			awaitZero(() -> (int) this.listener.heldBytes());
+		}
+	}
+
 	@Test
 	public void requestCountsAsUnansweredUntilItsResponseIsWritten() throws Exception {
 		try (Socket socket = connect()) {
