Answer Expect: 100-continue before reading a body

A caller that held back its body until it was asked for it waited until its own timeout, or got 408 if that was longer than the time for a read. RFC 9110, section 10.1.1, requires an interim or a final response. The reader of the connection sends 100 Continue when all earlier responses are written, so that it never writes beside the writer.

The new test failed before: the request ended without 100 Continue.

--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -19,6 +19,7 @@
 import io.lavenderroad.core.http.ResponseReader;
 import io.lavenderroad.model.CallerLimits;
 import io.vavr.control.Either;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
@@ -75,6 +76,8 @@
 	 */
 	private static final String MEMORY_RETRY_AFTER_SECONDS = "1";
 
+	private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
 	private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
 	private static final CompletableFuture<Void> COMPLETED = CompletableFuture.completedFuture(null);
@@ -277,6 +280,9 @@
 			return reject(HttpStatus.SC_BAD_REQUEST, CallerRefusals.Reason.MALFORMED,
 					target.isLeft() ? target.getLeft() : "the request target names another host than the Host field");
 		}
+		if (awaitsContinue(head, headers, limits) && !sendContinue()) {
+			return false;
+		}
 		byte[] body = MessageBody.readRequest(head, this.reader, limits.maximumBodyBytes(), this.account);
 		if (body == null) {
 			return reject(HttpStatus.SC_REQUEST_TOO_LONG, CallerRefusals.Reason.BODY_TOO_LARGE,
@@ -303,6 +309,32 @@
 		return !last;
 	}
 
+	private static boolean awaitsContinue(RequestHead head, HeaderFields headers, CallerLimits limits) {
+		boolean hasBody = head.bodyLength() != 0 && head.bodyLength() != ContentLengthStrategy.UNDEFINED;
+		return hasBody && head.bodyLength() <= limits.maximumBodyBytes() && head.persistent()
+				&& headers.text("Expect").equalsIgnoreCase("100-continue");
+	}
+
+	/**
+	 * Tells the caller to send the body that it holds back (RFC 9110, section 10.1.1).
+	 * Waits until all earlier responses are written; until this request is in the queue,
+	 * the writer writes nothing.
+	 * @return false if the connection is closed after an earlier response
+	 * @throws IOException if the connection fails
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	private boolean sendContinue() throws IOException, InterruptedException {
+		if (!this.responses.awaitWritten()) {
+			return false;
+		}
+		if (!this.reader.hasBufferedData()) {
+			beginWriting();
+			this.socket.getOutputStream().write(CONTINUE);
+			this.writingSinceMillis = 0;
+		}
+		return true;
+	}
+
 	private void run(IncomingRequest request, CompletableFuture<OutgoingResponse> response, HeldRequest held) {
 		OutgoingResponse answer = handle(request);
 		this.account.addAnswer(bytes(answer));
--- a/node/src/main/java/io/lavenderroad/node/http/ResponseQueue.java
+++ b/node/src/main/java/io/lavenderroad/node/http/ResponseQueue.java
@@ -80,6 +80,24 @@
 		}
 	}
 
+	/**
+	 * Waits until all responses are written.
+	 * @return false if the connection is closed after one of them
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	boolean awaitWritten() throws InterruptedException {
+		this.lock.lockInterruptibly();
+		try {
+			while (!this.closed && !this.pending.isEmpty()) {
+				this.changed.await();
+			}
+			return !this.closed;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
 	/**
 	 * Waits for the response that is to be written next. It stays in the queue.
 	 * @return the response, or empty if all are written and no further one can follow
--- a/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/HttpListenerTests.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -169,6 +170,28 @@
 		}
 	}
 
+	/**
+	 * Guards against a caller that holds back its body until it is asked for and is
+	 * refused as too slow.
+	 */
+	@Test
+	public void callerThatExpectsContinueIsAskedForItsBody() throws IOException {
+		try (Socket socket = connect()) {
+			String head = "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n";
+			send(socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n" + head + "Connection: close\r\n\r\n");
+			InputStream input = socket.getInputStream();
+			String answers = "";
+			while (!answers.endsWith(" 100 Continue\r\n\r\n")) {
+				int next = input.read();
+				Assert.assertTrue(next >= 0, answers);
+				answers += (char) next;
+			}
+			Assert.assertTrue(answers.contains("/a HTTP/1.1 100"), answers);
+			send(socket, "ab");
+			Assert.assertTrue(new String(input.readAllBytes(), StandardCharsets.ISO_8859_1).endsWith("/b ab"));
+		}
+	}
+
 	@Test
 	public void requestCountsAsUnansweredUntilItsResponseIsWritten() throws Exception {
 		try (Socket socket = connect()) {
