Try restricted servers in spite of their earlier service time

The service time that a server reports stays that of its trouble until further calls show another one. Senders left such a server out also after its recovery. A restricted server below half of its pace is now left out only for its failures; its service time reduces its weight.

--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -61,10 +61,11 @@
 	public Optional<EndpointLoad> choose(List<EndpointLoad> candidates, BalancingContext context) {
 		List<Scored> scored = new ArrayList<>(candidates.size());
 		double average = averageServiceMillis(candidates, context.nowMillis());
+		double shortest = shortestServiceMillis(candidates, context.nowMillis());
 		double best = Double.MAX_VALUE;
 		for (EndpointLoad candidate : candidates) {
 			if (context.allows(candidate)) {
-				Scored entry = score(candidate, context, average);
+				Scored entry = score(candidate, context, average, shortest);
 				scored.add(entry);
 				best = Math.min(best, entry.millis());
 			}
@@ -86,7 +87,7 @@
 		return scored.isEmpty() ? Optional.empty() : Optional.of(scored.getLast().endpoint());
 	}
 
-	private static Scored score(EndpointLoad load, BalancingContext context, double average) {
+	private static Scored score(EndpointLoad load, BalancingContext context, double average, double shortest) {
 		double observed = load.serviceMillis(context.nowMillis());
 		double service = ((observed > 0) ? observed : average) * load.slowness(context.nowMillis());
 		int slots = Math.max(1, load.endpoint().slots());
@@ -96,7 +97,12 @@
 		// endpoint must get calls, since only answers raise its pace.
 		boolean full = calls >= Math.max(1, slots * share);
 		double utilization = (calls + 1.0) / (full ? Math.max(1, slots * share) : slots);
-		double millis = service * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
+		// The service time of a restricted server stays that of its trouble until further
+		// calls show another one. While it is below half of its pace, the service time
+		// reduces its weight and does not exclude it.
+		boolean tried = share < 1 && calls + 1 <= slots * share / 2;
+		double compared = tried ? Math.min(service, shortest) : service;
+		double millis = compared * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
 		millis *= 1 + ERROR_PENALTY * load.errorShare(context.nowMillis());
 		if (!load.endpoint().failureDomain().equals(context.failureDomain())) {
 			millis *= REMOTE_PENALTY;
@@ -114,6 +120,14 @@
 			.orElse(1);
 	}
 
+	private static double shortestServiceMillis(List<EndpointLoad> candidates, long nowMillis) {
+		return candidates.stream()
+			.mapToDouble((candidate) -> candidate.serviceMillis(nowMillis))
+			.filter((millis) -> millis > 0)
+			.min()
+			.orElse(1);
+	}
+
 	/**
 	 * An endpoint that may get the call.
 	 *
