Do not take a pause for a slow server

All calls that run during a pause of the server or of its node end late together, which looked like a series of slow answers and restricted a sound server. A series now counts only if a call that started after its first answer is slow too. Answers of calls that are older than the last reduction no longer count as slowness of a restricted server, and a good answer does not reduce its limit.

--- a/policy/src/main/java/io/lavenderroad/policy/calls/Pace.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/Pace.java
@@ -24,7 +24,8 @@
 	static final int FAILURE_SERIES = 5;
 
 	/**
-	 * Answers in a row with a slowdown above {@link #FAR_ABOVE} that begin a restriction.
+	 * Answers in a row with a smoothed slowdown above {@link #FAR_ABOVE} that begin a
+	 * restriction.
 	 */
 	static final int SLOW_SERIES = 8;
 
@@ -113,6 +114,11 @@
 
 	private int slowInRow;
 
+	/**
+	 * When the present series of slow answers began.
+	 */
+	private long slowSinceMillis;
+
 	private double slowdown = 1;
 
 	/**
@@ -237,21 +243,36 @@
 	private void answered(String route, long startMillis, long nowMillis, double serviceMillis) {
 		this.failuresInRow = 0;
 		Baseline baseline = baseline(route);
-		baseline.slowdown(serviceMillis)
-			.ifPresent((measured) -> this.slowdown += SLOWDOWN_WEIGHT
-					* (Math.min(MAXIMUM_SLOWDOWN, measured) - this.slowdown));
+		double measured = Math.min(MAXIMUM_SLOWDOWN, baseline.slowdown(serviceMillis).orElse(this.slowdown));
 		baseline.record(serviceMillis, this.cause != null);
+		if (this.cause != null && startMillis < this.reducedMillis) {
+			return;
+		}
+		this.slowdown += SLOWDOWN_WEIGHT * (measured - this.slowdown);
 		if (this.cause == null) {
-			this.slowInRow = (this.slowdown > FAR_ABOVE) ? this.slowInRow + 1 : 0;
-			if (this.slowInRow >= SLOW_SERIES) {
-				restrict(Cause.SLOW, nowMillis);
-			}
+			countSlow(startMillis, nowMillis, measured);
+		}
+		else if (this.slowdown <= TOO_SLOW) {
+			raise();
 		}
-		else if (this.slowdown > TOO_SLOW) {
+		else if (measured > TOO_SLOW) {
 			reduce(startMillis, nowMillis, this.slots * SHARE_WHEN_SLOW);
 		}
-		else if (startMillis >= this.reducedMillis) {
-			raise();
+	}
+
+	// A pause of the server or of this node delays all calls that run during it. Only
+	// slow calls that started after the first slow answer show that it lasts.
+	private void countSlow(long startMillis, long nowMillis, double measured) {
+		if (this.slowdown <= FAR_ABOVE) {
+			this.slowInRow = 0;
+			return;
+		}
+		if (this.slowInRow == 0) {
+			this.slowSinceMillis = nowMillis;
+		}
+		this.slowInRow++;
+		if (this.slowInRow >= SLOW_SERIES && measured > TOO_SLOW && startMillis >= this.slowSinceMillis) {
+			restrict(Cause.SLOW, nowMillis);
 		}
 	}
 
--- a/policy/src/test/java/io/lavenderroad/policy/calls/PaceTests.java
+++ b/policy/src/test/java/io/lavenderroad/policy/calls/PaceTests.java
@@ -81,6 +81,11 @@
 		}
 	}
 
+	@DataProvider
+	Object[][] seeds() {
+		return LongStream.range(0, SEEDS).mapToObj((seed) -> new Object[] { seed }).toArray(Object[][]::new);
+	}
+
 	@Test
 	public void soundServersHaveTheirFullShareAfterAFewRoundTrips() {
 		// Ten service times of 50 ms. Shares of single runs vary with the choice by
@@ -100,6 +105,16 @@
 		Assert.assertTrue(share >= 0.9, "share after ten service times " + share);
 	}
 
+	@Test(dataProvider = "seeds")
+	public void ordinaryLoadRestrictsNoSoundServer(long seed) {
+		PaceSimulation simulation = new PaceSimulation(COUNT, 0, SENDERS, (millis) -> 1, seed);
+		simulation.useOrdinaryLoad();
+		simulation.run(UTILIZATION, 60_000);
+		for (int index = 0; index < COUNT; index++) {
+			Assert.assertEquals(simulation.server(index).restrictions(), 0, "restrictions of server " + index);
+		}
+	}
+
 	@DataProvider
 	Object[][] fleets() {
 		return new Object[][] { { 66 }, { 1_000 } };
@@ -154,6 +169,37 @@
 		Assert.assertTrue(pace.limit() >= 2, "limit " + pace.limit());
 	}
 
+	@Test
+	public void pauseThatDelaysOnlyRunningCallsDoesNotRestrict() {
+		Pace pace = new Pace(16, new Random(1));
+		end(pace, 0, Pace.Outcome.ANSWERED, 5, 500);
+		for (int call = 0; call < 32; call++) {
+			pace.started();
+		}
+		for (int call = 0; call < 16; call++) {
+			pace.ended("route", 600, 700, Pace.Outcome.ANSWERED, 100);
+		}
+		for (int call = 0; call < 16; call++) {
+			pace.ended("route", 701, 706, Pace.Outcome.ANSWERED, 5);
+		}
+		Assert.assertTrue(pace.cause().isEmpty(), "restricted by " + pace.cause());
+	}
+
+	@Test
+	public void answersOfEarlierCallsAreNoSetbackOfARestriction() {
+		Pace pace = new Pace(8, new Random(1));
+		end(pace, 0, Pace.Outcome.ANSWERED, 5, 20);
+		for (int call = 0; call < 8; call++) {
+			pace.started();
+		}
+		pace.restrict(Pace.Cause.RETURNED, 100);
+		for (int call = 0; call < 8; call++) {
+			pace.ended("route", 50, 200, Pace.Outcome.ANSWERED, 150);
+		}
+		end(pace, 201, Pace.Outcome.ANSWERED, 5, 8);
+		Assert.assertTrue(pace.cause().isEmpty(), "limit " + pace.limit());
+	}
+
 	@Test
 	public void limitStaysLowWhileTheRateOfAColdServerIsLimited() {
 		Pace pace = new Pace(12, new Random(1));
