--- a/control/src/main/java/io/lavenderroad/control/api/ApiJson.java
+++ b/control/src/main/java/io/lavenderroad/control/api/ApiJson.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.lavenderroad.control.api.ConvergenceView.Convergence;
@@ -25,6 +26,8 @@
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.rendering.Difference;
 import io.lavenderroad.model.rendering.ServiceDifference;
+import io.lavenderroad.policy.quota.QuotaTimes;
+import io.lavenderroad.policy.quota.TeamUse;
 
 /**
  * Encodes the responses of the API as JSON.
@@ -58,6 +61,26 @@
 		return write(body);
 	}
 
+	static String evacuations(SortedMap<String, Integer> endpointsByDomain) {
+		List<Object> domains = new ArrayList<>();
+		endpointsByDomain.forEach((failureDomain, count) -> {
+			Map<String, Object> item = new LinkedHashMap<>();
+			item.put("failureDomain", failureDomain);
+			item.put("acceptingEndpoints", count);
+			domains.add(item);
+		});
+		return write(Map.of("evacuations", domains));
+	}
+
+	static String evacuation(String failureDomain, boolean evacuated, long version) {
+		Map<String, Object> body = new LinkedHashMap<>();
+		body.put("verdict", ExecutionVerdict.RAN.label());
+		body.put("failureDomain", failureDomain);
+		body.put("evacuated", evacuated);
+		body.put("version", version);
+		return write(body);
+	}
+
 	static String dryRun(DryRun dryRun) {
 		Map<String, Object> body = new LinkedHashMap<>();
 		body.put("baseVersion", dryRun.baseVersion());
@@ -105,6 +128,24 @@
 		return write(Map.of("members", items));
 	}
 
+	static String teams(List<TeamUse> uses) {
+		List<Object> items = new ArrayList<>();
+		for (TeamUse use : uses) {
+			Map<String, Object> item = new LinkedHashMap<>();
+			item.put("team", use.team());
+			item.put("requestsPerSecond", use.quota().requestsPerSecond());
+			item.put("burst", use.quota().burst());
+			item.put("grantedInWindow", use.granted());
+			item.put("refusedInWindow", use.refused());
+			item.put("refusedTotal", use.refusedTotal());
+			items.add(item);
+		}
+		Map<String, Object> body = new LinkedHashMap<>();
+		body.put("windowMillis", QuotaTimes.WINDOW_MILLIS);
+		body.put("teams", items);
+		return write(body);
+	}
+
 	static String nodes(long version, Convergence convergence) {
 		Map<String, Object> body = new LinkedHashMap<>();
 		body.put("version", version);
--- a/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
+++ b/control/src/main/java/io/lavenderroad/control/api/OperatorApi.java
@@ -21,9 +21,11 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+import io.lavenderroad.control.state.ChangeRefusal;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.CommandFailure;
 import io.lavenderroad.control.state.CommandOutcome;
+import io.lavenderroad.control.state.EvacuationOrders;
 import io.lavenderroad.control.state.MeshStateMachine;
 import io.lavenderroad.control.state.MoveService;
 import io.lavenderroad.control.state.ReadConfirmation;
@@ -32,6 +34,7 @@
 import io.lavenderroad.model.Change;
 import io.lavenderroad.model.ChangeOutcome;
 import io.lavenderroad.model.rendering.MeshRenderer;
+import io.lavenderroad.policy.quota.TeamUse;
 import io.vavr.control.Either;
 import org.tinylog.Logger;
 
@@ -95,6 +98,8 @@
 
 	private final MoveService moves;
 
+	private final EvacuationOrders evacuations;
+
 	private final ReadConfirmation confirmation;
 
 	private final MemberAdministration members;
@@ -105,6 +110,8 @@
 
 	private final Map<String, HttpHandler> additionalHandlers = new TreeMap<>();
 
+	private Supplier<List<TeamUse>> teamUses = List::of;
+
 	private HttpServer server;
 
 	private ExecutorService executor;
@@ -114,17 +121,19 @@
 	 * @param stateMachine state machine of this member
 	 * @param changes applies changes of documents
 	 * @param moves withdraws moves
+	 * @param evacuations begins and finishes evacuations
 	 * @param confirmation makes reads linearizable
 	 * @param members administration of the members
 	 * @param convergence versions that are active on nodes
 	 * @param metrics supplies the metrics as text
 	 */
 	public OperatorApi(MeshStateMachine stateMachine, ChangeService changes, MoveService moves,
-			ReadConfirmation confirmation, MemberAdministration members, ConvergenceView convergence,
-			Supplier<String> metrics) {
+			EvacuationOrders evacuations, ReadConfirmation confirmation, MemberAdministration members,
+			ConvergenceView convergence, Supplier<String> metrics) {
 		this.stateMachine = stateMachine;
 		this.changes = changes;
 		this.moves = moves;
+		this.evacuations = evacuations;
 		this.confirmation = confirmation;
 		this.members = members;
 		this.convergence = convergence;
@@ -139,6 +148,14 @@
 		this.additionalHandlers.putAll(added);
 	}
 
+	/**
+	 * Sets the source of the use of quotas. Must be called before the start.
+	 * @param uses supplies the use of each team with a quota, on the leader
+	 */
+	public void teamUses(Supplier<List<TeamUse>> uses) {
+		this.teamUses = uses;
+	}
+
 	/**
 	 * Starts the server.
 	 * @param address address to bind; port 0 selects a free port
@@ -225,7 +242,10 @@
 			case "v1/history" -> get(method, segments, 2, () -> history(exchange.getRequestURI().getRawQuery()));
 			case "v1/configuration" -> get(method, segments, 2, this::configuration);
 			case "v1/moves" -> moves(method, segments, body, exchange.getRequestURI().getRawQuery());
+			case "v1/evacuations" -> evacuations(method, segments);
 			case "v1/members" -> members(method, segments, body);
+			case "v1/teams" -> get(method, segments, 2, () -> afterConfirmation(
+					() -> ApiResponse.json(ApiResponse.OK, ApiJson.teams(this.teamUses.get()))));
 			case "v1/nodes" -> get(method, segments, 2, () -> ApiResponse.json(ApiResponse.OK,
 					ApiJson.nodes(this.stateMachine.configuration().version(), this.convergence.convergence())));
 			default -> unknownPath();
@@ -337,6 +357,33 @@
 		});
 	}
 
+	private ApiResponse evacuations(String method, List<String> segments) {
+		if (segments.size() != 3) {
+			return get(method, segments, 2, () -> this.evacuations.evacuated()
+				.fold(ApiResponse::of, (counts) -> ApiResponse.json(ApiResponse.OK, ApiJson.evacuations(counts))));
+		}
+		String failureDomain = segments.get(2);
+		return switch (method) {
+			case "PUT" -> evacuation(failureDomain, true, this.evacuations.begin(failureDomain));
+			case "DELETE" -> evacuation(failureDomain, false, this.evacuations.finish(failureDomain));
+			default -> methodNotAllowed("PUT and DELETE");
+		};
+	}
+
+	private static ApiResponse evacuation(String failureDomain, boolean evacuated,
+			Either<ChangeRefusal, Optional<CommandOutcome>> result) {
+		if (result.isLeft()) {
+			return ApiResponse.of(result.getLeft());
+		}
+		if (result.get().isEmpty()) {
+			return ApiResponse.notRun(ApiResponse.NOT_FOUND, "failure domain " + failureDomain + " is unknown");
+		}
+		CommandOutcome outcome = result.get().get();
+		return outcome.applied()
+				? ApiResponse.json(ApiResponse.OK, ApiJson.evacuation(failureDomain, evacuated, outcome.version()))
+				: ApiResponse.notRun(ApiResponse.CONFLICT, outcome.reason());
+	}
+
 	private ApiResponse members(String method, List<String> segments, byte[] body) {
 		if (segments.size() == 2 && method.equals("POST")) {
 			return post(method, segments, 2, body, this::addMember);
--- a/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
+++ b/control/src/test/java/io/lavenderroad/control/api/OperatorApiTests.java
@@ -24,6 +24,8 @@
 import io.lavenderroad.control.state.TestMesh;
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.model.Change;
+import io.lavenderroad.model.Quota;
+import io.lavenderroad.policy.quota.TeamUse;
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
@@ -49,8 +51,8 @@
 		this.mesh = new TestMesh();
 		Convergence convergence = new Convergence(new TreeMap<>(Map.of(0L, 1, 1L, 9)),
 				List.of(new LaggingNode("soweto-1", 0, 700)), List.of());
-		this.api = new OperatorApi(this.mesh.stateMachine, this.mesh.changes, this.mesh.moves, this.mesh::confirm,
-				new FakeMembers(), () -> convergence, () -> "changes 1\n");
+		this.api = new OperatorApi(this.mesh.stateMachine, this.mesh.changes, this.mesh.moves, this.mesh.evacuations,
+				this.mesh::confirm, new FakeMembers(), () -> convergence, () -> "changes 1\n");
 		this.address = this.api.start(new InetSocketAddress("127.0.0.1", 0));
 	}
 
@@ -71,6 +73,16 @@
 		}
 	}
 
+	// Operators must see the quota of a team together with its refusals.
+	@Test
+	public void teamsShowLimitAndUse() throws Exception {
+		this.api.teamUses(() -> List.of(new TeamUse("orders", new Quota(13.5, 20), 60, 7, 9)));
+		HttpResponse<String> response = send("GET", "/v1/teams", "");
+		Assert.assertEquals(response.body().replaceAll("\\s", ""),
+				"{\"windowMillis\":5000,\"teams\":[{\"team\":\"orders\",\"requestsPerSecond\":13.5,"
+						+ "\"burst\":20.0,\"grantedInWindow\":60,\"refusedInWindow\":7,\"refusedTotal\":9}]}");
+	}
+
 	@Test
 	public void conflictNamesTheAcceptedChange() throws Exception {
 		send("POST", "/v1/changes", change("change-1", 0, "v1"));
@@ -119,6 +131,18 @@
 		Assert.assertEquals(send("POST", "/v1/moves/none/withdraw", "{\"operator\":\"thandi\"}").statusCode(), 409);
 	}
 
+	@Test
+	public void evacuationIsOrderedListedAndWithdrawn() throws Exception {
+		Assert.assertEquals(send("PUT", "/v1/evacuations/nowhere", "").statusCode(), 404);
+		Assert.assertEquals(json(send("PUT", "/v1/evacuations/north", "")).get("evacuated"), true);
+		Assert.assertTrue(send("GET", "/v1/evacuations", "").body().contains("\"north\""));
+		Assert.assertEquals(json(send("DELETE", "/v1/evacuations/north", "")).get("version"), 2);
+		Assert.assertFalse(send("GET", "/v1/evacuations", "").body().contains("north"));
+		Assert.assertEquals(send("POST", "/v1/evacuations/north", "").statusCode(), 405);
+		this.mesh.leads = false;
+		Assert.assertEquals(send("PUT", "/v1/evacuations/nowhere", "").statusCode(), 421);
+	}
+
 	@Test
 	public void invalidBodiesGetBadRequest() throws Exception {
 		for (String body : List.of("", "[]", "null", "{", "{\"put\":3}", "\"text\"", "{\"changeId\":1}", "[[[[",
--- a/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/SettingsBinding.java
@@ -162,12 +162,21 @@
 		return seeds;
 	}
 
+	// A mapping of failure domains to regions is accepted like a list of failure domains.
 	private static Set<String> failureDomains(YamlNode node, String role) {
 		if (node.isPresent() && !role.equals(CONTROL_ROLE)) {
 			node.addProblem("failure domains", "no such key for this role");
 		}
 		Set<String> failureDomains = new HashSet<>();
-		node.items().forEach((item) -> failureDomains.add(name(item)));
+		if (node.isMapping()) {
+			node.keys().forEach((key) -> {
+				node.child(key).text();
+				failureDomains.add(key);
+			});
+		}
+		else {
+			node.items().forEach((item) -> failureDomains.add(name(item)));
+		}
 		return failureDomains;
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendFailure;
@@ -35,7 +36,10 @@
 
 	private final String authority;
 
-	BackendClient(BackendExchange exchange, CallDialect dialect, String authority) {
+	private final BooleanSupplier hasTeams;
+
+	BackendClient(BackendExchange exchange, CallDialect dialect, String authority, BooleanSupplier hasTeams) {
+		this.hasTeams = hasTeams;
 		this.exchange = exchange;
 		this.dialect = dialect;
 		this.authority = authority;
@@ -48,11 +52,11 @@
 	 * none
 	 * @param remainingMillis time until the deadline
 	 * @param cancellation ends the exchange early
-	 * @param onUnreachable runs if the backend server accepts no connection
+	 * @param observer receives what the exchange shows about the backend server
 	 * @return the outcome
 	 */
 	CallAnswer run(CallRequest request, String backendId, long remainingMillis, Cancellation cancellation,
-			Runnable onUnreachable) {
+			BackendObserver observer) {
 		if (!request.target().startsWith("/")) {
 			return CallAnswer.notRun(HttpStatus.BAD_REQUEST, "path does not start with a slash");
 		}
@@ -60,14 +64,15 @@
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "caller has gone");
 		}
 		ForwardedCallTerms terms = new ForwardedCallTerms(Math.max(1, remainingMillis - MARGIN_MILLIS),
-				request.attemptBudget(), request.metadata().callerService(), backendId);
-		HeaderFields fields = this.dialect.backendFields(HeaderFields.of(request.headers()), terms);
+				request.attemptBudget(), request.metadata().callerService(), backendId, request.metadata().team());
+		HeaderFields fields = this.dialect.backendFields(passed(request), terms);
 		BackendRequest sent = new BackendRequest(request.method(), request.target(), fields, request.body(),
 				(answer) -> this.dialect.match(fields, answer), this::isNotRun);
 		Either<BackendFailure, BackendResponse> response = this.exchange.run(sent, remainingMillis, cancellation);
 		if (response.isLeft() && response.getLeft().kind() == BackendFailure.Kind.UNREACHABLE) {
-			onUnreachable.run();
+			observer.unreachable();
 		}
+		response.forEach((answer) -> observer.answered(this.dialect.serverLoad(answer.headers()), coldMillis(answer)));
 		return response.fold(BackendClient::failure, this::answer);
 	}
 
@@ -92,6 +97,14 @@
 		return this.dialect.coldMillis(response.headers());
 	}
 
+	// The entry node has selected the fields. If teams exist here but not yet in its
+	// configuration, it has passed on an access key.
+	private HeaderFields passed(CallRequest request) {
+		HeaderFields fields = HeaderFields.of(request.headers());
+		return this.hasTeams.getAsBoolean() ? fields.endToEnd((name) -> this.dialect.forwardsRequestField(name, true))
+				: fields;
+	}
+
 	private CallAnswer answer(BackendResponse response) {
 		if (isNotRun(response)) {
 			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server shed the request").asBackendRefusal();
--- a/node/src/main/java/io/lavenderroad/node/CallDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/CallDialect.java
@@ -1,5 +1,6 @@
 package io.lavenderroad.node;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.lavenderroad.core.kernel.ExtensionPoint;
@@ -35,12 +36,25 @@
 	boolean supportsIdempotencyKeys();
 
 	/**
-	 * Returns whether a node forwards a field. Hop-by-hop fields are never forwarded.
+	 * Returns whether a node forwards a field of an answer, and of a request unless
+	 * {@link #forwardsRequestField} says otherwise. Hop-by-hop fields are never
+	 * forwarded.
 	 * @param name name of the field in lower case
 	 * @return true to forward it
 	 */
 	boolean forwards(String name);
 
+	/**
+	 * Returns whether a node forwards a field of a request. Fields that carry access keys
+	 * are not forwarded if the mesh has teams.
+	 * @param name name of the field in lower case
+	 * @param teams whether the mesh has teams
+	 * @return true to forward it
+	 */
+	default boolean forwardsRequestField(String name, boolean teams) {
+		return forwards(name);
+	}
+
 	/**
 	 * Adds the fields that a backend server expects.
 	 * @param passed forwarded fields of the caller
@@ -58,6 +72,15 @@
 	 */
 	boolean isNotRun(int status, HeaderFields headers);
 
+	/**
+	 * Reads the load that a backend server states in one of its answers.
+	 * @param answer fields of the answer
+	 * @return the load, or empty if the answer states none or an impossible one
+	 */
+	default Optional<ServerLoad> serverLoad(HeaderFields answer) {
+		return Optional.empty();
+	}
+
 	/**
 	 * Reads how much longer a backend server stays cold from one of its answers.
 	 * @param answer fields of the answer
--- a/node/src/main/java/io/lavenderroad/node/CallRouter.java
+++ b/node/src/main/java/io/lavenderroad/node/CallRouter.java
@@ -39,6 +39,13 @@
 	 */
 	private static final Backoff UNREACHABLE_BACKOFF = new Backoff(500, 5_000);
 
+	/**
+	 * Share of the target latency within which an endpoint in the failure domain of the
+	 * caller must be expected to answer to be preferred to remote ones. The rest covers
+	 * the spread of service times.
+	 */
+	private static final double LOCAL_SHARE_OF_TARGET = 0.5;
+
 	private final Clock clock;
 
 	private final RandomGenerator random;
@@ -92,7 +99,7 @@
 				(name) -> new RetryBudget(this.retryBurst));
 		budget.call(call.service().limits().retryBudgetBasisPoints());
 		CallPriority callPriority = this.calledServices.recordCall(call.service().name(), call.rules().route(),
-				call.rules().priority(), call.deadlineMillis());
+				call.rank(), call.deadlineMillis());
 		RetryDecision retry = new RetryDecision(call.rules(), call.attemptBudget() + 1, budget);
 		List<EndpointLoad> tried = new ArrayList<>(2);
 		ExecutionVerdict earlier = ExecutionVerdict.NOT_RUN;
@@ -166,7 +173,7 @@
 			long remaining) {
 		long latencyObjectiveMillis = Math.clamp(call.objectiveMillis() - this.clock.millis(), 0, Integer.MAX_VALUE);
 		CallMetadata metadata = new CallMetadata(call.requestId(), this.self.service(), call.rules().idempotent(),
-				callPriority.origin(), callPriority.priority(), (int) latencyObjectiveMillis);
+				callPriority.origin(), callPriority.priority(), (int) latencyObjectiveMillis, call.teamName());
 		CallRequest request = new CallRequest(this.callIds.incrementAndGet(), call.service().name(), endpoint.version(),
 				call.rules().route(), call.method(), call.target(), call.headers(), call.body(), call.customer(),
 				call.key(), (int) Math.min(remaining, Integer.MAX_VALUE), attemptBudget, metadata);
@@ -193,7 +200,7 @@
 		long now = this.clock.millis();
 		ServerReport report = answer.report();
 		if (report.isKnown()) {
-			target.recordReport(now, report.load(), report.serviceMillis());
+			target.recordReport(now, report.load(), report.serviceMillis(), report.pace(), report.slownessPercent());
 		}
 		this.calledServices.recordReport(call.service().name(), call.rules().route(), callPriority.priority(), report);
 		if (answer.verdict() != ExecutionVerdict.NOT_RUN && answer.isObservation()) {
@@ -218,7 +225,8 @@
 	private Optional<EndpointLoad> choose(RoutedCall call, CallPriority callPriority, Collection<EndpointLoad> tried) {
 		ServiceConfiguration service = call.service();
 		BalancingContext context = new BalancingContext(this.self.failureDomain(), this.clock.millis(), tried,
-				this.random, balancingPriority(callPriority));
+				this.random, balancingPriority(callPriority),
+				call.rules().targetLatencyMillis() * LOCAL_SHARE_OF_TARGET);
 		List<String> versions = VersionChoice.order(this.withdrawn.split(service),
 				service.move().map(MoveParameters::from), this.random);
 		for (String version : versions) {
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -9,11 +9,12 @@
 import io.lavenderroad.core.wire.MessageType;
 import io.lavenderroad.core.wire.WireException;
 import io.lavenderroad.policy.calls.CallOrigin;
+import io.lavenderroad.policy.quota.QuotaMessages;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Messages between nodes. Their codes are 300 to 349.
+ * Messages between nodes, codes 300 to 349, and those about quotas.
  */
 public final class NodeMessages {
 
@@ -35,7 +36,8 @@
 			new MessageType<>(CANCEL_CALL, CancelCall.class, (message, packer) -> packer.packLong(message.callId()),
 					(unpacker) -> new CancelCall(unpacker.unpackLong())));
 
-	private static final List<MessageType<?>> TYPES = Stream.concat(CALL_TYPES.stream(), KeyMessages.TYPES.stream())
+	private static final List<MessageType<?>> TYPES = Stream.of(CALL_TYPES, KeyMessages.TYPES, QuotaMessages.types())
+		.flatMap(List::stream)
 		.toList();
 
 	private NodeMessages() {
@@ -59,6 +61,8 @@
 		packer.packInt(answer.report().serviceMillis());
 		packer.packInt(answer.report().origin().ordinal());
 		packer.packDouble(answer.report().startShare());
+		packer.packDouble(answer.report().pace());
+		packer.packInt(answer.report().slownessPercent());
 		packer.packInt(answer.avoidance().scope().ordinal());
 		packer.packInt(answer.avoidance().millis());
 		packer.packBoolean(answer.received());
@@ -72,7 +76,14 @@
 
 	private static ServerReport report(MessageUnpacker unpacker) throws IOException {
 		return new ServerReport(unpacker.unpackInt(), unpacker.unpackInt(), constant(ORIGINS, unpacker),
-				share(unpacker.unpackDouble()));
+				share(unpacker.unpackDouble()), share(unpacker.unpackDouble()), slowness(unpacker.unpackInt()));
+	}
+
+	private static int slowness(int percent) {
+		if (percent <= 0) {
+			throw new WireException("slowness " + percent + "% is not above 0");
+		}
+		return percent;
 	}
 
 	private static double share(double value) {
@@ -105,6 +116,7 @@
 		packer.packInt(request.metadata().origin().ordinal());
 		packer.packInt(request.metadata().priority());
 		packer.packInt(request.metadata().latencyObjectiveMillis());
+		packer.packString(request.metadata().team());
 	}
 
 	private static CallRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
@@ -113,7 +125,8 @@
 				Fields.unpackBytes(unpacker), unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackInt(),
 				unpacker.unpackInt(),
 				new CallMetadata(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(),
-						constant(ORIGINS, unpacker), unpacker.unpackInt(), unpacker.unpackInt()));
+						constant(ORIGINS, unpacker), unpacker.unpackInt(), unpacker.unpackInt(),
+						unpacker.unpackString()));
 	}
 
 	private static List<String> headers(MessageUnpacker unpacker) throws IOException {
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricSet;
@@ -35,11 +36,16 @@
 import io.lavenderroad.model.MeshView;
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendPool;
+import io.lavenderroad.node.http.CallerMemory;
+import io.lavenderroad.node.http.CallerRefusals;
 import io.lavenderroad.node.http.HttpListener;
 import io.lavenderroad.node.http.KeepAlive;
 import io.lavenderroad.policy.calls.BalancingPolicy;
 import io.lavenderroad.policy.calls.RetryBudget;
 import io.lavenderroad.policy.calls.TwoChoices;
+import io.lavenderroad.policy.quota.QuotaGrant;
+import io.lavenderroad.policy.quota.QuotaLeases;
+import io.lavenderroad.policy.quota.QuotaRequest;
 import org.tinylog.Logger;
 
 /**
@@ -100,6 +106,8 @@
 
 	private final CallDialect dialect;
 
+	private final QuotaClient quotas;
+
 	private final EvidenceRecorder evidence = new EvidenceRecorder();
 
 	private final WithdrawnVersions withdrawn;
@@ -129,42 +137,69 @@
 		this.timer = newTimer();
 		this.pool = new BackendPool(parse(Objects.requireNonNull(builder.backendAddress, "backendAddress")),
 				this.clock);
-		BackendExchange exchange = new BackendExchange(this.pool, this.timer, builder.maximumAnswerBytes,
+		CallerMemory callerMemory = callerMemory(builder.maximumAnswerBytes);
+		BackendExchange exchange = new BackendExchange(this.pool, callerMemory, this.timer, builder.maximumAnswerBytes,
 				KeepAlive::millis);
-		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress);
+		this.backend = new BackendClient(exchange, this.dialect, builder.backendAddress,
+				() -> this.view.configuration().filter((active) -> !active.teams().isEmpty()).isPresent());
 		this.localBackend = localBackend(builder, self);
 		this.directory = new EndpointDirectory(this.view, this.clock);
 		WireOptions wireOptions = Objects.requireNonNull(builder.wireOptions, "wireOptions");
 		long connectWaitMillis = Math.min(builder.connectWaitMillis, wireOptions.connectTimeoutMillis());
 		this.connections = new PeerConnections(wireOptions, connectWaitMillis, this.handler);
+		this.quotas = new QuotaClient(this.clock, new QuotaLeases(self.nodeId(), wireOptions.hello().incarnation()),
+				new LeaderSearch(this.clock, builder.controlMembers, this.connections.quotaTransport()));
+		this.quotas.register(this.metrics);
 		KeyStore store = new KeyStore(builder.keyMemoryBytes, MAXIMUM_KEPT_ANSWER_BYTES);
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
 		this.calledServices = new CalledServices(this.clock);
 		StartControl startControl = new StartControl(this.clock, builder.random, this.view, self, this.localBackend,
-				this.admission::refuseWaiting);
+				this.admission::refuseWaiting, builder.limited);
+		if (builder.registration != null) {
+			builder.registration.onSlotsAnnounced((slots) -> {
+				this.admission.slots(slots);
+				startControl.setSlots(slots);
+			});
+		}
+		this.localBackend.onSetback(startControl::restrict);
+		ReportedLoad reportedLoad = new ReportedLoad();
 		this.callServer = new CallServer(this.clock, this.view, self, this.admission, this.backend, this.localBackend,
-				startControl, this.keys, this.admissionStatistics, this.calledServices);
+				startControl, reportedLoad, this.keys, this.admissionStatistics, this.calledServices);
 		this.withdrawn = new WithdrawnVersions(builder.withdrawal);
 		NodeComponents components = new NodeComponents(this.clock, builder.random, self, this.directory,
 				this.connections, this.evidence, this.withdrawn, this.calledServices, new RequestLog(this.clock));
 		this.router = new CallRouter(components, builder.balancing, this.callServer, builder.retryBurst);
-		this.callerApi = new CallerApi(components, this.view, this.dialect, this.router, this.metrics);
+		QuotaGate quotaGate = (builder.quotaGate != null) ? builder.quotaGate : this.quotas;
+		ConfigurationAwaiter awaiter = new ConfigurationAwaiter(this.clock, this.view);
+		this.callerApi = new CallerApi(components, awaiter, this.dialect,
+				new RequestEvaluation(components, awaiter, this.dialect, this.router, quotaGate, this.metrics));
 		this.callerListener = HttpListener.builder()
 			.clock(this.clock)
 			.limits(() -> this.view.configuration().map(MeshConfiguration::limits).orElse(CallerLimits.DEFAULT))
 			.handler(this.callerApi)
+			.memory(callerMemory)
 			.bind(Objects.requireNonNull(builder.callerAddress, "callerAddress"));
 		this.adminServer = (builder.adminAddress != null) ? adminServer(builder.adminAddress, builder.adminPages)
 				: null;
 		builder.metricSets.forEach(this.metrics::include);
 		this.metrics.gauge("load", this.admission::load);
+		this.metrics.gauge("answers_without_load", reportedLoad::ignored);
+		this.metrics.gauge("pace_percent", startControl::pacePercent);
+		this.metrics.gauge("pace_restrictions", startControl::restrictions);
+		this.metrics.gauge("pace_refusals", startControl::paceRefusals);
 		this.metrics.gauge("cold_refusals", startControl::coldRefusals);
 		this.metrics.gauge("evacuation_refusals", startControl::evacuationRefusals);
 		this.metrics.gauge("evacuated", () -> startControl.isEvacuated() ? 1 : 0);
 		this.metrics.gauge("caller_connections_reading", this.callerListener::readingConnections);
 		this.metrics.gauge("caller_connections_answering", this.callerListener::answeringConnections);
-		this.metrics.gauge("caller_body_bytes", this.callerListener::bodyBytes);
+		this.metrics.gauge("caller_body_bytes", this.callerListener::heldBytes);
+		for (CallerRefusals.Reason reason : CallerRefusals.Reason.values()) {
+			this.metrics.gauge("caller_refusals_total{reason=\"" + reason.label() + "\"}",
+					() -> this.callerListener.refusals().count(reason));
+		}
+		Logger.info("node: Callers may hold {} bytes and {} connections.", callerMemory.maximumBytes(),
+				this.callerListener.maximumConnections());
 		this.metrics.gauge("key_records", store::size);
 		this.metrics.gauge("key_bytes", store::bytes);
 		this.metrics.gauge("heap_bytes", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
@@ -298,6 +333,7 @@
 		if (this.adminServer != null) {
 			this.adminServer.stop(0);
 		}
+		this.quotas.close();
 		this.connections.close();
 		this.pool.close();
 		this.timer.shutdownNow();
@@ -309,6 +345,7 @@
 		if (this.adminServer != null) {
 			this.adminServer.start();
 		}
+		this.quotas.start();
 		Thread.ofVirtual().name("backend monitor").start(() -> runPeriodically(this::pollBackend));
 		if (this.dialect.supportsIdempotencyKeys()) {
 			Thread.ofVirtual().name("key ledger").start(() -> runPeriodically(this.keys::maintain));
@@ -327,10 +364,25 @@
 					builder.announcer);
 		}
 		builder.registration.onLeaving(this.admission::refuseWaiting);
-		builder.registration.onSlotsAnnounced(this.admission::slots);
 		return builder.registration;
 	}
 
+	/**
+	 * Creates the budget for callers and checks that an answer of the largest size fits,
+	 * which would otherwise fail in calm, too.
+	 * @param maximumAnswerBytes size of the largest answer
+	 * @return the budget
+	 * @throws IOException if the heap is too small
+	 */
+	private static CallerMemory callerMemory(int maximumAnswerBytes) throws IOException {
+		CallerMemory memory = CallerMemory.ofHeap();
+		if (memory.maximumBytes() < maximumAnswerBytes) {
+			throw new IOException("the heap is too small: callers may hold " + memory.maximumBytes()
+					+ " bytes of it, and an answer has up to " + maximumAnswerBytes);
+		}
+		return memory;
+	}
+
 	private static ScheduledExecutorService newTimer() {
 		ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1,
 				Thread.ofPlatform().name("deadlines").daemon().factory());
@@ -444,6 +496,8 @@
 
 		private BackendRegistration registration;
 
+		private Supplier<List<String>> controlMembers = List::of;
+
 		private int retryBurst = RetryBudget.BURST;
 
 		private long connectWaitMillis = Long.MAX_VALUE;
@@ -454,6 +508,8 @@
 
 		private InetSocketAddress adminAddress;
 
+		private QuotaGate quotaGate;
+
 		private String healthPath = "";
 
 		private String loadPath = "";
@@ -630,6 +686,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the source of the addresses of the control members, which grant quotas.
+		 * Without it, teams with a quota are refused.
+		 * @param addresses supplies {@code ip:port} of each known member
+		 * @return this builder
+		 */
+		public Builder controlMembers(Supplier<List<String>> addresses) {
+			this.controlMembers = addresses;
+			return this;
+		}
+
 		/**
 		 * Sets the burst of the retry budget: how many retries to a service this node may
 		 * send in a burst, beyond the configured share of the calls.
@@ -662,6 +729,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets the check of the quotas of the teams. Without it, the leader of the
+		 * control group grants them.
+		 * @param gate the check
+		 * @return this builder
+		 */
+		public Builder quotaGate(QuotaGate gate) {
+			this.quotaGate = gate;
+			return this;
+		}
+
 		/**
 		 * Sets the page on which the backend server reports its health.
 		 * @param path path, or an empty string if there is none
@@ -731,6 +809,10 @@
 			if (request instanceof CallRequest call) {
 				return NodeProxy.this.callServer.serve(connection, call);
 			}
+			if (request instanceof QuotaRequest) {
+				// A seed may be a node.
+				return QuotaGrant.notLeader(Optional.empty());
+			}
 			return NodeProxy.this.keys.answer(request)
 				.orElseThrow(() -> new WireException(
 						"request " + request.getClass().getSimpleName() + " is not for a node"));
--- a/node/src/test/java/io/lavenderroad/node/BackendClientTests.java
+++ b/node/src/test/java/io/lavenderroad/node/BackendClientTests.java
@@ -11,6 +11,7 @@
 import io.lavenderroad.core.ExecutionVerdict;
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendPool;
+import io.lavenderroad.node.http.CallerMemory;
 import io.lavenderroad.node.http.Cancellation;
 import io.lavenderroad.node.http.KeepAlive;
 import io.lavenderroad.policy.calls.CallOrigin;
@@ -31,8 +32,9 @@
 			ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
 			InetSocketAddress address = (InetSocketAddress) unused.getLocalSocketAddress();
 			BackendPool pool = new BackendPool(address, () -> 0);
-			BackendClient client = new BackendClient(new BackendExchange(pool, timer, 1_000, KeepAlive::millis),
-					new MeshDialect(), "h");
+			BackendClient client = new BackendClient(
+					new BackendExchange(pool, CallerMemory.ofHeap(), timer, 1_000, KeepAlive::millis),
+					new MeshDialect(), "h", () -> false);
 			Cancellation gone = new Cancellation();
 			gone.cancel();
 			Assert.assertEquals(run(client, "/a", gone).verdict(), ExecutionVerdict.NOT_RUN);
@@ -46,7 +48,7 @@
 	}
 
 	private CallAnswer run(BackendClient client, String target, Cancellation cancellation) {
-		CallMetadata metadata = new CallMetadata("r1", "counter", true, CallOrigin.CALLER, 0, 100);
+		CallMetadata metadata = new CallMetadata("r1", "counter", true, CallOrigin.CALLER, 0, 100, "");
 		CallRequest request = new CallRequest(1, "catalogue", "v1", "route", "GET", target, List.of(), new byte[0], "",
 				"", 1_000, 0, metadata);
 		return client.run(request, "", 5_000, cancellation, this.unreachable::incrementAndGet);
--- a/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
+++ b/node/src/test/java/io/lavenderroad/node/NodeMessagesTests.java
@@ -2,12 +2,17 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageCatalog;
 import io.lavenderroad.policy.calls.CallOrigin;
+import io.lavenderroad.policy.quota.QuotaGrant;
+import io.lavenderroad.policy.quota.QuotaRequest;
+import io.lavenderroad.policy.quota.TeamDemand;
+import io.lavenderroad.policy.quota.TeamGrant;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -30,10 +35,12 @@
 		KeyRecord record = new KeyRecord(claim, KeyState.DONE, CallAnswer.ran(200, List.of("A", "b"), new byte[9]), 7);
 		List<Object> messages = List.of(
 				new CallRequest(1, "s", "v1", "r", "POST", "/", List.of("A", "b"), new byte[8], "c", "k", 100, 2,
-						new CallMetadata("i", "catalogue", true, CallOrigin.SERVER, 1, 50)),
+						new CallMetadata("i", "catalogue", true, CallOrigin.SERVER, 1, 50, "payments")),
 				record.answer(), new CancelCall(3), new KeyMessages.ClaimKey(claim),
 				new KeyMessages.ClaimResult(true, record), new KeyMessages.SettleKey(claim, record.answer()),
-				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)));
+				new KeyMessages.PullKeys("node", KeyDigest.LOWEST), new KeyMessages.KeyRecords(List.of(record)),
+				new QuotaRequest("node", 1, 2, List.of(new TeamDemand("orders", 1, 2, 3, 4))),
+				new QuotaGrant(true, Optional.empty(), List.of(new TeamGrant("orders", 1, 2, 3))));
 		for (int round = 0; round < ROUNDS; round++) {
 			byte[] bytes = encode(messages.get(round % messages.size()));
 			Assert.assertEquals(this.catalog.decode(Fields.unpacker(bytes)).getClass(),
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -22,17 +22,36 @@
 	 */
 	private static final double LATENCY_HALF_LIFE_MILLIS = 5_000;
 
+	private static final double ERROR_HALF_LIFE_MILLIS = 5_000;
+
 	/**
 	 * Time for which a load that the endpoint reported with an answer is used.
 	 */
 	private static final long REPORT_VALIDITY_MILLIS = 1_000;
 
+	/**
+	 * Time for which a reported slowness is used. It changes many times a second, and an
+	 * older one would direct calls by the past.
+	 */
+	private static final long SLOWNESS_VALIDITY_MILLIS = 200;
+
+	/**
+	 * Share of a cold endpoint without a recent report. It is above zero because a server
+	 * without calls never warms up and shows nothing.
+	 */
+	static final double COLD_SHARE = 0.1;
+
+	/**
+	 * Smallest share of an endpoint that accepts work, for the same reason.
+	 */
+	private static final double MINIMUM_SHARE = 0.01;
+
+	private static final int USUAL_SLOWNESS_PERCENT = 100;
+
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private final AtomicInteger failedConnections = new AtomicInteger();
 
-	private final long discoveredMillis;
-
 	private volatile Endpoint endpoint;
 
 	private volatile double latencyMillis;
@@ -53,14 +72,16 @@
 
 	private volatile double reportedServiceMillis;
 
+	private volatile double reportedPace = 1;
+
+	private volatile int reportedSlownessPercent = USUAL_SLOWNESS_PERCENT;
+
 	/**
 	 * Creates the state of an endpoint without observations.
 	 * @param endpoint the announced endpoint
-	 * @param nowMillis clock reading in milliseconds
 	 */
-	public EndpointLoad(Endpoint endpoint, long nowMillis) {
+	public EndpointLoad(Endpoint endpoint) {
 		this.endpoint = endpoint;
-		this.discoveredMillis = nowMillis;
 	}
 
 	/**
@@ -99,7 +120,8 @@
 		// slows down is detected after a few calls.
 		double weight = (millis > previous) ? 3 * LATENCY_WEIGHT : LATENCY_WEIGHT;
 		this.latencyMillis = (previous == 0) ? Math.max(0.01, millis) : previous + weight * (millis - previous);
-		this.errorShare += ERROR_WEIGHT * ((error ? 1 : 0) - this.errorShare);
+		double errors = errorShare(nowMillis);
+		this.errorShare = errors + ERROR_WEIGHT * ((error ? 1 : 0) - errors);
 		this.observedMillis = nowMillis;
 	}
 
@@ -162,6 +184,22 @@
 	 * callers; 0 if not reported
 	 */
 	public void recordReport(long nowMillis, int load, double serviceMillis) {
+		recordReport(nowMillis, load, serviceMillis, 1, USUAL_SLOWNESS_PERCENT);
+	}
+
+	/**
+	 * Records the load, service time, pace and slowness that the endpoint reported with
+	 * an answer. An answer also proves that the endpoint is reachable.
+	 * @param nowMillis clock reading in milliseconds
+	 * @param load number of calls running and waiting at the endpoint
+	 * @param serviceMillis service time of a call at the endpoint at the usual speed of
+	 * its VM, over the calls of all callers; 0 if not reported
+	 * @param pace share of its slots that the endpoint may use, 0 to 1
+	 * @param slownessPercent how long work takes on the VM at the moment, 100 is usual
+	 */
+	public void recordReport(long nowMillis, int load, double serviceMillis, double pace, int slownessPercent) {
+		this.reportedPace = pace;
+		this.reportedSlownessPercent = slownessPercent;
 		this.failedConnections.set(0);
 		this.reportedServiceMillis = serviceMillis;
 		this.reportedLoad = load;
@@ -229,23 +267,38 @@
 	}
 
 	/**
-	 * Returns the exponentially smoothed share of failed calls.
+	 * Returns how much longer than usual work takes on the VM of the endpoint.
+	 * @param nowMillis clock reading in milliseconds
+	 * @return factor, 1 if no recent value was reported
+	 */
+	public double slowness(long nowMillis) {
+		boolean recent = nowMillis - this.reportedMillis <= SLOWNESS_VALIDITY_MILLIS;
+		return recent ? (double) this.reportedSlownessPercent / USUAL_SLOWNESS_PERCENT : 1;
+	}
+
+	/**
+	 * Returns the exponentially smoothed share of failed calls, halved for each half-life
+	 * without an observation. Without that, an endpoint whose few calls from this node
+	 * failed would get no further ones that could show its recovery.
+	 * @param nowMillis clock reading in milliseconds
 	 * @return 0 to 1
 	 */
-	public double errorShare() {
-		return this.errorShare;
+	public double errorShare(long nowMillis) {
+		double age = Math.max(0, nowMillis - this.observedMillis);
+		return (this.errorShare == 0) ? 0 : this.errorShare * Math.pow(0.5, age / ERROR_HALF_LIFE_MILLIS);
 	}
 
 	/**
-	 * Returns the share of its regular traffic that the endpoint may currently get.
+	 * Returns the share of its slots that the endpoint may use: the pace that it reported
+	 * with a recent answer, else a small share if it is cold.
 	 * @param nowMillis clock reading in milliseconds
 	 * @return above 0, at most 1
 	 */
-	public double slowStartShare(long nowMillis) {
-		if (this.endpoint.state() != EndpointState.COLD) {
-			return 1;
+	public double paceShare(long nowMillis) {
+		if (nowMillis - this.reportedMillis < REPORT_VALIDITY_MILLIS) {
+			return Math.max(MINIMUM_SHARE, this.reportedPace);
 		}
-		return SlowStart.share(nowMillis - this.discoveredMillis);
+		return (this.endpoint.state() == EndpointState.COLD) ? COLD_SHARE : 1;
 	}
 
 }
--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -9,7 +9,9 @@
  * differ widely in speed and are partly idle: a slow server gets no calls while faster
  * ones have free capacity. Calls are distributed over all endpoints whose expected
  * latency is close to the shortest one, weighted by their free capacity, so that callers
- * with the same information do not all choose the same endpoint.
+ * with the same information do not all choose the same endpoint. Calls stay in their
+ * failure domain while an endpoint there is expected to answer early enough for the
+ * caller, also if a remote one is faster: traffic between failure domains is expensive.
  */
 public final class ShortestTime implements BalancingPolicy {
 
@@ -47,9 +49,10 @@
 	private static final double UTILIZATION_PENALTY = 2;
 
 	/**
-	 * Factor on the expected latency of a server in slow start.
+	 * Factor on the reported pace of a server. The report is a round trip old, in which
+	 * the limit of a sound server doubles.
 	 */
-	private static final double COLD_PENALTY = 2;
+	private static final double PACE_AHEAD = 2;
 
 	/**
 	 * Minimum share of its slots that counts as free for an endpoint.
@@ -60,14 +63,20 @@
 	public Optional<EndpointLoad> choose(List<EndpointLoad> candidates, BalancingContext context) {
 		List<Scored> scored = new ArrayList<>(candidates.size());
 		double average = averageServiceMillis(candidates, context.nowMillis());
+		double shortest = shortestServiceMillis(candidates, context.nowMillis());
 		double best = Double.MAX_VALUE;
 		for (EndpointLoad candidate : candidates) {
 			if (context.allows(candidate)) {
-				Scored entry = score(candidate, context, average);
+				Scored entry = score(candidate, context, average, shortest);
 				scored.add(entry);
 				best = Math.min(best, entry.millis());
 			}
 		}
+		double bestLocal = scored.stream().filter(Scored::local).mapToDouble(Scored::millis).min().orElse(best);
+		if (bestLocal > best && bestLocal <= context.localLatencyMillis()) {
+			scored.removeIf((entry) -> !entry.local());
+			best = bestLocal;
+		}
 		double limit = best * TOLERATED_SLOWDOWN;
 		scored.removeIf((entry) -> entry.millis() > limit);
 		return drawByFreeCapacity(scored, context);
@@ -85,19 +94,27 @@
 		return scored.isEmpty() ? Optional.empty() : Optional.of(scored.getLast().endpoint());
 	}
 
-	private static Scored score(EndpointLoad load, BalancingContext context, double average) {
+	private static Scored score(EndpointLoad load, BalancingContext context, double average, double shortest) {
 		double observed = load.serviceMillis(context.nowMillis());
-		double service = (observed > 0) ? observed : average;
+		double service = ((observed > 0) ? observed : average) * load.slowness(context.nowMillis());
 		int slots = Math.max(1, load.endpoint().slots());
-		double utilization = (load.load(context.nowMillis()) + 1.0) / slots;
-		double millis = service * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
-		millis *= 1 + ERROR_PENALTY * load.errorShare();
-		if (!load.endpoint().failureDomain().equals(context.failureDomain())) {
-			millis *= REMOTE_PENALTY;
-		}
-		double share = load.slowStartShare(context.nowMillis());
-		millis *= (share < 1) ? COLD_PENALTY : 1;
-		return new Scored(load, millis, Math.max(MINIMUM_FREE_SHARE, 1 - utilization) * slots * share / service);
+		double share = load.paceShare(context.nowMillis());
+		int calls = load.load(context.nowMillis());
+		// An endpoint at the limit of its pace has no free slot; below it, a restricted
+		// endpoint must get calls, since only answers raise its pace.
+		boolean full = calls >= Math.max(1, slots * share);
+		double utilization = (calls + 1.0) / (full ? Math.max(1, slots * share) : slots);
+		// The service time of a restricted server stays that of its trouble until further
+		// calls show another one. While it is below half of its pace, the service time
+		// reduces its weight and does not exclude it.
+		boolean tried = share < 1 && calls + 1 <= slots * share / 2;
+		double compared = tried ? Math.min(service, shortest) : service;
+		double millis = compared * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
+		millis *= 1 + ERROR_PENALTY * load.errorShare(context.nowMillis());
+		boolean local = load.endpoint().failureDomain().equals(context.failureDomain());
+		millis *= local ? 1 : REMOTE_PENALTY;
+		return new Scored(load, local, millis,
+				Math.max(MINIMUM_FREE_SHARE, 1 - utilization) * slots * Math.min(1, PACE_AHEAD * share) / service);
 	}
 
 	// An endpoint without observations gets the average service time, not zero.
@@ -109,14 +126,23 @@
 			.orElse(1);
 	}
 
+	private static double shortestServiceMillis(List<EndpointLoad> candidates, long nowMillis) {
+		return candidates.stream()
+			.mapToDouble((candidate) -> candidate.serviceMillis(nowMillis))
+			.filter((millis) -> millis > 0)
+			.min()
+			.orElse(1);
+	}
+
 	/**
 	 * An endpoint that may get the call.
 	 *
 	 * @param endpoint the endpoint
+	 * @param local whether it is in the failure domain of the caller
 	 * @param millis expected latency of the call
 	 * @param freeCapacity free capacity of the endpoint, in calls per millisecond
 	 */
-	private record Scored(EndpointLoad endpoint, double millis, double freeCapacity) {
+	private record Scored(EndpointLoad endpoint, boolean local, double millis, double freeCapacity) {
 
 	}
 
