Limit the pace only for services that declare a cold start

Change: the pace acts only for services with a declared cold start; other services keep the share by the clock, the cold penalty and the error share of before.

--- a/model/src/main/java/io/lavenderroad/model/ColdStart.java
+++ b/model/src/main/java/io/lavenderroad/model/ColdStart.java
@@ -24,6 +24,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the service declares how its backend servers start.
+	 * @return true if a duration or a limit is declared
+	 */
+	public boolean isDeclared() {
+		return this.durationMillis > 0 || isLimited();
+	}
+
 	/**
 	 * Returns whether a cold backend server must get a limited number of requests.
 	 * @return true if there is a limit
--- a/node/src/main/java/io/lavenderroad/node/EndpointDirectory.java
+++ b/node/src/main/java/io/lavenderroad/node/EndpointDirectory.java
@@ -91,12 +91,16 @@
 			.map(MeshConfiguration::evacuations)
 			.orElse(Evacuations.NONE);
 		Set<String> evacuatedDomains = new TreeSet<>();
+		boolean paced = this.view.configuration()
+			.flatMap((active) -> active.service(service))
+			.filter((active) -> active.coldStart().isDeclared())
+			.isPresent();
 		for (Endpoint endpoint : this.view.endpoints(service)) {
 			EndpointLoad load = (previous != null) ? previous.byNode().get(endpoint.nodeId()) : null;
 			if (load == null || load.endpoint().incarnation() != endpoint.incarnation()) {
 				load = new EndpointLoad(endpoint);
 			}
-			load.update(endpoint);
+			load.update(endpoint, this.clock.millis(), paced);
 			byNode.put(endpoint.nodeId(), load);
 			if (evacuations.contains(endpoint.failureDomain())) {
 				evacuatedDomains.add(endpoint.failureDomain());
--- a/node/src/main/java/io/lavenderroad/node/StartControl.java
+++ b/node/src/main/java/io/lavenderroad/node/StartControl.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.model.ColdStart;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.MeshView;
@@ -106,6 +107,12 @@
 
 	private volatile double coldPerSecond;
 
+	/**
+	 * Whether the service declares how its backend servers start. Otherwise the pace is
+	 * not limited.
+	 */
+	private volatile boolean paced;
+
 	StartControl(Clock clock, RandomGenerator random, MeshView view, Endpoint self, LocalBackend backend,
 			Consumer<CallAnswer> refuseWaiting, boolean limited) {
 		this.clock = clock;
@@ -149,7 +156,8 @@
 		this.lock.lock();
 		try {
 			boolean before = this.pace.cause().isPresent();
-			this.pace.ended(route, startMillis, this.clock.millis(), outcome, serviceMillis);
+			this.pace.ended(route, startMillis, this.clock.millis(), this.paced ? outcome : Pace.Outcome.NONE,
+					serviceMillis);
 			if (!before && this.pace.cause().isPresent()) {
 				this.restrictions.increment();
 			}
@@ -165,6 +173,9 @@
 	 * @param cause the event
 	 */
 	void restrict(Pace.Cause cause) {
+		if (!this.paced) {
+			return;
+		}
 		this.lock.lock();
 		try {
 			this.pace.restrict(cause, this.clock.millis());
@@ -200,7 +211,7 @@
 	double pace(double serviceMillis) {
 		this.lock.lock();
 		try {
-			double share = this.pace.share();
+			double share = this.paced ? this.pace.share() : 1;
 			if (isRateLimited()) {
 				double occupied = this.coldPerSecond * Math.max(1, serviceMillis) / MILLIS_PER_SECOND;
 				share = Math.min(share, occupied / Math.max(1, this.slots));
@@ -293,7 +304,7 @@
 		if (waitMillis > 0) {
 			return Optional.of(coldRefusal(waitMillis, perSecond));
 		}
-		if (this.pace.isFull()) {
+		if (this.paced && this.pace.isFull()) {
 			return Optional.of(paceRefusal());
 		}
 		if (starts) {
@@ -350,10 +361,11 @@
 	// announces nothing.
 	private synchronized void configure() {
 		Optional<MeshConfiguration> configuration = this.view.configuration();
-		this.coldPerSecond = configuration.flatMap((active) -> active.service(this.self.service()))
+		ColdStart coldStart = configuration.flatMap((active) -> active.service(this.self.service()))
 			.map(ServiceConfiguration::coldStart)
-			.map((cold) -> cold.requestsPerSecond())
-			.orElse(0.0);
+			.orElse(ColdStart.NONE);
+		this.coldPerSecond = coldStart.requestsPerSecond();
+		this.paced = coldStart.isDeclared();
 		boolean now = configuration.map((active) -> active.evacuations().contains(this.self.failureDomain()))
 			.orElse(this.evacuated);
 		if (now != this.evacuated) {
--- a/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/EndpointLoad.java
@@ -74,6 +74,14 @@
 
 	private volatile double reportedPace = 1;
 
+	/**
+	 * Whether the node of the endpoint limits its pace by its answers. Otherwise a cold
+	 * endpoint gets its share by the time since its discovery.
+	 */
+	private volatile boolean paced = true;
+
+	private volatile long discoveredMillis = Long.MIN_VALUE;
+
 	private volatile int reportedSlownessPercent = USUAL_SLOWNESS_PERCENT;
 
 	/**
@@ -100,6 +108,29 @@
 		this.endpoint = newer;
 	}
 
+	/**
+	 * Replaces the announcement by a newer one of the same incarnation.
+	 * @param newer the newer announcement
+	 * @param nowMillis clock reading in milliseconds
+	 * @param newPaced whether the service declares how its backend servers start, so that
+	 * the node of the endpoint limits its pace
+	 */
+	public void update(Endpoint newer, long nowMillis, boolean newPaced) {
+		this.endpoint = newer;
+		this.paced = newPaced;
+		if (this.discoveredMillis == Long.MIN_VALUE) {
+			this.discoveredMillis = nowMillis;
+		}
+	}
+
+	/**
+	 * Returns whether the node of the endpoint limits its pace by its answers.
+	 * @return true if the reported pace applies
+	 */
+	public boolean isPaced() {
+		return this.paced;
+	}
+
 	/**
 	 * Counts a call that is about to be sent.
 	 */
@@ -284,17 +315,25 @@
 	 * @return 0 to 1
 	 */
 	public double errorShare(long nowMillis) {
+		if (!this.paced) {
+			return this.errorShare;
+		}
 		double age = Math.max(0, nowMillis - this.observedMillis);
 		return (this.errorShare == 0) ? 0 : this.errorShare * Math.pow(0.5, age / ERROR_HALF_LIFE_MILLIS);
 	}
 
 	/**
 	 * Returns the share of its slots that the endpoint may use: the pace that it reported
-	 * with a recent answer, else a small share if it is cold.
+	 * with a recent answer, else a small share if it is cold. A cold endpoint without a
+	 * pace gets its share by the time since its discovery.
 	 * @param nowMillis clock reading in milliseconds
 	 * @return above 0, at most 1
 	 */
 	public double paceShare(long nowMillis) {
+		if (!this.paced) {
+			return (this.endpoint.state() == EndpointState.COLD) ? SlowStart.share(nowMillis - this.discoveredMillis)
+					: 1;
+		}
 		if (nowMillis - this.reportedMillis < REPORT_VALIDITY_MILLIS) {
 			return Math.max(MINIMUM_SHARE, this.reportedPace);
 		}
--- a/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/ShortestTime.java
@@ -54,6 +54,11 @@
 	 */
 	private static final double PACE_AHEAD = 2;
 
+	/**
+	 * Factor on the expected latency of a cold server whose share follows the clock.
+	 */
+	private static final double COLD_PENALTY = 2;
+
 	/**
 	 * Minimum share of its slots that counts as free for an endpoint.
 	 */
@@ -98,8 +103,15 @@
 		double observed = load.serviceMillis(context.nowMillis());
 		double service = ((observed > 0) ? observed : average) * load.slowness(context.nowMillis());
 		int slots = Math.max(1, load.endpoint().slots());
-		double share = load.paceShare(context.nowMillis());
 		int calls = load.load(context.nowMillis());
+		double share = load.paceShare(context.nowMillis());
+		boolean local = load.endpoint().failureDomain().equals(context.failureDomain());
+		double factor = (1 + ERROR_PENALTY * load.errorShare(context.nowMillis())) * (local ? 1 : REMOTE_PENALTY);
+		if (!load.isPaced()) {
+			double utilization = (calls + 1.0) / slots;
+			double millis = loadedMillis(service, utilization) * factor * ((share < 1) ? COLD_PENALTY : 1);
+			return new Scored(load, local, millis, freeShare(utilization) * slots * share / service);
+		}
 		// An endpoint at the limit of its pace has no free slot; below it, a restricted
 		// endpoint must get calls, since only answers raise its pace.
 		boolean full = calls >= Math.max(1, slots * share);
@@ -109,12 +121,16 @@
 		// reduces its weight and does not exclude it.
 		boolean tried = share < 1 && calls + 1 <= slots * share / 2;
 		double compared = tried ? Math.min(service, shortest) : service;
-		double millis = compared * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
-		millis *= 1 + ERROR_PENALTY * load.errorShare(context.nowMillis());
-		boolean local = load.endpoint().failureDomain().equals(context.failureDomain());
-		millis *= local ? 1 : REMOTE_PENALTY;
-		return new Scored(load, local, millis,
-				Math.max(MINIMUM_FREE_SHARE, 1 - utilization) * slots * Math.min(1, PACE_AHEAD * share) / service);
+		return new Scored(load, local, loadedMillis(compared, utilization) * factor,
+				freeShare(utilization) * slots * Math.min(1, PACE_AHEAD * share) / service);
+	}
+
+	private static double loadedMillis(double service, double utilization) {
+		return service * (1 + UTILIZATION_PENALTY * Math.max(0, utilization - FULL_SPEED_UTILIZATION));
+	}
+
+	private static double freeShare(double utilization) {
+		return Math.max(MINIMUM_FREE_SHARE, 1 - utilization);
 	}
 
 	// An endpoint without observations gets the average service time, not zero.
