--- a/node/src/main/java/io/lavenderroad/node/CallTerms.java
+++ b/node/src/main/java/io/lavenderroad/node/CallTerms.java
@@ -19,7 +19,7 @@
 		OptionalInt deadlineMillis, OptionalInt attemptBudget) {
 
 	/**
-	 * Stands for credentials that contain no access key. No team holds it, since a header
+	 * Represents credentials that contain no access key. No team holds it, since a header
 	 * field cannot contain this character.
 	 */
 	public static final String UNUSABLE_KEY = "\0";
--- a/node/src/main/java/io/lavenderroad/node/ReportedLoad.java
+++ b/node/src/main/java/io/lavenderroad/node/ReportedLoad.java
@@ -11,7 +11,7 @@
 
 	/**
 	 * How long a reading is used. The slowness changes many times a second, so an older
-	 * one says nothing about the next call.
+	 * one is no evidence for the next call.
 	 */
 	static final long VALIDITY_MILLIS = 200;
 
--- a/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/AdmissionQueue.java
@@ -53,8 +53,8 @@
 	static final double NESTED_OVERDUE_SHARE = 0.15;
 
 	/**
-	 * Use of slots and queue places by a customer, relative to its usual share, from
-	 * which on its calls are evicted for a customer that uses less than its usual share.
+	 * Use of slots and queue places by a customer, relative to its usual share, above
+	 * which its calls are evicted for a customer that uses less than its usual share.
 	 * Lower factors evict calls for ordinary variations of the arrivals.
 	 */
 	private static final double EXCESS_FACTOR = 1.25;
--- a/policy/src/main/java/io/lavenderroad/policy/calls/CallRank.java
+++ b/policy/src/main/java/io/lavenderroad/policy/calls/CallRank.java
@@ -13,14 +13,14 @@
 public final class CallRank {
 
 	/**
-	 * Number of route priorities that are told apart; higher ones count as the last.
+	 * Number of route priorities that are distinguished; higher ones count as the last.
 	 * {@link AdmissionQueue} doubles a rank, so the highest rank stays below 2 to the
 	 * power of 30.
 	 */
 	static final int ROUTE_PRIORITIES = 1 << 14;
 
 	/**
-	 * Number of team priorities that are told apart; higher ones count as the last.
+	 * Number of team priorities that are distinguished; higher ones count as the last.
 	 */
 	static final int TEAM_PRIORITIES = 1 << 15;
 
--- a/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLeases.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/QuotaLeases.java
@@ -26,8 +26,8 @@
 	private static final long REPORT_INTERVAL_MILLIS = 500;
 
 	/**
-	 * Time for which a failed request tells that there is no leader. A node without
-	 * traffic does not try again by itself, so an older failure says nothing.
+	 * Time for which a failed request counts as evidence that no leader exists. A node
+	 * without traffic does not try again by itself, so an older failure is no evidence.
 	 */
 	private static final long FAILURE_MILLIS = 250;
 
--- a/policy/src/main/java/io/lavenderroad/policy/quota/TeamBucket.java
+++ b/policy/src/main/java/io/lavenderroad/policy/quota/TeamBucket.java
@@ -10,9 +10,9 @@
  * Token bucket of one team at the granting leader. The level is reduced when an immediate
  * token is granted and when an advance token is reported as used. Advance tokens that are
  * not reported are bounded instead: together with a negative level they never exceed
- * {@link QuotaTimes#advanceLimit(Quota)}. Thus tokens that lie unused at one node do not
- * cause refusals at another, and uses in a window stay below capacity, refill and that
- * limit together.
+ * {@link QuotaTimes#advanceLimit(Quota)}. Therefore tokens that lie unused at one node do
+ * not cause refusals at another, and uses in a window stay below capacity, refill and
+ * that limit together.
  */
 class TeamBucket {
 
