--- a/bench/src/main/java/io/lavenderroad/bench/cluster/FaultProxy.java
+++ b/bench/src/main/java/io/lavenderroad/bench/cluster/FaultProxy.java
@@ -20,6 +20,8 @@
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
+	private static final long CLOSE_TIMEOUT_MILLIS = 10_000;
+
 	private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
 	private static final long RETRY_MILLIS = 5;
@@ -32,6 +34,8 @@
 
 	private final Set<Link> links = ConcurrentHashMap.newKeySet();
 
+	private Thread acceptThread;
+
 	private FaultProxy(ServerSocket server, InetSocketAddress target) {
 		this.server = server;
 		this.target = target;
@@ -49,7 +53,7 @@
 		server.setReuseAddress(true);
 		server.bind(listen);
 		FaultProxy proxy = new FaultProxy(server, target);
-		Thread.ofVirtual().start(proxy::acceptAll);
+		proxy.acceptThread = Thread.ofVirtual().start(proxy::acceptAll);
 		return proxy;
 	}
 
@@ -76,10 +80,20 @@
 		this.links.forEach((link) -> link.silenced = true);
 	}
 
+	/**
+	 * Closes the proxy and waits until its address can be bound again: the socket stays
+	 * open until the thread that accepts connections has returned.
+	 */
 	@Override
 	public void close() {
 		closeQuietly(this.server);
 		this.links.forEach(Link::close);
+		try {
+			this.acceptThread.join(CLOSE_TIMEOUT_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private void acceptAll() {
