--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -62,6 +62,9 @@
 
 	final long startNanos = System.nanoTime();
 
+	/** Whether the platform starts processes again that have ended by themselves. */
+	volatile boolean restarts;
+
 	final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
 	final List<Daemon> daemons = new CopyOnWriteArrayList<>();
@@ -186,6 +189,9 @@
 
 		volatile int starts;
 
+		/** How often a process of this machine has ended by itself. */
+		volatile int ownEnds;
+
 		/** Processes that this test ends itself. */
 		final java.util.Set<Long> signalled = ConcurrentHashMap.newKeySet();
 
@@ -238,6 +244,24 @@
 			if (!Kit.this.closing) {
 				log("platform: " + this.name + ", pid " + ended.pid() + ", has ended with code " + ended.exitValue()
 						+ (this.signalled.contains(ended.pid()) ? " after a signal" : " by itself"));
+				if (!this.signalled.contains(ended.pid())) {
+					this.ownEnds++;
+					if (Kit.this.restarts) {
+						pause(1_000);
+						restart();
+					}
+				}
+			}
+		}
+
+		private synchronized void restart() {
+			try {
+				if (!Kit.this.closing) {
+					start(false);
+				}
+			}
+			catch (IOException ex) {
+				log("platform: " + this.name + " can't be started: " + ex);
 			}
 		}
 
@@ -346,15 +370,21 @@
 	/** Sends an order to the control members in turn until one answers clearly. */
 	Answer order(int controls, String method, String path, List<String> fields, String body, long timeoutMillis)
 			throws InterruptedException {
+		return order(0, controls, method, path, fields, body, timeoutMillis);
+	}
+
+	Answer order(int first, int controls, String method, String path, List<String> fields, String body,
+			long timeoutMillis) throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-		int turn = 0;
+		int turn = first;
 		Answer last = null;
 		while (System.nanoTime() < end) {
 			String address = controlAddress(1 + turn++ % controls);
 			int port = CONTROL_PLANE;
 			for (int hop = 0; hop < 3; hop++) {
 				try (Client client = new Client(this, address, port)) {
-					last = client.call(method, path, fields, body.getBytes(StandardCharsets.UTF_8), 1_500);
+					last = client.call(method, path, fields, body.getBytes(StandardCharsets.UTF_8),
+							(body.length() > 200_000) ? 6_000 : 1_500);
 				}
 				catch (IOException ex) {
 					last = null;
