Review: the large answers break a deployment of ten machines

Tried: case 9 with 8 machines with workers in place of 24, as many as the site may have, and 72 clients in place of 48; also with smaller answers. How: review/9/run.sh, 3 control members and 10 nodes by the deploy file.

--- a/review/kit-2/LargeAnswers.java
+++ b/review/kit-2/LargeAnswers.java
@@ -17,14 +17,14 @@
  */
 public final class LargeAnswers {
 
-	private static final int MACHINES = Integer.getInteger("machines", 24);
+	private static final int MACHINES = Integer.getInteger("machines", 8);
 
 	private static final int BODY_BYTES = Integer.getInteger("kilobytes", 4_000) * 1_000;
 
 	/** Answer with TROUBLE=0: the largest of the site. */
 	private static final int USUAL_BODY_BYTES = 30_000;
 
-	private static final int CLIENTS = Integer.getInteger("clients", 48);
+	private static final int CLIENTS = Integer.getInteger("clients", 72);
 
 	private static final int OTHER_CLIENTS = 16;
 
