Keep departures of backend servers beyond the end of their node

Cause: what a node acknowledges was only in the memory of its process, and it has no disk.

Change: a departure (a start that drains or has deregistered) is written to the replicated log before it is acknowledged, 0.8 s at most, otherwise 503. A process that starts reads the departures on its VM by a confirmed read, beside the search for a parent and the version floor, and no announcement that a server is ready counts before. Any control member passes such requests on to the leader. Why this works: an acknowledgement implies a committed entry, and a later process reads after it; the log survives the loss of a minority with its disks and the restart of all. A new start under the id of a deregistered one whose clock was set back was ignored for good; it is used 30 s later at the latest now.

--- a/control/src/main/java/io/lavenderroad/control/state/Command.java
+++ b/control/src/main/java/io/lavenderroad/control/state/Command.java
@@ -5,6 +5,7 @@
 
 import io.lavenderroad.model.Change;
 import io.lavenderroad.model.ConfigurationEdit;
+import io.lavenderroad.model.departure.Departure;
 import io.lavenderroad.model.rendering.RenderedService;
 
 /**
@@ -153,4 +154,15 @@
 
 	}
 
+	/**
+	 * Keeps a departure of a backend server.
+	 *
+	 * @param atMillis time of the leader, milliseconds since the epoch
+	 * @param nodeId id of the node on the VM
+	 * @param departure the departure
+	 */
+	record KeepDeparture(long atMillis, String nodeId, Departure departure) implements Command {
+
+	}
+
 }
--- a/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
+++ b/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
@@ -6,6 +6,7 @@
 import io.lavenderroad.control.state.Command.ApplyChange;
 import io.lavenderroad.control.state.Command.BeginMove;
 import io.lavenderroad.control.state.Command.FinishMove;
+import io.lavenderroad.control.state.Command.KeepDeparture;
 import io.lavenderroad.control.state.Command.RecordInitialVersion;
 import io.lavenderroad.control.state.Command.RecordMoveWarning;
 import io.lavenderroad.control.state.Command.ReplaceConfiguration;
@@ -16,6 +17,7 @@
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.model.Change;
 import io.lavenderroad.model.binding.ConfigurationBinding;
+import io.lavenderroad.model.departure.DepartureMessages;
 import io.lavenderroad.model.rendering.RenderedService;
 import io.lavenderroad.model.rendering.RenderingBinding;
 import org.msgpack.core.MessagePackException;
@@ -48,6 +50,8 @@
 
 	private static final int SET_EVACUATION = 9;
 
+	private static final int KEEP_DEPARTURE = 10;
+
 	private CommandBinding() {
 	}
 
@@ -149,6 +153,11 @@
 				packer.packInt(SET_EVACUATION).packLong(order.atMillis());
 				packer.packString(order.failureDomain()).packBoolean(order.evacuated());
 			}
+			case KeepDeparture keep -> {
+				packer.packInt(KEEP_DEPARTURE).packLong(keep.atMillis());
+				packer.packString(keep.nodeId());
+				DepartureMessages.packDeparture(keep.departure(), packer);
+			}
 		}
 	}
 
@@ -208,6 +217,8 @@
 			case RECORD_INITIAL_VERSION ->
 				new RecordInitialVersion(atMillis, unpacker.unpackString(), unpacker.unpackString());
 			case SET_EVACUATION -> new SetEvacuation(atMillis, unpacker.unpackString(), unpacker.unpackBoolean());
+			case KEEP_DEPARTURE ->
+				new KeepDeparture(atMillis, unpacker.unpackString(), DepartureMessages.unpackDeparture(unpacker));
 			default -> unpackMoveCommand(code, atMillis, unpacker);
 		};
 	}
--- a/control/src/main/java/io/lavenderroad/control/state/MeshState.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshState.java
@@ -90,6 +90,8 @@
 	 */
 	final TreeMap<String, String> currentVersions = new TreeMap<>();
 
+	final KeptDepartures departures = new KeptDepartures();
+
 	Optional<ServiceBefore> before(String service) {
 		RenderedService request = this.requested.get(service);
 		Optional<ServiceConfiguration> current = this.configuration.service(service);
@@ -122,11 +124,6 @@
 		}
 	}
 
-	/**
-	 * Stores a move that has become final. The move is put at the end of the map, so that
-	 * the moves that ended first are removed first.
-	 * @param move the move
-	 */
 	/**
 	 * Replaces the configuration. Nodes check the same; they would reject an incomplete
 	 * version although its command was acknowledged.
@@ -142,6 +139,11 @@
 		this.configuration = next;
 	}
 
+	/**
+	 * Stores a move that has become final. The move is put at the end of the map, so that
+	 * the moves that ended first are removed first.
+	 * @param move the move
+	 */
 	void endMove(MoveState move) {
 		this.moves.remove(move.id());
 		this.moves.put(move.id(), move);
@@ -178,6 +180,10 @@
 		Fields.packMap(packer, this.requestedMoves, (id, target) -> target.packString(id));
 		this.declared.pack(packer);
 		Fields.packMap(packer, this.currentVersions, (version, target) -> target.packString(version));
+		// Programs that know no departures ignore what follows, and write nothing here.
+		if (!this.departures.isEmpty()) {
+			this.departures.pack(packer);
+		}
 	}
 
 	static MeshState unpack(MessageUnpacker unpacker) throws IOException {
@@ -202,6 +208,9 @@
 		state.requestedMoves.putAll(Fields.unpackMap(unpacker, MessageUnpacker::unpackString));
 		state.declared.unpack(unpacker);
 		state.currentVersions.putAll(Fields.unpackMap(unpacker, MessageUnpacker::unpackString));
+		if (unpacker.hasNext()) {
+			state.departures.unpack(unpacker);
+		}
 		return state;
 	}
 
--- a/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshStateMachine.java
@@ -18,6 +18,7 @@
 import io.lavenderroad.control.state.Command.ApplyChange;
 import io.lavenderroad.control.state.Command.BeginMove;
 import io.lavenderroad.control.state.Command.FinishMove;
+import io.lavenderroad.control.state.Command.KeepDeparture;
 import io.lavenderroad.control.state.Command.RecordInitialVersion;
 import io.lavenderroad.control.state.Command.RecordMoveWarning;
 import io.lavenderroad.control.state.Command.ReplaceConfiguration;
@@ -35,6 +36,7 @@
 import io.lavenderroad.model.MoveStatus;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.model.binding.ConfigurationBinding;
+import io.lavenderroad.model.departure.Departure;
 import io.lavenderroad.model.rendering.Difference;
 import io.lavenderroad.model.rendering.ParameterType;
 import io.lavenderroad.model.rendering.RenderedService;
@@ -195,6 +197,23 @@
 		return read(() -> this.state.outcomes.size());
 	}
 
+	/**
+	 * Returns the departures that are kept for a VM.
+	 * @param nodeId id of the node on the VM
+	 * @return the departures, oldest first
+	 */
+	public List<Departure> departures(String nodeId) {
+		return read(() -> this.state.departures.of(nodeId));
+	}
+
+	/**
+	 * Returns the number of VMs for which departures are kept.
+	 * @return the number
+	 */
+	public int vmsWithDepartures() {
+		return read(() -> this.state.departures.size());
+	}
+
 	/**
 	 * Returns the latest events.
 	 * @param maximum maximum number of events
@@ -351,6 +370,10 @@
 			case BeginMove begin -> DeclarationTransitions.beginMove(this.state, begin);
 			case RecordInitialVersion initial -> DeclarationTransitions.recordInitialVersion(this.state, initial);
 			case SetEvacuation order -> EvacuationTransitions.apply(this.state, order);
+			case KeepDeparture keep -> {
+				this.state.departures.add(keep.nodeId(), keep.departure());
+				yield new CommandOutcome(Kind.APPLIED, version(), "");
+			}
 		};
 	}
 
--- a/control/src/test/java/io/lavenderroad/control/state/OldEncodingTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/OldEncodingTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
+import io.lavenderroad.model.departure.Departure;
 import org.testng.Assert;
 import org.testng.annotations.Test;
 
@@ -55,6 +56,18 @@
 		Assert.assertEquals(restored.configuration().services(), mesh.configuration().services());
 	}
 
+	@Test
+	public void departuresAreAddedToAnOldSnapshot() {
+		MeshStateMachine mesh = new MeshStateMachine();
+		mesh.restore(decode(SNAPSHOT));
+		Departure departure = new Departure("i-1", 10, Departure.Kind.DRAINING);
+		mesh.apply(4, CommandBinding.toBytes(new Command.KeepDeparture(1_003, "node-1", departure)));
+		MeshStateMachine restored = new MeshStateMachine();
+		restored.restore(mesh.snapshot());
+		Assert.assertEquals(restored.departures("node-1"), List.of(departure));
+		Assert.assertEquals(restored.configuration().digest(), DIGEST);
+	}
+
 	private static byte[] decode(String text) {
 		return Base64.getDecoder().decode(text);
 	}
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlMetrics.java
@@ -35,6 +35,7 @@
 		gauge("services", () -> mesh.configuration().services().size());
 		gauge("active_moves", () -> mesh.activeMoves().size());
 		gauge("remembered_changes", mesh::outcomeCount);
+		gauge("vms_with_departures", mesh::vmsWithDepartures);
 		gauge("nodes", () -> distribution.get().nodes());
 		gauge("nodes_current", () -> currentNodes(distribution.get()));
 		gauge("rejected_versions", () -> distribution.get().rejected().size());
--- a/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
+++ b/daemon/src/main/java/io/lavenderroad/daemon/ControlRole.java
@@ -21,12 +21,14 @@
 import io.lavenderroad.control.raft.GroupJoin;
 import io.lavenderroad.control.raft.GroupLeave;
 import io.lavenderroad.control.raft.JoinRequest;
+import io.lavenderroad.control.raft.LeaderClient;
 import io.lavenderroad.control.raft.Member;
 import io.lavenderroad.control.raft.MemberOptions;
 import io.lavenderroad.control.raft.MemberSet;
 import io.lavenderroad.control.state.Acknowledgement;
 import io.lavenderroad.control.state.ChangeService;
 import io.lavenderroad.control.state.DeclarationService;
+import io.lavenderroad.control.state.DepartureService;
 import io.lavenderroad.control.state.EvacuationOrders;
 import io.lavenderroad.control.state.MeshStateMachine;
 import io.lavenderroad.control.state.MoveOrders;
@@ -41,6 +43,8 @@
 import io.lavenderroad.distribution.DistributionMessages;
 import io.lavenderroad.distribution.RootDistribution;
 import io.lavenderroad.model.Evidence;
+import io.lavenderroad.model.departure.DepartureAnswer;
+import io.lavenderroad.model.departure.DepartureMessages;
 import io.lavenderroad.policy.moves.MovePolicy;
 import io.lavenderroad.policy.quota.QuotaMessages;
 import org.tinylog.Logger;
@@ -84,6 +88,8 @@
 
 	private final QuotaGranter quotas;
 
+	private final LeaderClient leaderClient;
+
 	private final FrameServer server;
 
 	private final OperatorApi api;
@@ -117,7 +123,7 @@
 		this.identity = MemberIdentity.loadOrCreate(settings, clock);
 		this.peerAddresses = initialPeers(settings);
 		WireOptions options = WireOptionsFactory.create(settings, this.identity.id(), clock, ControlMessages.types(),
-				DistributionMessages.types(), QuotaMessages.types());
+				DistributionMessages.types(), QuotaMessages.types(), DepartureMessages.types());
 		this.log = DurableLog.open(StorageFileSystem.disk(), settings.dataFolder().orElseThrow(), SEGMENT_BYTES);
 		this.member = member(settings, clock, random, mesh);
 		RaftCommandLog commands = new RaftCommandLog(this.member, settings.httpAddress().getPort());
@@ -139,10 +145,14 @@
 		this.quotas = new QuotaGranter(clock, () -> mesh.configuration().teams(), this.member::leaderQuorumAgeMillis,
 				this::otherLeader);
 		this.member.addLeadershipListener(this.quotas::leadershipChanged);
+		this.leaderClient = new LeaderClient(options, this.member.handler(), this::otherLeader);
+		DepartureService departures = new DepartureService(mesh, commands, commands, clock,
+				(request) -> this.leaderClient.call(request, DepartureAnswer.class));
 		DispatchingHandler handler = DispatchingHandler.builder()
 			.add(ControlMessages.types(), this.member.handler())
 			.add(DistributionMessages.types(), this.root.handler())
 			.add(QuotaMessages.types(), this.quotas)
+			.add(DepartureMessages.types(), departures)
 			.build();
 		this.server = FrameServer.start(settings.socketAddress(settings.ports().framesBind()), options, handler);
 		this.member.start(options);
@@ -193,6 +203,7 @@
 		this.leave.ifPresent((action) -> action.leave(LEAVE_TIMEOUT_MILLIS));
 		this.member.shutdown(end - this.clock.millis());
 		this.root.close();
+		this.leaderClient.close();
 		this.server.close();
 		this.admin.close();
 		this.log.close();
--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -1,5 +1,7 @@
 package io.lavenderroad.node;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.locks.ReentrantLock;
@@ -10,6 +12,7 @@
 import io.lavenderroad.core.Clock;
 import io.lavenderroad.model.Endpoint;
 import io.lavenderroad.model.EndpointState;
+import io.lavenderroad.model.departure.Departure;
 import io.lavenderroad.policy.calls.Pace;
 import org.tinylog.Logger;
 
@@ -19,7 +22,9 @@
  * takes effect immediately and is final until the backend server starts again. Late
  * announcements of earlier starts are ignored, unless they continue for long after the
  * current ones have stopped. A deregistration ends a start for good, also if this node
- * did not know the backend server. The lock guards all fields.
+ * did not know the backend server. A departure is acknowledged once it is kept outside of
+ * this process, and a backend server is used once those that earlier processes kept are
+ * known. The lock guards all fields.
  */
 public final class BackendRegistration implements LocalBackend {
 
@@ -34,6 +39,18 @@
 	 */
 	static final long MAXIMUM_DELAY_MILLIS = 30_000;
 
+	/**
+	 * Maximum wait until a departure is kept. Backend servers wait a second for an
+	 * acknowledgement.
+	 */
+	static final long KEEP_TIMEOUT_MILLIS = 800;
+
+	/**
+	 * Maximum number of announcements that wait for the departures, as many as a backend
+	 * server sends in half a minute.
+	 */
+	private static final int MAXIMUM_EARLY_ANNOUNCEMENTS = 20;
+
 	private final Clock clock;
 
 	private final Clock timeOfDay;
@@ -48,7 +65,16 @@
 
 	private final SupersededAnnouncements superseded;
 
-	private final EndedStarts ended;
+	private final Departures departures;
+
+	/**
+	 * Announcements that arrived before the departures were known, oldest first.
+	 */
+	private final List<BackendAnnouncement> early = new ArrayList<>();
+
+	private boolean departuresKnown = true;
+
+	private volatile DepartureLog departureLog = (departure, timeoutMillis) -> true;
 
 	private Runnable onLeaving = () -> {
 	};
@@ -98,41 +124,62 @@
 		this.announcer = announcer;
 		this.superseded = new SupersededAnnouncements(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP,
 				MAXIMUM_DELAY_MILLIS);
-		this.ended = new EndedStarts(clock, timeOfDay, MAXIMUM_DELAY_MILLIS);
+		this.departures = new Departures(clock, MAXIMUM_DELAY_MILLIS);
 	}
 
 	/**
-	 * Applies an announcement. It has taken effect when this method returns.
+	 * Applies an announcement. If the backend server leaves, that has taken effect when
+	 * this method returns; otherwise the backend server is used as soon as the departures
+	 * that earlier processes kept are known.
 	 * @param announcement the announcement
-	 * @return the reason if the announcement is refused, because no backend server on
-	 * this VM can have sent it
+	 * @return whether the announcement is acknowledged
 	 */
-	public Optional<String> announce(BackendAnnouncement announcement) {
+	public AnnouncementOutcome announce(BackendAnnouncement announcement) {
 		Optional<String> refusalReason = announcement.implausibility(this.timeOfDay.millis());
 		if (refusalReason.isPresent()) {
 			Logger.warn("node: Refused announcement {} of {}: {}.", announcement.sequence(), announcement.backendId(),
 					refusalReason.get());
-			return refusalReason;
+			return AnnouncementOutcome.refused(refusalReason.get());
+		}
+		if (!announcement.service().equals(this.service)) {
+			Logger.warn("node: Ignored an announcement of {} for service {}; this node serves {}.",
+					announcement.backendId(), announcement.service(), this.service);
+			return AnnouncementOutcome.ACKNOWLEDGED;
 		}
 		this.lock.lock();
 		try {
 			applyNewer(announcement);
-			return Optional.empty();
 		}
 		finally {
 			this.lock.unlock();
 		}
+		return announcement.leaving() ? keep(departure(announcement)) : AnnouncementOutcome.ACKNOWLEDGED;
+	}
+
+	private static Departure departure(BackendAnnouncement announcement) {
+		return new Departure(announcement.backendId(), announcement.startedMillis(), Departure.Kind.DRAINING);
+	}
+
+	private AnnouncementOutcome keep(Departure departure) {
+		if (this.departureLog.keep(departure, KEEP_TIMEOUT_MILLIS)) {
+			return AnnouncementOutcome.ACKNOWLEDGED;
+		}
+		Logger.warn("node: Did not acknowledge {}: the control group has not kept it within {} ms.", departure,
+				KEEP_TIMEOUT_MILLIS);
+		return AnnouncementOutcome.unconfirmed("the departure is not kept yet");
 	}
 
 	private void applyNewer(BackendAnnouncement announcement) {
-		if (!announcement.service().equals(this.service)) {
-			Logger.warn("node: Ignored an announcement of {} for service {}; this node serves {}.",
-					announcement.backendId(), announcement.service(), this.service);
+		if (this.departures.contains(announcement)) {
+			Logger.info("node: Ignored announcement {} of {} started at {}; that start has left.",
+					announcement.sequence(), announcement.backendId(), announcement.startedMillis());
 			return;
 		}
-		if (this.ended.contains(announcement)) {
-			Logger.info("node: Ignored announcement {} of {} started at {}; that start has deregistered.",
-					announcement.sequence(), announcement.backendId(), announcement.startedMillis());
+		if (announcement.leaving()) {
+			this.departures.add(departure(announcement));
+		}
+		else if (!this.departuresKnown) {
+			addEarly(announcement);
 			return;
 		}
 		if (this.current != null && !announcement.replaces(this.current) && !outlives(announcement)) {
@@ -142,6 +189,15 @@
 		apply(announcement);
 	}
 
+	private void addEarly(BackendAnnouncement announcement) {
+		Logger.info("node: Announcement {} of {} waits until the departures on this VM are known.",
+				announcement.sequence(), announcement.backendId());
+		this.early.add(announcement);
+		if (this.early.size() > MAXIMUM_EARLY_ANNOUNCEMENTS) {
+			this.early.removeFirst();
+		}
+	}
+
 	private boolean outlives(BackendAnnouncement announcement) {
 		Logger.info("node: Ignored announcement {} of {} started at {}; superseded by {} of {} started at {}.",
 				announcement.sequence(), announcement.backendId(), announcement.startedMillis(),
@@ -162,14 +218,19 @@
 	 * @param backendId id of the backend server
 	 * @param startedMillis start of the backend server in milliseconds since the epoch,
 	 * if stated
+	 * @return whether the deregistration is acknowledged
 	 */
-	public void deregister(String backendId, OptionalLong startedMillis) {
+	public AnnouncementOutcome deregister(String backendId, OptionalLong startedMillis) {
 		long latestStartMillis = this.timeOfDay.millis() + BackendAnnouncement.MAXIMUM_CLOCK_STEP_MILLIS;
 		if (startedMillis.isPresent() && startedMillis.getAsLong() > latestStartMillis) {
 			Logger.warn("node: Ignored the deregistration of {}; its start {} is in the future.", backendId,
 					startedMillis.getAsLong());
-			return;
+			return AnnouncementOutcome.ACKNOWLEDGED;
 		}
+		return keep(recordDeregistration(backendId, startedMillis));
+	}
+
+	private Departure recordDeregistration(String backendId, OptionalLong startedMillis) {
 		this.lock.lock();
 		try {
 			boolean registered = this.current != null && this.current.backendId().equals(backendId)
@@ -177,13 +238,53 @@
 			if (!registered) {
 				Logger.info("node: Recorded the deregistration of {}; it is not the registered backend server.",
 						backendId);
-				this.ended.record(backendId, startedMillis);
-				return;
+				Departure departure = startedMillis.isPresent()
+						? new Departure(backendId, startedMillis.getAsLong(), Departure.Kind.DEREGISTERED)
+						: new Departure(backendId, this.timeOfDay.millis(), Departure.Kind.DEREGISTERED_WITHOUT_START);
+				this.departures.add(departure);
+				return departure;
 			}
 			Logger.info("node: Backend server {} has deregistered.", backendId);
-			this.ended.record(backendId, OptionalLong.of(startedMillis.orElse(this.current.startedMillis())));
+			Departure departure = new Departure(backendId, startedMillis.orElse(this.current.startedMillis()),
+					Departure.Kind.DEREGISTERED);
+			this.departures.add(departure);
 			this.deregistered = true;
 			publish();
+			return departure;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Makes departures outlive this process. From now on no backend server is used until
+	 * {@link #departuresKnown(List)} has been called.
+	 * @param log keeps departures
+	 */
+	void keepDepartures(DepartureLog log) {
+		this.lock.lock();
+		try {
+			this.departureLog = log;
+			this.departuresKnown = false;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	/**
+	 * Records the departures that earlier processes on this VM kept, and applies the
+	 * announcements that waited for them.
+	 * @param earlier the departures
+	 */
+	void departuresKnown(List<Departure> earlier) {
+		this.lock.lock();
+		try {
+			earlier.forEach(this.departures::add);
+			this.departuresKnown = true;
+			this.early.forEach(this::applyNewer);
+			this.early.clear();
 		}
 		finally {
 			this.lock.unlock();
--- a/node/src/main/java/io/lavenderroad/node/Departures.java
+++ b/node/src/main/java/io/lavenderroad/node/Departures.java
@@ -1,90 +1,93 @@
 package io.lavenderroad.node;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.OptionalLong;
+import java.util.ArrayList;
+import java.util.List;
 
 import io.lavenderroad.core.Clock;
+import io.lavenderroad.model.departure.Departure;
+import io.lavenderroad.model.departure.Departure.Kind;
 
 /**
- * Remembers which starts of backend servers have ended by a deregistration, so that
- * announcements that were sent before and arrive late do not register them again. This
- * includes backend servers that this node has not heard of, for example because it was
- * restarted. Not thread-safe.
+ * Remembers which starts of backend servers have left this VM, so that announcements that
+ * were sent before and arrive late do not bring them back. This includes backend servers
+ * that this process has not heard of, for example because it was restarted. Not
+ * thread-safe.
  */
-final class EndedStarts {
+final class Departures {
 
 	/**
-	 * Maximum number of ids that are remembered. One backend server runs on a VM at a
-	 * time.
+	 * Maximum number of departures that are remembered. One backend server runs on a VM
+	 * at a time.
 	 */
-	private static final int MAXIMUM_IDS = 16;
+	private static final int MAXIMUM_DEPARTURES = 16;
 
 	private final Clock clock;
 
-	private final Clock timeOfDay;
-
 	private final long maximumDelayMillis;
 
-	private final Map<String, EndedStart> byId = new LinkedHashMap<>(MAXIMUM_IDS, 0.75f, false) {
-
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<String, EndedStart> eldest) {
-			return size() > MAXIMUM_IDS;
-		}
-
-	};
+	private final List<Entry> entries = new ArrayList<>();
 
 	/**
-	 * Creates a record without entries.
+	 * Creates a record without departures.
 	 * @param clock source of time that never runs backwards
-	 * @param timeOfDay time of day, by which backend servers state their start
 	 * @param maximumDelayMillis how late an announcement may arrive
 	 */
-	EndedStarts(Clock clock, Clock timeOfDay, long maximumDelayMillis) {
+	Departures(Clock clock, long maximumDelayMillis) {
 		this.clock = clock;
-		this.timeOfDay = timeOfDay;
 		this.maximumDelayMillis = maximumDelayMillis;
 	}
 
 	/**
-	 * Records a deregistration. If the start is not known, all starts up to now have
-	 * ended; this is forgotten once no earlier announcement can arrive, because a new
-	 * start seems to be earlier if the time of day is set back.
-	 * @param backendId id of the backend server
-	 * @param startedMillis its start in milliseconds since the epoch, if known
+	 * Records a departure that was announced until now.
+	 * @param departure the departure
 	 */
-	void record(String backendId, OptionalLong startedMillis) {
-		long untilMillis = startedMillis.isPresent() ? Long.MAX_VALUE : this.clock.millis() + this.maximumDelayMillis;
-		EndedStart ended = new EndedStart(startedMillis.orElseGet(this.timeOfDay::millis), untilMillis);
-		this.byId.merge(backendId, ended, this::later);
+	void add(Departure departure) {
+		this.entries.removeIf((entry) -> entry.departure().equals(departure));
+		this.entries.add(new Entry(departure, this.clock.millis() + this.maximumDelayMillis));
+		if (this.entries.size() > MAXIMUM_DEPARTURES) {
+			this.entries.removeFirst();
+		}
 	}
 
 	/**
-	 * Returns whether an announcement is from a start that has ended.
+	 * Returns whether an announcement does not count, because its start has left.
 	 * @param announcement the announcement
 	 * @return true if it must be ignored
 	 */
 	boolean contains(BackendAnnouncement announcement) {
-		EndedStart ended = this.byId.get(announcement.backendId());
-		return ended != null && isValid(ended) && announcement.startedMillis() <= ended.startedMillis();
+		return this.entries.stream().anyMatch((entry) -> covers(entry, announcement));
 	}
 
-	private EndedStart later(EndedStart first, EndedStart second) {
-		return (isValid(first) && first.startedMillis() > second.startedMillis()) ? first : second;
-	}
-
-	private boolean isValid(EndedStart ended) {
-		return this.clock.millis() < ended.untilMillis();
+	/**
+	 * A start that has deregistered never returns. A later start may seem earlier if the
+	 * time of day was set back, so earlier starts are ignored only while announcements
+	 * from before the departure can arrive. The same holds for a start that drains, since
+	 * another writer may have announced that.
+	 * @param entry a departure
+	 * @param announcement an announcement
+	 * @return true if the announcement must be ignored
+	 */
+	private boolean covers(Entry entry, BackendAnnouncement announcement) {
+		Departure departure = entry.departure();
+		if (!departure.backendId().equals(announcement.backendId())) {
+			return false;
+		}
+		if (departure.kind() == Kind.DEREGISTERED && announcement.startedMillis() == departure.startedMillis()) {
+			return true;
+		}
+		boolean goesOnDraining = departure.kind() == Kind.DRAINING && announcement.leaving();
+		return !goesOnDraining && announcement.startedMillis() <= departure.startedMillis()
+				&& this.clock.millis() < entry.delayedUntilMillis();
 	}
 
 	/**
-	 * A deregistration.
+	 * A departure.
 	 *
-	 * @param startedMillis latest start that has ended, milliseconds since the epoch
-	 * @param untilMillis time at which it is forgotten, milliseconds of the clock
+	 * @param departure the departure
+	 * @param delayedUntilMillis time until which announcements from before it may arrive,
+	 * milliseconds of the clock
 	 */
-	private record EndedStart(long startedMillis, long untilMillis) {
+	private record Entry(Departure departure, long delayedUntilMillis) {
 
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/NodeMessages.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeMessages.java
@@ -8,13 +8,14 @@
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.core.wire.MessageType;
 import io.lavenderroad.core.wire.WireException;
+import io.lavenderroad.model.departure.DepartureMessages;
 import io.lavenderroad.policy.calls.CallOrigin;
 import io.lavenderroad.policy.quota.QuotaMessages;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Messages between nodes, codes 300 to 349, and those about quotas.
+ * Messages between nodes, codes 300 to 349, and those about quotas and departures.
  */
 public final class NodeMessages {
 
@@ -36,7 +37,8 @@
 			new MessageType<>(CANCEL_CALL, CancelCall.class, (message, packer) -> packer.packLong(message.callId()),
 					(unpacker) -> new CancelCall(unpacker.unpackLong())));
 
-	private static final List<MessageType<?>> TYPES = Stream.of(CALL_TYPES, KeyMessages.TYPES, QuotaMessages.types())
+	private static final List<MessageType<?>> TYPES = Stream
+		.of(CALL_TYPES, KeyMessages.TYPES, QuotaMessages.types(), DepartureMessages.types())
 		.flatMap(List::stream)
 		.toList();
 
--- a/node/src/main/java/io/lavenderroad/node/NodeProxy.java
+++ b/node/src/main/java/io/lavenderroad/node/NodeProxy.java
@@ -34,6 +34,8 @@
 import io.lavenderroad.model.Evidence;
 import io.lavenderroad.model.MeshConfiguration;
 import io.lavenderroad.model.MeshView;
+import io.lavenderroad.model.departure.DepartureAnswer;
+import io.lavenderroad.model.departure.DepartureRequest;
 import io.lavenderroad.node.http.BackendExchange;
 import io.lavenderroad.node.http.BackendPool;
 import io.lavenderroad.node.http.CallerMemory;
@@ -108,6 +110,8 @@
 
 	private final QuotaClient quotas;
 
+	private final Optional<DepartureKeeper> departures;
+
 	private final EvidenceRecorder evidence = new EvidenceRecorder();
 
 	private final WithdrawnVersions withdrawn;
@@ -150,6 +154,8 @@
 		this.quotas = new QuotaClient(this.clock, new QuotaLeases(self.nodeId(), wireOptions.hello().incarnation()),
 				new LeaderSearch(this.clock, builder.controlMembers, this.connections.quotaTransport()));
 		this.quotas.register(this.metrics);
+		this.departures = Optional.ofNullable(builder.registration)
+			.map((registration) -> departureKeeper(builder, registration, self.nodeId()));
 		KeyStore store = new KeyStore(builder.keyMemoryBytes, MAXIMUM_KEPT_ANSWER_BYTES);
 		this.keys = new KeyLedger(this.clock, this.view, self, store, this.connections.keyTransport(),
 				KeyLedger.COPIES);
@@ -334,6 +340,7 @@
 			this.adminServer.stop(0);
 		}
 		this.quotas.close();
+		this.departures.ifPresent(DepartureKeeper::close);
 		this.connections.close();
 		this.pool.close();
 		this.timer.shutdownNow();
@@ -346,6 +353,7 @@
 			this.adminServer.start();
 		}
 		this.quotas.start();
+		this.departures.ifPresent(DepartureKeeper::start);
 		Thread.ofVirtual().name("backend monitor").start(() -> runPeriodically(this::pollBackend));
 		if (this.dialect.supportsIdempotencyKeys()) {
 			Thread.ofVirtual().name("key ledger").start(() -> runPeriodically(this.keys::maintain));
@@ -358,6 +366,15 @@
 		this.pool.closeOld();
 	}
 
+	private DepartureKeeper departureKeeper(Builder builder, BackendRegistration registration, String nodeId) {
+		DepartureStore store = new ControlGroupDepartures(nodeId, builder.controlMembers, builder.random.nextInt(),
+				this.connections.departureTransport());
+		DepartureKeeper keeper = new DepartureKeeper(this.clock, builder.random, store, registration::departuresKnown);
+		keeper.register(this.metrics);
+		registration.keepDepartures(keeper);
+		return keeper;
+	}
+
 	private LocalBackend localBackend(Builder builder, Endpoint self) {
 		if (builder.registration == null) {
 			return new BackendMonitor(this.clock, this.backend, builder.healthPath, builder.loadPath, self,
@@ -687,8 +704,9 @@
 		}
 
 		/**
-		 * Sets the source of the addresses of the control members, which grant quotas.
-		 * Without it, teams with a quota are refused.
+		 * Sets the source of the addresses of the control members, which grant quotas and
+		 * keep departures. Without it, teams with a quota are refused, and a backend
+		 * server that registers itself is not used.
 		 * @param addresses supplies {@code ip:port} of each known member
 		 * @return this builder
 		 */
@@ -813,6 +831,9 @@
 				// A seed may be a node.
 				return QuotaGrant.notLeader(Optional.empty());
 			}
+			if (request instanceof DepartureRequest) {
+				return DepartureAnswer.UNCONFIRMED;
+			}
 			return NodeProxy.this.keys.answer(request)
 				.orElseThrow(() -> new WireException(
 						"request " + request.getClass().getSimpleName() + " is not for a node"));
--- a/node/src/main/java/io/lavenderroad/node/PeerConnections.java
+++ b/node/src/main/java/io/lavenderroad/node/PeerConnections.java
@@ -15,6 +15,7 @@
 import io.lavenderroad.core.wire.ConnectionHandler;
 import io.lavenderroad.core.wire.WireOptions;
 import io.lavenderroad.model.Endpoint;
+import io.lavenderroad.model.departure.DepartureAnswer;
 import io.lavenderroad.node.http.Cancellation;
 import io.lavenderroad.policy.quota.QuotaGrant;
 import io.vavr.control.Either;
@@ -127,6 +128,29 @@
 				new Cancellation());
 	}
 
+	/**
+	 * Returns the transport for requests about departures to control members. Requests
+	 * are rare and members have many nodes, so connections are not kept.
+	 * @return a transport over these connections
+	 */
+	ControlGroupDepartures.Transport departureTransport() {
+		return (address, request, timeoutMillis) -> {
+			try {
+				return call(address, request, timeoutMillis, DepartureAnswer.class, null, new Cancellation());
+			}
+			finally {
+				closeUnused(address);
+			}
+		};
+	}
+
+	private void closeUnused(String address) {
+		Peer peer = this.peers.get(address);
+		if (peer != null && peer.inUse.get() == 0 && this.peers.remove(address, peer)) {
+			peer.close("not used any more");
+		}
+	}
+
 	/**
 	 * Closes connections without recent calls.
 	 */
--- a/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
+++ b/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
@@ -179,11 +179,14 @@
 
 	@Test
 	public void announcementsThatNoBackendServerOnThisVmCanHaveSentAreRefused() {
-		Assert.assertTrue(this.registration.announce(announcement("i-1", 1L << 50, 1, false)).isPresent());
-		Assert.assertTrue(this.registration.announce(announcement("i-1", 10, 1L << 50, false)).isPresent());
+		Assert.assertEquals(this.registration.announce(announcement("i-1", 1L << 50, 1, false)).kind(),
+				AnnouncementOutcome.Kind.REFUSED);
+		Assert.assertEquals(this.registration.announce(announcement("i-1", 10, 1L << 50, false)).kind(),
+				AnnouncementOutcome.Kind.REFUSED);
 		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
 		this.registration.deregister("i-1", OptionalLong.of(1L << 50));
-		Assert.assertTrue(this.registration.announce(announcement("i-1", 10, 1, false)).isEmpty());
+		Assert.assertEquals(this.registration.announce(announcement("i-1", 10, 1, false)),
+				AnnouncementOutcome.ACKNOWLEDGED);
 		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
 	}
 
