Add review case 12: invalid configurations are acknowledged

Tried: truncations at every seventh byte, unknown services, weights, prefixes, kinds, versions, limits, encodings, content after the configuration.

--- a/review/src-3/Run.java
+++ b/review/src-3/Run.java
@@ -25,7 +25,7 @@
 
 	}
 
-	private static final Map<String, Case> CASES = Map.of("11", new CutRefusal());
+	private static final Map<String, Case> CASES = Map.of("11", new CutRefusal(), "12", new InvalidConfigurations());
 
 	private Run() {
 	}
