--- a/review/src-3/CutRefusal.java
+++ b/review/src-3/CutRefusal.java
@@ -11,8 +11,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Case 11. One of two workers repeats late, and cut off, a refusal that it gave on the same connection: the bytes stand
- * in front of the answer to the next order. Orders are not idempotent; none may run twice.
+ * Cases 11 and 13. One of two workers repeats late, and cut off, a refusal that it gave on the same connection: the bytes
+ * stand in front of the answer to the next order. Orders are not idempotent; none may run twice, and none that has run may
+ * be answered with a refusal.
  */
 final class CutRefusal implements Run.Case {
 
@@ -34,6 +35,14 @@
 	/** 2 of 100 answers of the faulty worker. */
 	private static final int ANSWERS_FOR_EACH_COPY = 50;
 
+	/** Text of the refusal in front of which the copy ends. */
+	private final String cut;
+
+	/** Whether orders that ran twice break the rule of the case, or orders that ran and were refused. */
+	private final boolean judgesRuns;
+
+	private final Map<String, Integer> answers = new ConcurrentHashMap<>();
+
 	private final Map<String, List<String>> runs = new ConcurrentSkipListMap<>();
 
 	private final Map<String, String> refusals = new ConcurrentHashMap<>();
@@ -46,6 +55,21 @@
 
 	private volatile long startMillis = Long.MAX_VALUE / 2;
 
+	private CutRefusal(String cut, boolean judgesRuns) {
+		this.cut = cut;
+		this.judgesRuns = judgesRuns;
+	}
+
+	/** Case 11: the copy ends in the value of its third line. */
+	static CutRefusal inField() {
+		return new CutRefusal(",12\r\nX-Request-Id", true);
+	}
+
+	/** Case 13: the copy ends in its first line. */
+	static CutRefusal inFirstLine() {
+		return new CutRefusal("ailable\r\n", false);
+	}
+
 	@Override
 	public boolean play(Path repository, boolean trouble, Record record) throws Exception {
 		List<Worker> workers = new ArrayList<>();
@@ -106,7 +130,7 @@
 			String refusal = this.refusals.get(connection);
 			if (refusal != null && this.copies.get() < answers / ANSWERS_FOR_EACH_COPY) {
 				this.copies.incrementAndGet();
-				String copy = refusal.substring(0, refusal.indexOf("12,48") + 3);
+				String copy = refusal.substring(0, refusal.indexOf(this.cut));
 				record.write("%s sends %d bytes of an earlier refusal once more on connection %d", exchange.worker(),
 						copy.length(), exchange.connection());
 				exchange.send(copy);
@@ -131,6 +155,7 @@
 					Http.Answer answer = Http.once(address, Deployment.OUTBOUND_PORT, "POST", "/orders/" + id,
 							Map.of("Host", HOST, "X-Request-Id", id, "X-Deadline-Milliseconds", "1500"),
 							"one drum".getBytes(StandardCharsets.UTF_8), 5_000);
+					this.answers.put(id, answer.status());
 					record.write("the client gets %d for %s, signature %s, body %s", answer.status(), id,
 							answer.field("x-response-signature"), answer.text().strip());
 					pause();
@@ -147,14 +172,22 @@
 		record.write("the faulty worker gave %d answers in 5 s and put %d cut copies in front of them",
 				this.answersInTrouble.get(), this.copies.get());
 		int twice = 0;
+		int refused = 0;
 		for (Map.Entry<String, List<String>> run : this.runs.entrySet()) {
+			int status = this.answers.getOrDefault(run.getKey(), 0);
 			if (run.getValue().size() > 1) {
 				twice++;
 				record.write("TWICE: %s has run at %s", run.getKey(), String.join(" and ", run.getValue()));
 			}
+			if (status == 503) {
+				refused++;
+				record.write("REFUSED: %s was answered 503 and has run at %s", run.getKey(),
+						String.join(" and ", run.getValue()));
+			}
 		}
-		record.write("%d orders have run, %d of them twice", this.runs.size(), twice);
-		return twice > 0;
+		record.write("%d orders have run, %d of them twice; %d that have run were answered 503", this.runs.size(), twice,
+				refused);
+		return (this.judgesRuns ? twice : refused) > 0;
 	}
 
 	private static void pause() {
--- a/review/src-3/Run.java
+++ b/review/src-3/Run.java
@@ -25,7 +25,8 @@
 
 	}
 
-	private static final Map<String, Case> CASES = Map.of("11", new CutRefusal(), "12", new InvalidConfigurations());
+	private static final Map<String, Case> CASES = Map.of("11", CutRefusal.inField(), "12", new InvalidConfigurations(),
+			"13", CutRefusal.inFirstLine());
 
 	private Run() {
 	}
