Add review case 15: a null in a configuration is lost

Tried: nulls, floats, large numbers, empty objects, odd names and texts, read back after each change.

--- a/review/src-3/Run.java
+++ b/review/src-3/Run.java
@@ -26,7 +26,8 @@
 	}
 
 	private static final Map<String, Case> CASES = Map.of("11", CutRefusal.inField(), "12", new InvalidConfigurations(),
-			"13", CutRefusal.inFirstLine(), "14", new SameHostOtherPort());
+			"13", CutRefusal.inFirstLine(), "14", new SameHostOtherPort(), "15",
+			new EmptyFields());
 
 	private Run() {
 	}
