Review case 15: orders reach a worker after its draining was acknowledged

Tried: one entry of another writer with a sequence number that is too large, then a planned departure.

--- a/review/src-3/Run.java
+++ b/review/src-3/Run.java
@@ -27,7 +27,7 @@
 
 	private static final Map<String, Case> CASES = Map.of("11", CutRefusal.inField(), "12", new InvalidConfigurations(),
 			"13", CutRefusal.inFirstLine(), "14", new SameHostOtherPort(), "15",
-			new EmptyFields());
+			new OddEntry());
 
 	private Run() {
 	}
--- a/review/src-3/Worker.java
+++ b/review/src-3/Worker.java
@@ -42,6 +42,8 @@
 
 	private final ServerSocket server = new ServerSocket();
 
+	private volatile String state = "ready";
+
 	private volatile boolean closed;
 
 	Worker(String address, String service, String id, Behaviour behaviour) throws IOException {
@@ -61,10 +63,24 @@
 
 	/** Announces a state and returns the status of the answer, 0 without one. */
 	int announce(String state) {
+		return send(state, this.sequence.incrementAndGet());
+	}
+
+	/** From now on the worker says that it is leaving. */
+	void leave() {
+		this.state = "draining";
+	}
+
+	/** Sends what another writer left: a copy of the worker's own words with another sequence number. */
+	int sendOddEntry(long oddSequence) {
+		return send(this.state, oddSequence);
+	}
+
+	private int send(String state, long sequenceNumber) {
 		String body = "{\"address\":\"" + this.address + ":" + Deployment.WORKER_PORT + "\",\"born\":" + this.born
 				+ ",\"instance_info\":{\"service\":\"" + this.service
 				+ "\",\"version\":\"v1\",\"zone\":\"regina\",\"slots\":12},\"status\":{\"state\":\"" + state
-				+ "\",\"sequence_number\":" + this.sequence.incrementAndGet() + ",\"cold_remaining_ms\":0}}";
+				+ "\",\"sequence_number\":" + sequenceNumber + ",\"cold_remaining_ms\":0}}";
 		return Http.once(this.address, Deployment.CONTROL_PORT, "POST",
 				"/lavenderroad/Instances.Heartbeat/" + this.id, Map.of("Content-Type", "application/json"),
 				body.getBytes(StandardCharsets.UTF_8), 1_000)
@@ -80,7 +96,7 @@
 	private void beat() {
 		try {
 			while (!this.closed) {
-				announce("ready");
+				announce(this.state);
 				Thread.sleep(HEARTBEAT_MILLIS);
 			}
 		}
