--- a/review/src-3/CutRefusal.java
+++ b/review/src-3/CutRefusal.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Cases 11 and 13. One of two workers repeats late, and cut off, a refusal that it gave on the same connection: the bytes
+ * Cases 11 and 12. One of two workers repeats late, and cut off, a refusal that it gave on the same connection: the bytes
  * stand in front of the answer to the next order. Orders are not idempotent; none may run twice, and none that has run may
  * be answered with a refusal.
  */
@@ -65,7 +65,7 @@
 		return new CutRefusal(",12\r\nX-Request-Id", true);
 	}
 
-	/** Case 13: the copy ends in its first line. */
+	/** Case 12: the copy ends in its first line. */
 	static CutRefusal inFirstLine() {
 		return new CutRefusal("ailable\r\n", false);
 	}
--- a/review/src-3/InvalidConfigurations.java
+++ b/review/src-3/InvalidConfigurations.java
@@ -4,7 +4,7 @@
 import java.util.TreeMap;
 
 /**
- * Case 12. The operator sends three invalid configurations, a second apart: one route names an unknown service beside its
+ * Case 15. The operator sends three invalid configurations, a second apart: one route names an unknown service beside its
  * split, one body goes on after the configuration, one body holds a second configuration. None may be acknowledged.
  */
 final class InvalidConfigurations implements Run.Case {
--- a/review/src-3/OddEntry.java
+++ b/review/src-3/OddEntry.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 15. Another writer leaves one entry with a sequence number that is too large; a second later the worker says that
+ * Case 14. Another writer leaves one entry with a sequence number that is too large; a second later the worker says that
  * it leaves, and its node acknowledges that. No order may reach it later than drain_ms after the acknowledgement.
  */
 final class OddEntry implements Run.Case {
--- a/review/src-3/Run.java
+++ b/review/src-3/Run.java
@@ -25,9 +25,9 @@
 
 	}
 
-	private static final Map<String, Case> CASES = Map.of("11", CutRefusal.inField(), "12", new InvalidConfigurations(),
-			"13", CutRefusal.inFirstLine(), "14", new SameHostOtherPort(), "15",
-			new OddEntry());
+	private static final Map<String, Case> CASES = Map.of("11", CutRefusal.inField(), "12", CutRefusal.inFirstLine(),
+			"13", new SameHostOtherPort(), "14", new OddEntry(), "15",
+			new InvalidConfigurations());
 
 	private Run() {
 	}
--- a/review/src-3/SameHostOtherPort.java
+++ b/review/src-3/SameHostOtherPort.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 
 /**
- * Case 14. The operator adds a route whose host has the name of an earlier route's host and another port. The requests of
+ * Case 13. The operator adds a route whose host has the name of an earlier route's host and another port. The requests of
  * the earlier route must go on to their own service.
  */
 final class SameHostOtherPort implements Run.Case {
