Choose and check routes by one rule of what one host is

No answer and no log line told.

Cause: RouteTable cut the hosts of routes and requests at the last colon and compared the rest, so hosts that differ in the port were one, and of two routes with one prefix the first name won. The validator, the check of a target against Host, and the search for a service by name each compared hosts in another way. It is neither the change nor the path between nodes: one table with both routes shows it, with either order of the names (RouteTableTests). The cut also took the last group of addresses in brackets.

Change: HttpAuthority is the one place that reads a host with its port (RFC 3986, 3.2.2 and 6.2; RFC 9110, 4.2.3 and 7.2). A stated port binds. A route without a port belongs to port 80 and serves, as before, each other port for the paths that no route of that port names. Two routes whose hosts are one in two forms, and hosts that no request can name, are refused with their place. A request with an unreadable Host gets 400 (RFC 9112, 3.2).

--- a/control/src/main/java/io/lavenderroad/control/state/DeclarationValidator.java
+++ b/control/src/main/java/io/lavenderroad/control/state/DeclarationValidator.java
@@ -3,11 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 
 import io.lavenderroad.core.Location;
 import io.lavenderroad.core.Problem;
+import io.lavenderroad.core.http.HttpAuthority;
 import io.lavenderroad.model.HostRoute;
 
 /**
@@ -15,11 +15,14 @@
  */
 final class DeclarationValidator {
 
+	private static final String HOST_ALLOWED = "a name in ASCII, an IPv4 address, or an IPv6 address in brackets, "
+			+ "with or without a port";
+
 	private final DeclaredConfiguration declared;
 
 	private final List<Problem> problems = new ArrayList<>();
 
-	private final Map<String, String> routeNamesByPrefix = new HashMap<>();
+	private final Map<HostAndPrefix, String> routeNamesByPrefix = new HashMap<>();
 
 	private final Map<String, String> teamNamesByKey = new HashMap<>();
 
@@ -49,11 +52,9 @@
 		if (!route.pathPrefix().startsWith("/")) {
 			addProblem(path, "path prefix '" + route.pathPrefix() + "'", "a prefix that begins with a slash");
 		}
-		String hostAndPrefix = route.host().toLowerCase(Locale.ROOT) + route.pathPrefix();
-		String other = this.routeNamesByPrefix.putIfAbsent(hostAndPrefix, route.name());
-		if (other != null) {
-			addProblem(path, "host and prefix of route " + other, "a host and prefix of its own");
-		}
+		HttpAuthority.parse(route.host())
+			.ifPresentOrElse((authority) -> checkPrefix(authority, route, path),
+					() -> addProblem(path, "host '" + route.host() + "'", HOST_ALLOWED));
 		checkWeights(route, path);
 		if (route.rules().timeoutMillis() <= 0) {
 			addProblem(path, "timeout of " + route.rules().timeoutMillis() + " ms", "more than 0 ms");
@@ -63,6 +64,14 @@
 		}
 	}
 
+	private void checkPrefix(HttpAuthority authority, HostRoute route, String path) {
+		HostAndPrefix hostAndPrefix = new HostAndPrefix(authority.host(), authority.port(), route.pathPrefix());
+		String other = this.routeNamesByPrefix.putIfAbsent(hostAndPrefix, route.name());
+		if (other != null) {
+			addProblem(path, "host and prefix of route " + other, "a host and prefix of its own");
+		}
+	}
+
 	private void checkWeights(HostRoute route, String path) {
 		long sum = 0;
 		for (Map.Entry<String, Integer> part : route.weights().entrySet()) {
@@ -122,4 +131,15 @@
 		this.problems.add(new Problem(new Location("configuration", 0, 0, path), found, allowed));
 	}
 
+	/**
+	 * What no two routes share.
+	 *
+	 * @param host normalized host
+	 * @param port stated port, or the default port
+	 * @param pathPrefix path prefix
+	 */
+	private record HostAndPrefix(String host, int port, String pathPrefix) {
+
+	}
+
 }
--- a/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/DeclarationServiceTests.java
@@ -24,6 +24,7 @@
 import io.vavr.control.Either;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -253,6 +254,35 @@
 				List.of());
 	}
 
+	@DataProvider
+	Object[][] hosts() {
+		return new Object[][] { { "desk.example:8443", "desk.example:8080", true },
+				{ "desk.example:8443", "desk.example", true }, { "[2001:db8::1]", "[2001:db8::2]", true },
+				{ "desk.example", "other.example", true }, { "desk.example", "DESK.example", false },
+				{ "desk.example", "desk.example:80", false }, { "desk.example:8443", "desk.example:08443", false },
+				{ "[::1]", "[0::1]:80", false }, { "desk.example", "%64esk.example", false } };
+	}
+
+	// The check of a declaration and the choice of the route once had different rules.
+	@Test(dataProvider = "hosts")
+	public void routesMayShareAPrefixUnlessTheirHostsAreTheSame(String one, String other, boolean allowed) {
+		DeclaredConfiguration declared = declared(1, 0, "a", route("r-1", one, "/a/", "catalogue"),
+				route("r-2", other, "/a/", "counter"));
+		Assert.assertEquals(this.service.replace(declared).isRight(), allowed);
+		Assert.assertEquals(this.mesh.configuration().routes().all().size(), allowed ? 2 : 0);
+	}
+
+	@Test
+	public void hostThatNoRequestCanNameIsRefusedWithItsPlace() {
+		for (String host : List.of("", "desk.example:http", "desk.example:65536", "a b", "u@h", "[::1", "d\u00e4sk")) {
+			List<Problem> problems = DeclarationValidator
+				.problems(declared(1, 0, "a", route("r-1", host, "/a/", "catalogue")));
+			Assert.assertEquals(problems.size(), 1, host);
+			Assert.assertTrue(problems.getFirst().toString().contains("routes.r-1: found host '" + host + "'"),
+					problems.getFirst().toString());
+		}
+	}
+
 	private void assertProblem(String place, String value, DeclaredTeam... teams) {
 		List<String> problems = problems(DeclaredColdStart.NONE, teams);
 		Assert.assertEquals(problems.size(), 1, problems.toString());
@@ -287,7 +317,11 @@
 	}
 
 	private static HostRoute route(String name, String prefix, String service) {
-		return HostRoute.builder(name).match("shop.example", prefix).rules(rules(name)).service(service).build();
+		return route(name, "shop.example", prefix, service);
+	}
+
+	private static HostRoute route(String name, String host, String prefix, String service) {
+		return HostRoute.builder(name).match(host, prefix).rules(rules(name)).service(service).build();
 	}
 
 	private static HostRoute weighted(String name, Map<String, Integer> weights) {
--- a/model/src/main/java/io/lavenderroad/model/HostRoute.java
+++ b/model/src/main/java/io/lavenderroad/model/HostRoute.java
@@ -61,7 +61,7 @@
 
 	/**
 	 * Returns the host of the requests.
-	 * @return the host, without a port
+	 * @return the host as it was declared, with or without a port
 	 */
 	public String host() {
 		return this.host;
@@ -206,7 +206,7 @@
 
 		/**
 		 * Sets which requests match the route.
-		 * @param newHost host of the requests, without a port
+		 * @param newHost host of the requests, with or without a port
 		 * @param newPathPrefix prefix of the path, with a slash at both ends
 		 * @return this builder
 		 */
--- a/model/src/test/java/io/lavenderroad/model/RouteSetTests.java
+++ b/model/src/test/java/io/lavenderroad/model/RouteSetTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lavenderroad.core.http.HttpAuthority;
 import io.lavenderroad.core.wire.Fields;
 import io.lavenderroad.model.binding.ConfigurationBinding;
 import org.testng.Assert;
@@ -30,7 +31,7 @@
 		Assert.assertEquals(name(table, "Shop.Example:8080", "/a/x"), Optional.of("short"));
 		Assert.assertEquals(name(table, "shop.example", "/ab/"), Optional.empty());
 		Assert.assertEquals(name(table, "unknown.example", "/a/"), Optional.empty());
-		Assert.assertFalse(table.containsHost("unknown.example"));
+		Assert.assertFalse(table.containsHost(authority("unknown.example")));
 	}
 
 	@Test
@@ -79,8 +80,12 @@
 		Assert.assertEquals(mesh(unresolved).missingResources().size(), 1);
 	}
 
+	private static HttpAuthority authority(String host) {
+		return HttpAuthority.parse(host).orElseThrow();
+	}
+
 	private static Optional<String> name(RouteTable table, String host, String path) {
-		return table.find(host, path).map(HostRoute::name);
+		return table.find(authority(host), path).map(HostRoute::name);
 	}
 
 	private static MeshConfiguration mesh(HostRoute... routes) {
--- a/node/src/main/java/io/lavenderroad/node/RouteSearch.java
+++ b/node/src/main/java/io/lavenderroad/node/RouteSearch.java
@@ -3,9 +3,11 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.lavenderroad.core.http.HttpAuthority;
 import io.lavenderroad.model.CallRules;
 import io.lavenderroad.model.HostRoute;
 import io.lavenderroad.model.MeshConfiguration;
+import io.lavenderroad.model.RouteTable;
 import io.lavenderroad.model.ServiceConfiguration;
 import io.lavenderroad.node.http.IncomingRequest;
 import io.lavenderroad.policy.calls.ServiceChoice;
@@ -29,16 +31,18 @@
 	 * @return the target, or why there is none
 	 */
 	Either<String, Target> find(IncomingRequest request, String service) {
-		String host = request.headers().text("Host");
-		if (service.isEmpty() && this.configuration.routes().table().containsHost(host)) {
-			return this.configuration.routes()
-				.table()
-				.find(host, request.path())
+		if (!service.isEmpty()) {
+			return byService(request, service);
+		}
+		RouteTable table = this.configuration.routes().table();
+		Optional<HttpAuthority> authority = request.authority();
+		if (authority.filter(table::containsHost).isPresent()) {
+			return authority.flatMap((named) -> table.find(named, request.path()))
 				.flatMap(this::byHost)
 				.<Either<String, Target>>map(Either::right)
-				.orElseGet(() -> Either.left("no route for " + host + request.path()));
+				.orElseGet(() -> Either.left("no route for " + authority.get() + request.path()));
 		}
-		return byService(request, service.isEmpty() ? firstLabel(host) : service);
+		return byService(request, authority.map(HttpAuthority::host).map(RouteSearch::firstLabel).orElse(""));
 	}
 
 	private Optional<Target> byHost(HostRoute route) {
@@ -78,9 +82,6 @@
 
 	private static String firstLabel(String host) {
 		int end = host.indexOf('.');
-		if (end < 0) {
-			end = host.indexOf(':');
-		}
 		return (end < 0) ? host : host.substring(0, end);
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/HttpConnection.java
@@ -5,7 +5,6 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import io.lavenderroad.core.http.HttpAuthority;
 import io.lavenderroad.core.http.MalformedLineException;
 import io.lavenderroad.core.http.RequestHead;
 import io.lavenderroad.core.http.RequestReader;
@@ -276,9 +276,10 @@
 			throws IOException, InterruptedException {
 		Either<String, RequestTarget> target = RequestTarget.parse(head.target());
 		HeaderFields headers = HeaderFields.of(head.fields());
-		if (target.isLeft() || namesOtherHost(target.get(), headers)) {
-			return reject(HttpStatus.SC_BAD_REQUEST, CallerRefusals.Reason.MALFORMED,
-					target.isLeft() ? target.getLeft() : "the request target names another host than the Host field");
+		Either<String, Optional<HttpAuthority>> authority = target
+			.flatMap((parsed) -> RequestAuthority.of(parsed, headers));
+		if (authority.isLeft()) {
+			return reject(HttpStatus.SC_BAD_REQUEST, CallerRefusals.Reason.MALFORMED, authority.getLeft());
 		}
 		if (awaitsContinue(head, headers, limits) && !sendContinue()) {
 			return false;
@@ -289,9 +290,9 @@
 					"the body is over " + limits.maximumBodyBytes() + " bytes");
 		}
 		held.add(body.length);
-		IncomingRequest request = new IncomingRequest(head.method(), target.get().path(),
-				withHost(target.get(), headers), body, this.socket.getInetAddress(), this.socket.getLocalAddress(),
-				new Cancellation());
+		IncomingRequest request = new IncomingRequest(head.method(), target.get().path(), authority.get(),
+				RequestAuthority.withHost(target.get(), headers), body, this.socket.getInetAddress(),
+				this.socket.getLocalAddress(), new Cancellation());
 		boolean last = !head.persistent() || headers.closesConnection();
 		CompletableFuture<OutgoingResponse> response = new CompletableFuture<>();
 		if (!this.responses.add(new PendingResponse(request.method(), response, last, request.departure()))) {
@@ -346,22 +347,6 @@
 		return RESPONSE_BYTES + response.body().length;
 	}
 
-	private static boolean namesOtherHost(RequestTarget target, HeaderFields headers) {
-		Optional<String> host = headers.first("Host");
-		return target.authority().isPresent() && host.isPresent()
-				&& !target.authority().get().equalsIgnoreCase(host.get());
-	}
-
-	private static HeaderFields withHost(RequestTarget target, HeaderFields headers) {
-		if (headers.first("Host").isPresent() || target.authority().isEmpty()) {
-			return headers;
-		}
-		List<String> pairs = new ArrayList<>(headers.pairs());
-		pairs.add("Host");
-		pairs.add(target.authority().get());
-		return HeaderFields.of(pairs);
-	}
-
 	private boolean reject(int status, CallerRefusals.Reason cause, String reason) throws InterruptedException {
 		this.listener.refusals().rejected(cause, this.socket.getRemoteSocketAddress(), status, reason);
 		byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
--- a/node/src/main/java/io/lavenderroad/node/http/RequestTarget.java
+++ b/node/src/main/java/io/lavenderroad/node/http/RequestTarget.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
+import io.lavenderroad.core.http.HttpAuthority;
 import io.vavr.control.Either;
 
 /**
@@ -12,8 +13,9 @@
  *
  * @param path path with query, begins with a slash
  * @param authority host and port of a target in absolute form
+ * @param defaultPort port of an authority that states none
  */
-record RequestTarget(String path, Optional<String> authority) {
+record RequestTarget(String path, Optional<String> authority, int defaultPort) {
 
 	private static final String SCHEME_SEPARATOR = "://";
 
@@ -29,26 +31,29 @@
 			}
 		}
 		if (target.startsWith("/")) {
-			return Either.right(new RequestTarget(target, Optional.empty()));
+			return Either.right(new RequestTarget(target, Optional.empty(), HttpAuthority.HTTP_PORT));
 		}
-		String scheme = target.toLowerCase(Locale.ROOT);
-		if (scheme.startsWith("http" + SCHEME_SEPARATOR) || scheme.startsWith("https" + SCHEME_SEPARATOR)) {
-			return parseAbsolute(target.substring(target.indexOf(SCHEME_SEPARATOR) + SCHEME_SEPARATOR.length()));
+		int schemeEnd = Math.max(0, target.indexOf(SCHEME_SEPARATOR));
+		String scheme = target.substring(0, schemeEnd).toLowerCase(Locale.ROOT);
+		if (scheme.equals("http") || scheme.equals("https")) {
+			int defaultPort = scheme.equals("http") ? HttpAuthority.HTTP_PORT : HttpAuthority.HTTPS_PORT;
+			return parseAbsolute(target.substring(schemeEnd + SCHEME_SEPARATOR.length()), defaultPort);
 		}
 		return Either.left("the request target is neither a path nor an absolute URI");
 	}
 
-	private static Either<String, RequestTarget> parseAbsolute(String rest) {
+	private static Either<String, RequestTarget> parseAbsolute(String rest, int defaultPort) {
 		int end = 0;
 		while (end < rest.length() && rest.charAt(end) != '/' && rest.charAt(end) != '?') {
 			end++;
 		}
 		String authority = rest.substring(0, end);
-		if (authority.isEmpty() || authority.indexOf('@') >= 0) {
+		if (HttpAuthority.parse(authority, defaultPort).isEmpty()) {
 			return Either.left("the request target names no host, or a user");
 		}
 		String path = rest.substring(end);
-		return Either.right(new RequestTarget(path.startsWith("/") ? path : "/" + path, Optional.of(authority)));
+		return Either
+			.right(new RequestTarget(path.startsWith("/") ? path : "/" + path, Optional.of(authority), defaultPort));
 	}
 
 	private static boolean isForbidden(char character) {
--- a/node/src/test/java/io/lavenderroad/node/http/MalformedRequestTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/MalformedRequestTests.java
@@ -107,6 +107,23 @@
 		Assert.assertEquals(this.runs.get(), 0);
 	}
 
+	// A host that cannot be read was cut at its last colon and routed by what was left.
+	@Test
+	public void unreadableHostsAreRefused() throws IOException {
+		List<String> wrong = new ArrayList<>();
+		for (String host : List.of("h:x", "h:65536", "h:80:80", "a b", "u@h", "::1", "[::1", "[::1]x", "h%", ":80",
+				"\u00e4")) {
+			addUnlessRefused("POST /a HTTP/1.1\r\nHost: " + host + "\r\n" + LENGTH + "\r\nab", wrong);
+			addUnlessRefused("POST http://" + host + "/a HTTP/1.1\r\n" + LENGTH + "\r\nab", wrong);
+		}
+		for (String target : List.of("http://h:8443/a", "http://other/a", "https://h:80/a", "http://h:/a")) {
+			String host = target.equals("http://h:/a") ? "h:81" : "h";
+			addUnlessRefused("POST " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + LENGTH + "\r\nab", wrong);
+		}
+		Assert.assertTrue(wrong.isEmpty(), String.join("\n", wrong));
+		Assert.assertEquals(this.runs.get(), 0);
+	}
+
 	/**
 	 * Guards against strictness that refuses what clients inside the limits send.
 	 */
@@ -117,7 +134,9 @@
 				START + "Name: \u00e4\t b \r\nEmpty:\r\n" + LENGTH + "\r\nab", "\r\n" + START + LENGTH + "\r\nab",
 				START + CHUNKED + "2;name=value\r\nab\r\n0\r\nTrailer: a\r\n\r\n",
 				START + CHUNKED + "02\r\nab\r\n0\r\n\r\n", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n",
-				"GET /a HTTP/1.0\r\n\r\n");
+				"GET http://H:80/a HTTP/1.1\r\nHost: h\r\n\r\n", "GET https://h/a HTTP/1.1\r\nHost: h\r\n\r\n",
+				"GET http://h/a HTTP/1.1\r\n\r\n", "GET /a HTTP/1.1\r\nHost: [::1]:8443\r\n\r\n",
+				"GET /a HTTP/1.1\r\nHost:\r\n\r\n", "GET /a HTTP/1.0\r\n\r\n");
 		for (String request : legal) {
 			Assert.assertEquals(status(request), "200", request);
 		}
--- a/node/src/test/java/io/lavenderroad/node/http/RequestTargetTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/RequestTargetTests.java
@@ -27,14 +27,16 @@
 	Object[][] refused() {
 		return new Object[][] { { "" }, { "*" }, { "?a" }, { "a/b" }, { "h:80" }, { "/a#b" }, { "/a\\b" },
 				{ "\\\\h\\a" }, { "/a\tb" }, { "/a\u0000" }, { "/\u007f" }, { "http:///a" }, { "http://u@h/a" },
-				{ "ftp://h/a" } };
+				{ "ftp://h/a" }, { "://h/a" }, { "http://:80/a" }, { "http://h:x/a" }, { "http://h:65536/a" },
+				{ "http://[::1/a" } };
 	}
 
 	@Test(dataProvider = "accepted")
 	public void targetGoesOnAsItWasSent(String target, String path, String authority) {
 		Either<String, RequestTarget> parsed = RequestTarget.parse(target);
-		Assert.assertEquals(parsed.get(),
-				new RequestTarget(path, Optional.of(authority).filter((value) -> !value.isEmpty())), target);
+		Assert.assertEquals(parsed.get(), new RequestTarget(path,
+				Optional.of(authority).filter((value) -> !value.isEmpty()), target.startsWith("https:") ? 443 : 80),
+				target);
 	}
 
 	@Test(dataProvider = "refused")
