Refuse a head in which a second response begins, and refusals without id

What callers saw: a faulty worker wrote the first bytes of an earlier refusal in front of its answer to the next order.

Cause: the reason phrase and the values of fields may hold any visible character, so two responses of which the first breaks off there are one head. Its status or its "not run" is that of the first, its id that of the second. Besides, "not run" in an answer that names no request was believed on a new connection.

Change: a line of a response in which another status line begins is malformed (ResponseLineParser), so the exchange ends as "may have run". Where answers name their requests, "not run" counts only in an answer that names this request, once. A connection on which a foreign answer was dropped is not used again.

--- a/core/src/main/java/io/lavenderroad/core/http/HttpGrammar.java
+++ b/core/src/main/java/io/lavenderroad/core/http/HttpGrammar.java
@@ -1,5 +1,7 @@
 package io.lavenderroad.core.http;
 
+import java.util.regex.Pattern;
+
 /**
  * Character classes of HTTP messages (RFC 9110, section 5).
  */
@@ -11,6 +13,8 @@
 
 	private static final char HIGHEST_CHARACTER = 0xff;
 
+	private static final Pattern STATUS_LINE_BEGINNING = Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2} ");
+
 	private HttpGrammar() {
 	}
 
@@ -33,6 +37,15 @@
 		return !text.isEmpty() && text.chars().allMatch((character) -> character >= '0' && character <= '9');
 	}
 
+	/**
+	 * Returns whether a status line begins anywhere in a text (RFC 9112, section 4).
+	 * @param text the text
+	 * @return true if it has a version, a status and the spaces behind them
+	 */
+	static boolean containsStatusLine(CharSequence text) {
+		return STATUS_LINE_BEGINNING.matcher(text).find();
+	}
+
 	/**
 	 * Returns whether a character may stand in a line: a visible one, one over 127, a
 	 * space or a tab (RFC 9110, section 5.5).
--- a/core/src/main/java/io/lavenderroad/core/http/ResponseReader.java
+++ b/core/src/main/java/io/lavenderroad/core/http/ResponseReader.java
@@ -93,7 +93,7 @@
 	}
 
 	private ClassicHttpResponse parseHead(MessageHeadInputStream headStream) throws IOException, HttpException {
-		ClassicHttpResponse head = new DefaultHttpResponseParser(HEAD_RULES, StrictLineParser.INSTANCE, null)
+		ClassicHttpResponse head = new DefaultHttpResponseParser(HEAD_RULES, ResponseLineParser.INSTANCE, null)
 			.parse(this.buffer, headStream);
 		MessageLength.of(head);
 		return head;
--- a/core/src/main/java/io/lavenderroad/core/http/StrictLineParser.java
+++ b/core/src/main/java/io/lavenderroad/core/http/StrictLineParser.java
@@ -18,7 +18,7 @@
  * also accepts field names that are no tokens, and first lines with other separators,
  * versions and numbers.
  */
-final class StrictLineParser extends BasicLineParser {
+class StrictLineParser extends BasicLineParser {
 
 	static final StrictLineParser INSTANCE = new StrictLineParser();
 
@@ -34,7 +34,7 @@
 	 */
 	private static final Pattern REQUEST_LINE = Pattern.compile("([^ ]+) ([^ ]+) HTTP/1\\.([0-9])");
 
-	private StrictLineParser() {
+	StrictLineParser() {
 	}
 
 	/**
--- a/node/src/main/java/io/lavenderroad/node/BackendClient.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendClient.java
@@ -67,13 +67,13 @@
 				request.attemptBudget(), request.metadata().callerService(), backendId, request.metadata().team());
 		HeaderFields fields = this.dialect.backendFields(passed(request), terms);
 		BackendRequest sent = new BackendRequest(request.method(), request.target(), fields, request.body(),
-				(answer) -> this.dialect.match(fields, answer), this::isNotRun);
+				(answer) -> this.dialect.match(fields, answer), this::statesNotRun);
 		Either<BackendFailure, BackendResponse> response = this.exchange.run(sent, remainingMillis, cancellation);
 		if (response.isLeft() && response.getLeft().kind() == BackendFailure.Kind.UNREACHABLE) {
 			observer.unreachable();
 		}
 		response.forEach((answer) -> observer.answered(this.dialect.serverLoad(answer.headers()), coldMillis(answer)));
-		return response.fold(BackendClient::failure, this::answer);
+		return response.fold(BackendClient::failure, (answer) -> answer(fields, answer));
 	}
 
 	/**
@@ -84,7 +84,7 @@
 	 */
 	Either<BackendFailure, BackendResponse> get(String path, long timeoutMillis) {
 		BackendRequest request = new BackendRequest("GET", path, HeaderFields.of(List.of("Host", this.authority)),
-				new byte[0], (answer) -> ResponseMatch.UNNAMED, this::isNotRun);
+				new byte[0], (answer) -> ResponseMatch.UNNAMED, this::statesNotRun);
 		return this.exchange.run(request, timeoutMillis, new Cancellation());
 	}
 
@@ -105,9 +105,11 @@
 				: fields;
 	}
 
-	private CallAnswer answer(BackendResponse response) {
-		if (isNotRun(response)) {
-			return CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server shed the request").asBackendRefusal();
+	private CallAnswer answer(HeaderFields request, BackendResponse response) {
+		if (statesNotRun(response)) {
+			return isCertain(request, response)
+					? CallAnswer.notRun(HttpStatus.UNAVAILABLE, "backend server shed the request").asBackendRefusal()
+					: CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY, "backend server shed a request without naming it");
 		}
 		if (!response.framed() && !this.dialect.acceptsUnframedBodies()) {
 			return CallAnswer.mayHaveRun(HttpStatus.BAD_GATEWAY,
@@ -117,10 +119,15 @@
 				response.body());
 	}
 
-	private boolean isNotRun(BackendResponse response) {
+	private boolean statesNotRun(BackendResponse response) {
 		return this.dialect.isNotRun(response.status(), response.headers());
 	}
 
+	private boolean isCertain(HeaderFields request, BackendResponse response) {
+		return !this.dialect.namesRequest(request)
+				|| this.dialect.match(request, response.headers()) == ResponseMatch.SAME;
+	}
+
 	private static CallAnswer failure(BackendFailure failure) {
 		return switch (failure.kind()) {
 			case UNREACHABLE -> CallAnswer.notRun(HttpStatus.UNAVAILABLE, failure.reason())
--- a/node/src/main/java/io/lavenderroad/node/CallDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/CallDialect.java
@@ -64,14 +64,21 @@
 	HeaderFields backendFields(HeaderFields passed, ForwardedCallTerms terms);
 
 	/**
-	 * Returns whether a backend server states in its answer that it has not run the
-	 * request.
+	 * Returns whether an answer states that its request was not run. If answers name
+	 * their requests, the statement counts for the request that it names only.
 	 * @param status status code
 	 * @param headers fields of the answer
-	 * @return true if the request was not run
+	 * @return true if the answer states it
 	 */
 	boolean isNotRun(int status, HeaderFields headers);
 
+	/**
+	 * Returns whether the answers to a request name it, see {@link #match}.
+	 * @param request fields of the request
+	 * @return true if each answer of a sound backend server names the request
+	 */
+	boolean namesRequest(HeaderFields request);
+
 	/**
 	 * Reads the load that a backend server states in one of its answers.
 	 * @param answer fields of the answer
--- a/node/src/main/java/io/lavenderroad/node/MeshDialect.java
+++ b/node/src/main/java/io/lavenderroad/node/MeshDialect.java
@@ -60,6 +60,11 @@
 		return headers.text(MeshHeaders.BACKEND_VERDICT).equals(ExecutionVerdict.NOT_RUN.label());
 	}
 
+	@Override
+	public boolean namesRequest(HeaderFields request) {
+		return false;
+	}
+
 	@Override
 	public ResponseMatch match(HeaderFields request, HeaderFields answer) {
 		return ResponseMatch.UNNAMED;
--- a/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
+++ b/node/src/main/java/io/lavenderroad/node/http/BackendConnection.java
@@ -26,10 +26,10 @@
  * <p>
  * A backend server may write a response a second time, also after the next request was
  * sent. A response that names another request is dropped. One that names no request is
- * dropped if earlier responses on the connection named theirs. A refusal that is repeated
- * must not be taken for the answer to a request that runs: after a refusal that names no
- * request the connection is not reused, and a request is not sent again on a connection
- * on which it was refused.
+ * dropped if earlier responses on the connection named theirs. A connection on which a
+ * response was dropped is not reused. A refusal that is repeated must not be taken for
+ * the answer to a request that runs: after a refusal that names no request the connection
+ * is not reused, and a request is not sent again on a connection on which it was refused.
  */
 final class BackendConnection implements AutoCloseable {
 
@@ -61,6 +61,8 @@
 
 	private boolean responsesNameRequests;
 
+	private boolean droppedResponse;
+
 	private BackendConnection(SocketChannel channel) throws IOException {
 		this.channel = channel;
 		this.reader = new ResponseReader(channel.socket().getInputStream());
@@ -96,7 +98,7 @@
 			write(request);
 			BackendResponse response = read(request, maximumBytes, account);
 			this.notReusable = !response.framed() || response.headers().closesConnection()
-					|| this.reader.hasBufferedData() || isUnsafeAfter(request, response);
+					|| this.reader.hasBufferedData() || this.droppedResponse || isUnsafeAfter(request, response);
 			return response;
 		}
 		catch (HttpException ex) {
@@ -173,6 +175,7 @@
 			if (!response.framed()) {
 				throw new ProtocolException("the answer belongs to another request");
 			}
+			this.droppedResponse = true;
 			Logger.warn("node: Dropped a backend server response with status {} that belongs to another request.",
 					response.status());
 		}
--- a/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BackendExchangeTests.java
@@ -104,6 +104,17 @@
 		Assert.assertEquals(this.connections.get(), 1);
 	}
 
+	// Whoever wrote one answer too many may write the next one, too.
+	@Test
+	public void connectionIsNotReusedAfterADroppedResponse() {
+		this.answer = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+				+ "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 3\r\n\r\nnew";
+		Assert.assertEquals(text(run("r1")), "new");
+		this.answer = "HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: 2\r\n\r\nok";
+		Assert.assertEquals(text(run("r2")), "ok");
+		Assert.assertEquals(this.connections.get(), 2);
+	}
+
 	@Test
 	public void repeatedRefusalIsNotTakenForTheAnswerToTheNextRequest() {
 		this.answer = REFUSAL + "Id: r1\r\n\r\n";
--- a/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
+++ b/node/src/test/java/io/lavenderroad/node/http/BrokenResponseTests.java
@@ -68,7 +68,9 @@
 		for (String head : List.of(STATUS_LINE + FIELDS + LENGTH, STATUS_LINE + LENGTH + FIELDS,
 				"HTTP/1.0 200 OK\r\n" + LENGTH, "HTTP/1.1 200 \r\n" + LENGTH, STATUS_LINE + "content-length:12\r\n",
 				STATUS_LINE + "CONTENT-LENGTH: \t 12 \t\r\n", STATUS_LINE + "Content-Length: 0012\r\n",
-				"HTTP/1.1 200 all\tfine \u00e4\r\n" + LENGTH, STATUS_LINE + "!#$%&'*+-.^_`|~09azAZ: \"\u00ff\"\t;\r\n",
+				"HTTP/1.1 200 all\tfine \u00e4\r\n" + LENGTH, "HTTP/1.1 200 as HTTP/1.1 says\r\n" + LENGTH,
+				STATUS_LINE + "Via: HTTP/1.1 proxy, HTTP/1.1\r\nNote: HTTP/1.1 2000 HTTP/2.0 200 \r\n" + LENGTH,
+				STATUS_LINE + "!#$%&'*+-.^_`|~09azAZ: \"\u00ff\"\t;\r\n",
 				STATUS_LINE + "Empty:\r\nBlank: \t\r\n" + LENGTH, STATUS_LINE, STATUS_LINE + FIELDS,
 				"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + STATUS_LINE + LENGTH)) {
 			assertSound(head + "\r\n" + BODY);
@@ -131,6 +133,22 @@
 		assertNone(accepted);
 	}
 
+	/**
+	 * Guards against two responses that are read as one since the first broke off.
+	 */
+	@Test
+	public void headWithASecondStatusLineIsAFailure() {
+		List<String> accepted = new ArrayList<>();
+		for (String second : List.of("HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 503 Service Unavailable")) {
+			addIfAccepted(accepted, "HTTP/1.1 200 " + second + "\r\n" + LENGTH + "\r\n" + BODY);
+			addIfAccepted(accepted, "HTTP/1.1 200 O" + second + "\r\n" + LENGTH + "\r\n" + BODY);
+			addIfAccepted(accepted, STATUS_LINE + "Name:" + second + "\r\n" + LENGTH + "\r\n" + BODY);
+			addIfAccepted(accepted, STATUS_LINE + "Name: a" + second + "\r\n" + LENGTH + "\r\n" + BODY);
+			addIfAccepted(accepted, "HTTP/1.1 103 Early Hints\r\nLink: a" + second + "\r\n" + LENGTH + "\r\n" + BODY);
+		}
+		assertNone(accepted);
+	}
+
 	/**
 	 * Guards against names with blanks, control bytes or separators: such a line is
 	 * passed on, or hides the length of the body.
