Put each acknowledged departure in force, whatever entry is current

The other way round, a false draining or an entry under another id kept a sound worker out of use for 30 s and more.

Cause: one comparison by start and sequence number decided which announcement is newer, whether a start has left, and which start runs. The departure was kept and acknowledged, and then not applied, as the entry seemed newer.

Change: a departure takes effect although the current announcement seems newer; a deregistration of an earlier start is not acknowledged while a later one under the same id is in use. DisplacedServer: a worker in use that goes on announcing is used again with its second announcement, where those cannot be late ones from before a departure, or where being wrong has no consequence. The copy of an announcement and the comparison of starts, which stood twice, have one place each.

--- a/node/src/main/java/io/lavenderroad/node/BackendAnnouncement.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendAnnouncement.java
@@ -53,6 +53,24 @@
 		return Optional.empty();
 	}
 
+	/**
+	 * Returns whether two announcements are from the same start of a backend server.
+	 * @param other the other announcement
+	 * @return true if id and start are equal
+	 */
+	boolean isOfSameStart(BackendAnnouncement other) {
+		return this.backendId.equals(other.backendId) && this.startedMillis == other.startedMillis;
+	}
+
+	/**
+	 * Returns a copy that says that the backend server is leaving.
+	 * @return the copy
+	 */
+	BackendAnnouncement asLeaving() {
+		return new BackendAnnouncement(this.backendId, this.startedMillis, this.sequence, this.service, this.version,
+				this.slots, true, this.remainingColdMillis);
+	}
+
 	/**
 	 * Returns whether this announcement supersedes another one: the later start wins, and
 	 * within one start the larger sequence number.
--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -65,6 +65,8 @@
 
 	private final SupersededAnnouncements superseded;
 
+	private final DisplacedServer displaced;
+
 	private final Departures departures;
 
 	/**
@@ -91,6 +93,12 @@
 
 	private boolean unresponsive;
 
+	/**
+	 * Set while an earlier start under the id of the current one has left after the last
+	 * announcement of the current one.
+	 */
+	private boolean suspended;
+
 	private boolean nodeLeaving;
 
 	private long lastAnnouncementMillis;
@@ -124,6 +132,7 @@
 		this.announcer = announcer;
 		this.superseded = new SupersededAnnouncements(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP,
 				MAXIMUM_DELAY_MILLIS);
+		this.displaced = new DisplacedServer(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP, MAXIMUM_DELAY_MILLIS);
 		this.departures = new Departures(clock, MAXIMUM_DELAY_MILLIS);
 	}
 
@@ -173,6 +182,10 @@
 		if (this.departures.contains(announcement)) {
 			Logger.info("node: Ignored announcement {} of {} started at {}; that start has left.",
 					announcement.sequence(), announcement.backendId(), announcement.startedMillis());
+			if (this.displaced.goesOn(announcement, this.clock.millis())) {
+				this.departures.removeDraining(announcement.backendId(), announcement.startedMillis());
+				replaceCurrent(announcement);
+			}
 			return;
 		}
 		if (announcement.leaving()) {
@@ -182,9 +195,50 @@
 			addEarly(announcement);
 			return;
 		}
-		if (this.current != null && !announcement.replaces(this.current) && !outlives(announcement)) {
+		if (this.current == null || announcement.replaces(this.current)) {
+			if (acceptsWork()) {
+				this.displaced.replaced(this.current, announcement, this.clock.millis() - this.lastAnnouncementMillis);
+			}
+			else {
+				this.displaced.current(announcement);
+			}
+			this.superseded.reset();
+			apply(announcement);
+		}
+		else if (announcement.leaving()) {
+			leaveSuperseded(announcement);
+		}
+		else if (outlives(announcement)) {
+			replaceCurrent(announcement);
+		}
+	}
+
+	// Puts a departure in force although the current announcement seems to be newer. That
+	// one may be an entry of another writer, or of a start before the time of day was set
+	// back. A later start that is sound is used again with its next announcement.
+	private void leaveSuperseded(BackendAnnouncement announcement) {
+		if (!announcement.backendId().equals(this.current.backendId())) {
 			return;
 		}
+		Logger.info("node: Backend server {} started at {} is leaving, announcement {}; the current one is {}.",
+				announcement.backendId(), announcement.startedMillis(), announcement.sequence(),
+				this.current.sequence());
+		if (announcement.isOfSameStart(this.current)) {
+			this.current = this.current.asLeaving();
+			this.displaced.current(this.current);
+		}
+		else {
+			this.suspended = true;
+		}
+		publish();
+	}
+
+	private void replaceCurrent(BackendAnnouncement announcement) {
+		Logger.warn("node: Discarded announcement {} of {} started at {}; {} started at {} goes on announcing.",
+				this.current.sequence(), this.current.backendId(), this.current.startedMillis(),
+				announcement.backendId(), announcement.startedMillis());
+		this.current = null;
+		this.displaced.reset();
 		this.superseded.reset();
 		apply(announcement);
 	}
@@ -202,14 +256,9 @@
 		Logger.info("node: Ignored announcement {} of {} started at {}; superseded by {} of {} started at {}.",
 				announcement.sequence(), announcement.backendId(), announcement.startedMillis(),
 				this.current.sequence(), this.current.backendId(), this.current.startedMillis());
-		if (!this.superseded.record(announcement, this.clock.millis(), this.lastAnnouncementMillis)) {
-			return false;
-		}
-		Logger.warn("node: Discarded announcement {} of {} started at {}; {} started at {} goes on announcing.",
-				this.current.sequence(), this.current.backendId(), this.current.startedMillis(),
-				announcement.backendId(), announcement.startedMillis());
-		this.current = null;
-		return true;
+		long now = this.clock.millis();
+		return this.displaced.goesOn(announcement, now)
+				|| this.superseded.record(announcement, now, this.lastAnnouncementMillis);
 	}
 
 	/**
@@ -227,12 +276,30 @@
 					startedMillis.getAsLong());
 			return AnnouncementOutcome.ACKNOWLEDGED;
 		}
-		return keep(recordDeregistration(backendId, startedMillis));
+		Departure departure = recordDeregistration(backendId, startedMillis);
+		if (isLaterStartUsed(departure)) {
+			Logger.info("node: Did not acknowledge {}: a later start under this id is in use.", departure);
+			return AnnouncementOutcome.unconfirmed("a later start is in use");
+		}
+		return keep(departure);
+	}
+
+	// Returns whether requests still reach the backend server that has deregistered, if
+	// its start seems earlier than the current one since the time of day was set back.
+	private boolean isLaterStartUsed(Departure departure) {
+		this.lock.lock();
+		try {
+			return acceptsWork() && departure.backendId().equals(this.current.backendId());
+		}
+		finally {
+			this.lock.unlock();
+		}
 	}
 
 	private Departure recordDeregistration(String backendId, OptionalLong startedMillis) {
 		this.lock.lock();
 		try {
+			this.displaced.left(backendId);
 			boolean registered = this.current != null && this.current.backendId().equals(backendId)
 					&& startedMillis.orElse(this.current.startedMillis()) >= this.current.startedMillis();
 			if (!registered) {
@@ -438,8 +505,7 @@
 		boolean wasLeaving = sameIncarnation && this.current.leaving();
 		boolean returns = this.unresponsive && this.current != null;
 		boolean wasUnresponsive = this.unresponsive;
-		BackendAnnouncement applied = wasLeaving ? new BackendAnnouncement(next.backendId(), next.startedMillis(),
-				next.sequence(), next.service(), next.version(), next.slots(), true, next.remainingColdMillis()) : next;
+		BackendAnnouncement applied = wasLeaving ? next.asLeaving() : next;
 		if (!sameIncarnation || applied.leaving() != this.current.leaving() || wasUnresponsive) {
 			Logger.info("node: Backend server {} {} of {} started at {} is {}, announcement {}, {} slots.",
 					applied.backendId(), applied.version(), applied.service(), applied.startedMillis(),
@@ -448,6 +514,7 @@
 		this.current = applied;
 		this.deregistered = this.deregistered && sameIncarnation;
 		this.unresponsive = false;
+		this.suspended = false;
 		this.lastAnnouncementMillis = this.clock.millis();
 		this.onSlotsAnnounced.accept(applied.slots());
 		boolean coldBefore = sameIncarnation && this.lastAnnouncementMillis < this.coldUntilMillis;
@@ -467,7 +534,7 @@
 
 	private boolean acceptsWork() {
 		return this.current != null && !this.deregistered && !this.current.leaving() && !this.nodeLeaving
-				&& !this.unresponsive;
+				&& !this.unresponsive && !this.suspended;
 	}
 
 	private EndpointState currentState() {
--- a/node/src/main/java/io/lavenderroad/node/Departures.java
+++ b/node/src/main/java/io/lavenderroad/node/Departures.java
@@ -49,6 +49,16 @@
 		}
 	}
 
+	/**
+	 * Forgets that a start drains, since it goes on: another writer has announced it.
+	 * @param backendId id of the backend server
+	 * @param startedMillis start of the backend server
+	 */
+	void removeDraining(String backendId, long startedMillis) {
+		Departure departure = new Departure(backendId, startedMillis, Kind.DRAINING);
+		this.entries.removeIf((entry) -> entry.departure().equals(departure));
+	}
+
 	/**
 	 * Returns whether an announcement does not count, because its start has left.
 	 * @param announcement the announcement
--- a/node/src/main/java/io/lavenderroad/node/SupersededAnnouncements.java
+++ b/node/src/main/java/io/lavenderroad/node/SupersededAnnouncements.java
@@ -46,7 +46,7 @@
 		if (now - currentMillis <= this.maximumDelayMillis) {
 			return false;
 		}
-		if (this.last == null || !isSameStart(announcement)) {
+		if (this.last == null || !announcement.isOfSameStart(this.last)) {
 			start(announcement, now);
 		}
 		else if (announcement.sequence() > this.last.sequence() && now - this.lastMillis >= this.minimumGapMillis) {
@@ -65,11 +65,6 @@
 		this.count = 0;
 	}
 
-	private boolean isSameStart(BackendAnnouncement announcement) {
-		return announcement.backendId().equals(this.last.backendId())
-				&& announcement.startedMillis() == this.last.startedMillis();
-	}
-
 	private void start(BackendAnnouncement announcement, long now) {
 		this.last = announcement;
 		this.lastMillis = now;
--- a/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
+++ b/node/src/test/java/io/lavenderroad/node/BackendRegistrationTests.java
@@ -7,6 +7,7 @@
 import io.lavenderroad.model.EndpointState;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -208,6 +209,110 @@
 		}
 	}
 
+	@DataProvider
+	Object[][] entriesOfAnotherWriter() {
+		return new Object[][] { { announcement("i-1", 10, 900_000, false) }, { announcement("i-1", 10, 6, false) },
+				{ announcement("i-1", 40_000, 1, false) }, { announcement("i-1", 49_000, 900_000, false) } };
+	}
+
+	/**
+	 * Guards against a departure that is acknowledged and not applied, because an entry
+	 * of another writer seems to be newer, or a start before the time of day was set
+	 * back.
+	 * @param entry the entry
+	 */
+	@Test(dataProvider = "entriesOfAnotherWriter")
+	public void acknowledgedDepartureIsInForceWhateverAnnouncementIsCurrent(BackendAnnouncement entry) {
+		announceRegularly(1, 4);
+		this.registration.announce(entry);
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+		Assert.assertEquals(this.registration.announce(announcement("i-1", 10, 5, true)),
+				AnnouncementOutcome.ACKNOWLEDGED);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+		Assert.assertEquals(this.published.state(), EndpointState.DRAINING);
+		for (int sequence = 6; sequence < 20; sequence++) {
+			this.nowMillis += ANNOUNCEMENT_MILLIS;
+			this.registration.announce(announcement("i-1", 10, sequence, true));
+			Assert.assertFalse(this.registration.serves("catalogue", "v1"), "after " + sequence);
+		}
+	}
+
+	@Test(dataProvider = "entriesOfAnotherWriter")
+	public void acknowledgedDeregistrationIsInForceWhateverAnnouncementIsCurrent(BackendAnnouncement entry) {
+		announceRegularly(1, 4);
+		this.registration.announce(entry);
+		AnnouncementOutcome outcome = this.registration.deregister("i-1", OptionalLong.of(10));
+		boolean used = this.registration.serves("catalogue", "v1");
+		Assert.assertEquals(outcome.equals(AnnouncementOutcome.ACKNOWLEDGED), !used);
+		this.nowMillis += 6_001;
+		this.registration.poll();
+		Assert.assertEquals(this.registration.deregister("i-1", OptionalLong.of(10)), AnnouncementOutcome.ACKNOWLEDGED);
+		announceRegularly(5, 12);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+	}
+
+	// The late announcement of an earlier start under the same id looks the same.
+	@Test
+	public void soundStartIsUsedAgainWithItsNextAnnouncement() {
+		this.registration.announce(announcement("i-1", 40_000, 1, false));
+		this.registration.announce(announcement("i-1", 10, 9, true));
+		this.nowMillis += ANNOUNCEMENT_MILLIS;
+		this.registration.announce(announcement("i-1", 40_000, 2, false));
+		Assert.assertTrue(this.registration.serves("catalogue", "v1"));
+	}
+
+	@DataProvider
+	Object[][] entriesThatDisplace() {
+		return new Object[][] { { announcement("i-1", 10, 1_000, true) }, { announcement("i-1", 10, 900_000, true) },
+				{ announcement("i-1", 10, 5, true) }, { announcement("i-1", 10, 4, true) },
+				{ announcement("i-1", 10, 900_000, false) }, { announcement("i-9", 40_000, 1, false) },
+				{ announcement("i-9", 40_000, 1, true) }, { announcement("i-1", 40_000, 1, false) } };
+	}
+
+	/**
+	 * Guards against an entry of another writer that keeps a sound backend server out of
+	 * use for longer than two of its own announcements.
+	 * @param entry the entry
+	 */
+	@Test(dataProvider = "entriesThatDisplace")
+	public void soundBackendServerIsUsedAfterTwoOfItsOwnAnnouncements(BackendAnnouncement entry) {
+		announceRegularly(1, 4);
+		this.nowMillis += ANNOUNCEMENT_MILLIS / 2;
+		this.registration.announce(entry);
+		announceRegularly(5, (entry.sequence() == 5) ? 7 : 6);
+		for (int sequence = 8; sequence < 40; sequence++) {
+			Assert.assertTrue(this.registration.serves("catalogue", "v1"), entry + " before " + sequence);
+			Assert.assertEquals(this.registration.backendId(), "i-1");
+			this.nowMillis += ANNOUNCEMENT_MILLIS;
+			this.registration.poll();
+			this.registration.announce(announcement("i-1", 10, sequence, false));
+		}
+		Assert.assertEquals(this.registration.announce(announcement("i-1", 10, 40, true)),
+				AnnouncementOutcome.ACKNOWLEDGED);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"));
+	}
+
+	/**
+	 * Guards against an entry that is undone by what a backend server sent before it
+	 * left.
+	 */
+	@Test
+	public void announcementsFromBeforeADepartureDoNotUndoIt() {
+		for (int delayed = 1; delayed <= 20; delayed++) {
+			start();
+			announceRegularly(1, 4);
+			this.registration.announce(announcement("i-1", 10, 5 + delayed, true));
+			announceRegularly(5, 4 + delayed);
+			Assert.assertFalse(this.registration.serves("catalogue", "v1"), delayed + " delayed announcements");
+		}
+		start();
+		announceRegularly(1, 4);
+		this.registration.announce(announcement("i-1", 10, 900_000, true));
+		this.registration.deregister("i-1", OptionalLong.of(10));
+		announceRegularly(5, 30);
+		Assert.assertFalse(this.registration.serves("catalogue", "v1"), "deregistered");
+	}
+
 	@Test
 	public void unresponsiveBackendServerGetsNoWorkUntilItsNextAnnouncement() {
 		this.registration.announce(announcement("i-1", 10, 1, false));
