--- a/control/src/main/java/io/lavenderroad/control/api/JsonInput.java
+++ b/control/src/main/java/io/lavenderroad/control/api/JsonInput.java
@@ -11,7 +11,6 @@
 
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.jr.ob.JSON;
 import io.lavenderroad.core.Location;
 import io.lavenderroad.core.Problem;
 import io.lavenderroad.core.json.BoundedJson;
@@ -38,7 +37,7 @@
 
 	static Either<Problem, JsonInput> parse(byte[] body) {
 		try {
-			Object value = BoundedJson.reader().with(JSON.Feature.FAIL_ON_DUPLICATE_MAP_KEYS).anyFrom(body);
+			Object value = BoundedJson.parse(body);
 			if (value instanceof Map<?, ?> map) {
 				Map<String, Object> fields = new TreeMap<>();
 				map.forEach((key, field) -> fields.put(String.valueOf(key), field));
--- a/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
+++ b/control/src/main/java/io/lavenderroad/control/state/CommandBinding.java
@@ -72,7 +72,10 @@
 	 */
 	public static Command fromBytes(byte[] bytes) {
 		try {
-			return unpack(Fields.unpacker(bytes));
+			MessageUnpacker unpacker = Fields.unpacker(bytes);
+			Command command = unpack(unpacker);
+			Fields.checkEnd(unpacker);
+			return command;
 		}
 		catch (IOException | MessagePackException | IllegalArgumentException | NullPointerException ex) {
 			throw new LavenderroadException("malformed command of " + bytes.length + " bytes: " + ex, ex);
--- a/control/src/main/java/io/lavenderroad/control/state/MeshState.java
+++ b/control/src/main/java/io/lavenderroad/control/state/MeshState.java
@@ -211,6 +211,7 @@
 		if (unpacker.hasNext()) {
 			state.departures.unpack(unpacker);
 		}
+		Fields.checkEnd(unpacker);
 		return state;
 	}
 
--- a/control/src/test/java/io/lavenderroad/control/state/OldEncodingTests.java
+++ b/control/src/test/java/io/lavenderroad/control/state/OldEncodingTests.java
@@ -1,9 +1,11 @@
 package io.lavenderroad.control.state;
 
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.List;
 import java.util.Set;
 
+import io.lavenderroad.core.LavenderroadException;
 import io.lavenderroad.model.departure.Departure;
 import org.testng.Assert;
 import org.testng.annotations.Test;
@@ -68,6 +70,34 @@
 		Assert.assertEquals(restored.configuration().digest(), DIGEST);
 	}
 
+	/**
+	 * Guards against a record of which a part is dropped: one that breaks off, or one of
+	 * a later version with more fields.
+	 */
+	@Test
+	public void recordThatEndsTooEarlyOrTooLateIsAnError() {
+		for (String command : COMMANDS) {
+			byte[] whole = decode(command);
+			for (int length = 0; length < whole.length; length++) {
+				byte[] cut = Arrays.copyOf(whole, length);
+				Assert.assertThrows(LavenderroadException.class, () -> CommandBinding.fromBytes(cut));
+			}
+			byte[] longer = Arrays.copyOf(whole, whole.length + 1);
+			Assert.assertThrows(LavenderroadException.class, () -> CommandBinding.fromBytes(longer));
+		}
+		MeshStateMachine mesh = new MeshStateMachine();
+		mesh.restore(decode(SNAPSHOT));
+		byte[] whole = mesh.snapshot();
+		for (int length = 0; length < whole.length; length++) {
+			byte[] cut = Arrays.copyOf(whole, length);
+			Assert.assertThrows(LavenderroadException.class, () -> new MeshStateMachine().restore(cut));
+		}
+		Departure departure = new Departure("i-1", 10, Departure.Kind.DRAINING);
+		mesh.apply(4, CommandBinding.toBytes(new Command.KeepDeparture(1_003, "node-1", departure)));
+		byte[] longer = Arrays.copyOf(mesh.snapshot(), mesh.snapshot().length + 1);
+		Assert.assertThrows(LavenderroadException.class, () -> new MeshStateMachine().restore(longer));
+	}
+
 	private static byte[] decode(String text) {
 		return Base64.getDecoder().decode(text);
 	}
--- a/core/src/main/java/io/lavenderroad/core/wire/Fields.java
+++ b/core/src/main/java/io/lavenderroad/core/wire/Fields.java
@@ -71,6 +71,18 @@
 		return Optional.of(unpacker.unpackString());
 	}
 
+	/**
+	 * Checks that a record has been read to its end. What stands behind it was written by
+	 * a later version, and the record without it would mean something else.
+	 * @param unpacker source
+	 * @throws IOException if more fields follow
+	 */
+	public static void checkEnd(MessageUnpacker unpacker) throws IOException {
+		if (unpacker.hasNext()) {
+			throw new WireException("more fields follow than this version knows");
+		}
+	}
+
 	/**
 	 * Writes a byte array.
 	 * @param packer destination
--- a/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendMonitor.java
@@ -197,8 +197,8 @@
 
 	private static int running(BackendResponse response) {
 		try {
-			Map<String, Object> load = BoundedJson.reader().mapFrom(response.body());
-			return (load.get("running") instanceof Number running) ? Math.max(0, running.intValue()) : 0;
+			return (BoundedJson.parse(response.body()) instanceof Map<?, ?> load
+					&& load.get("running") instanceof Number running) ? Math.max(0, running.intValue()) : 0;
 		}
 		catch (IOException ex) {
 			Logger.debug("node: Cannot parse the load page of the backend server: {}.", ex.getMessage());
--- a/tool/src/main/java/io/lavenderroad/tool/JsonValue.java
+++ b/tool/src/main/java/io/lavenderroad/tool/JsonValue.java
@@ -27,7 +27,10 @@
 	 * @throws IOException if the text is not a JSON object
 	 */
 	static JsonValue parse(String text) throws IOException {
-		return new JsonValue(BoundedJson.reader().mapFrom(text));
+		if (BoundedJson.parse(text) instanceof Map<?, ?> map) {
+			return of(map);
+		}
+		throw new IOException("the response is not a JSON object");
 	}
 
 	String text(String key) {
