Keep a deregistration of an earlier process final after a late departure

A node that was restarted hears a late "draining" before it knows the departures that its predecessor kept; two later announcements of that start then removed the draining and used the server, although its deregistration is kept.

Change: after a false draining is forgotten, the other departures are asked again.

--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -184,8 +184,11 @@
 					announcement.sequence(), announcement.backendId(), announcement.startedMillis());
 			if (this.displaced.goesOn(announcement, this.clock.millis())) {
 				this.departures.removeDraining(announcement.backendId(), announcement.startedMillis());
-				replaceCurrent(announcement);
 			}
+			if (this.departures.contains(announcement)) {
+				return;
+			}
+			replaceCurrent(announcement);
 			return;
 		}
 		if (announcement.leaving()) {
--- a/node/src/test/java/io/lavenderroad/node/RestartedRegistrationTests.java
+++ b/node/src/test/java/io/lavenderroad/node/RestartedRegistrationTests.java
@@ -171,6 +171,21 @@
 		Assert.assertTrue(isUsed());
 	}
 
+	/**
+	 * Announcements after a departure end a false one, but never a deregistration that an
+	 * earlier process kept.
+	 */
+	@Test
+	public void deregistrationOfAnEarlierProcessIsFinalAfterALateDeparture() {
+		depart("i-1", 10, Departure.Kind.DEREGISTERED);
+		this.available = false;
+		restart();
+		this.registration.announce(announcement("i-1", 10, 9, true));
+		this.registration.departuresKnown(this.kept);
+		announceRegularly("i-1", 10, 10, 40);
+		Assert.assertFalse(isUsed());
+	}
+
 	@Test
 	public void serverThatDrainsIsAcknowledgedAgainAfterARestart() {
 		this.registration.announce(announcement("i-1", 10, 1, false));
