--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -1,6 +1,5 @@
 package io.lavenderroad.node;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -39,18 +38,6 @@
 	 */
 	static final long MAXIMUM_DELAY_MILLIS = 30_000;
 
-	/**
-	 * Maximum wait until a departure is kept. Backend servers wait a second for an
-	 * acknowledgement.
-	 */
-	static final long KEEP_TIMEOUT_MILLIS = 800;
-
-	/**
-	 * Maximum number of announcements that wait for the departures, as many as a backend
-	 * server sends in half a minute.
-	 */
-	private static final int MAXIMUM_EARLY_ANNOUNCEMENTS = 20;
-
 	private final Clock clock;
 
 	private final Clock timeOfDay;
@@ -63,20 +50,15 @@
 
 	private final ReentrantLock lock = new ReentrantLock();
 
-	private final SupersededAnnouncements superseded;
-
-	private final DisplacedServer displaced;
+	private final RunningServer running;
 
 	private final Departures departures;
 
-	/**
-	 * Announcements that arrived before the departures were known, oldest first.
-	 */
-	private final List<BackendAnnouncement> early = new ArrayList<>();
+	private final ColdPeriod coldPeriod;
 
-	private boolean departuresKnown = true;
+	private final EarlyAnnouncements early = new EarlyAnnouncements();
 
-	private volatile DepartureLog departureLog = (departure, timeoutMillis) -> true;
+	private final DepartureAcknowledgement acknowledgement = new DepartureAcknowledgement();
 
 	private Runnable onLeaving = () -> {
 	};
@@ -84,9 +66,6 @@
 	private IntConsumer onSlotsAnnounced = (slots) -> {
 	};
 
-	private Consumer<Pace.Cause> onSetback = (cause) -> {
-	};
-
 	private BackendAnnouncement current;
 
 	private boolean deregistered;
@@ -103,15 +82,6 @@
 
 	private long lastAnnouncementMillis;
 
-	private volatile long coldUntilMillis;
-
-	/**
-	 * Set while the backend server may be cold without having stated it: after silence
-	 * and after the end of an evacuation. The next announcement without a remaining cold
-	 * time resets it.
-	 */
-	private volatile boolean coldUntilAnnounced;
-
 	private EndpointState announcedState = EndpointState.DRAINING;
 
 	/**
@@ -130,10 +100,9 @@
 		this.service = service;
 		this.announcementTimeoutMillis = announcementTimeoutMillis;
 		this.announcer = announcer;
-		this.superseded = new SupersededAnnouncements(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP,
-				MAXIMUM_DELAY_MILLIS);
-		this.displaced = new DisplacedServer(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP, MAXIMUM_DELAY_MILLIS);
+		this.running = new RunningServer(announcementTimeoutMillis / TIMEOUT_TO_MINIMUM_GAP, MAXIMUM_DELAY_MILLIS);
 		this.departures = new Departures(clock, MAXIMUM_DELAY_MILLIS);
+		this.coldPeriod = new ColdPeriod(clock);
 	}
 
 	/**
@@ -162,27 +131,19 @@
 		finally {
 			this.lock.unlock();
 		}
-		return announcement.leaving() ? keep(departure(announcement)) : AnnouncementOutcome.ACKNOWLEDGED;
+		return announcement.leaving() ? this.acknowledgement.acknowledge(departure(announcement))
+				: AnnouncementOutcome.ACKNOWLEDGED;
 	}
 
 	private static Departure departure(BackendAnnouncement announcement) {
 		return new Departure(announcement.backendId(), announcement.startedMillis(), Departure.Kind.DRAINING);
 	}
 
-	private AnnouncementOutcome keep(Departure departure) {
-		if (this.departureLog.keep(departure, KEEP_TIMEOUT_MILLIS)) {
-			return AnnouncementOutcome.ACKNOWLEDGED;
-		}
-		Logger.warn("node: Did not acknowledge {}: the control group has not kept it within {} ms.", departure,
-				KEEP_TIMEOUT_MILLIS);
-		return AnnouncementOutcome.unconfirmed("the departure is not kept yet");
-	}
-
 	private void applyNewer(BackendAnnouncement announcement) {
 		if (this.departures.contains(announcement)) {
 			Logger.info("node: Ignored announcement {} of {} started at {}; that start has left.",
 					announcement.sequence(), announcement.backendId(), announcement.startedMillis());
-			if (this.displaced.goesOn(announcement, this.clock.millis())) {
+			if (this.running.goesOn(announcement, this.clock.millis())) {
 				this.departures.removeDraining(announcement.backendId(), announcement.startedMillis());
 			}
 			if (this.departures.contains(announcement)) {
@@ -194,18 +155,17 @@
 		if (announcement.leaving()) {
 			this.departures.add(departure(announcement));
 		}
-		else if (!this.departuresKnown) {
-			addEarly(announcement);
+		else if (!this.early.departuresKnown()) {
+			this.early.add(announcement);
 			return;
 		}
 		if (this.current == null || announcement.replaces(this.current)) {
 			if (acceptsWork()) {
-				this.displaced.replaced(this.current, announcement, this.clock.millis() - this.lastAnnouncementMillis);
+				this.running.replaced(this.current, announcement, this.clock.millis() - this.lastAnnouncementMillis);
 			}
 			else {
-				this.displaced.current(announcement);
+				this.running.current(announcement);
 			}
-			this.superseded.reset();
 			apply(announcement);
 		}
 		else if (announcement.leaving()) {
@@ -228,7 +188,7 @@
 				this.current.sequence());
 		if (announcement.isOfSameStart(this.current)) {
 			this.current = this.current.asLeaving();
-			this.displaced.current(this.current);
+			this.running.current(this.current);
 		}
 		else {
 			this.suspended = true;
@@ -241,27 +201,15 @@
 				this.current.sequence(), this.current.backendId(), this.current.startedMillis(),
 				announcement.backendId(), announcement.startedMillis());
 		this.current = null;
-		this.displaced.reset();
-		this.superseded.reset();
+		this.running.current(announcement);
 		apply(announcement);
 	}
 
-	private void addEarly(BackendAnnouncement announcement) {
-		Logger.info("node: Announcement {} of {} waits until the departures on this VM are known.",
-				announcement.sequence(), announcement.backendId());
-		this.early.add(announcement);
-		if (this.early.size() > MAXIMUM_EARLY_ANNOUNCEMENTS) {
-			this.early.removeFirst();
-		}
-	}
-
 	private boolean outlives(BackendAnnouncement announcement) {
 		Logger.info("node: Ignored announcement {} of {} started at {}; superseded by {} of {} started at {}.",
 				announcement.sequence(), announcement.backendId(), announcement.startedMillis(),
 				this.current.sequence(), this.current.backendId(), this.current.startedMillis());
-		long now = this.clock.millis();
-		return this.displaced.goesOn(announcement, now)
-				|| this.superseded.record(announcement, now, this.lastAnnouncementMillis);
+		return this.running.outlives(announcement, this.clock.millis(), this.lastAnnouncementMillis);
 	}
 
 	/**
@@ -284,7 +232,7 @@
 			Logger.info("node: Did not acknowledge {}: a later start under this id is in use.", departure);
 			return AnnouncementOutcome.unconfirmed("a later start is in use");
 		}
-		return keep(departure);
+		return this.acknowledgement.acknowledge(departure);
 	}
 
 	// Returns whether requests still reach the backend server that has deregistered, if
@@ -302,7 +250,7 @@
 	private Departure recordDeregistration(String backendId, OptionalLong startedMillis) {
 		this.lock.lock();
 		try {
-			this.displaced.left(backendId);
+			this.running.left(backendId);
 			boolean registered = this.current != null && this.current.backendId().equals(backendId)
 					&& startedMillis.orElse(this.current.startedMillis()) >= this.current.startedMillis();
 			if (!registered) {
@@ -335,8 +283,8 @@
 	void keepDepartures(DepartureLog log) {
 		this.lock.lock();
 		try {
-			this.departureLog = log;
-			this.departuresKnown = false;
+			this.acknowledgement.keepIn(log);
+			this.early.begin();
 		}
 		finally {
 			this.lock.unlock();
@@ -352,9 +300,7 @@
 		this.lock.lock();
 		try {
 			earlier.forEach(this.departures::add);
-			this.departuresKnown = true;
-			this.early.forEach(this::applyNewer);
-			this.early.clear();
+			this.early.end(this::applyNewer);
 		}
 		finally {
 			this.lock.unlock();
@@ -380,7 +326,7 @@
 
 	@Override
 	public void onSetback(Consumer<Pace.Cause> receiver) {
-		this.onSetback = receiver;
+		this.coldPeriod.onSetback(receiver);
 	}
 
 	@Override
@@ -419,7 +365,7 @@
 
 	@Override
 	public boolean isCold() {
-		return this.coldUntilAnnounced || this.clock.millis() < this.coldUntilMillis;
+		return this.coldPeriod.isCold();
 	}
 
 	/**
@@ -427,22 +373,19 @@
 	 * @return milliseconds, 0 if it is not cold or its remaining cold time is unknown
 	 */
 	public long remainingColdMillis() {
-		return Math.max(0, this.coldUntilMillis - this.clock.millis());
+		return this.coldPeriod.remainingMillis();
 	}
 
 	@Override
 	public void treatAsCold() {
-		this.coldUntilAnnounced = true;
+		this.coldPeriod.assume();
 	}
 
 	@Override
 	public void observeCold(long remainingMillis) {
 		this.lock.lock();
 		try {
-			if (!isCold()) {
-				this.onSetback.accept(Pace.Cause.COLD);
-			}
-			this.coldUntilMillis = Math.max(this.coldUntilMillis, this.clock.millis() + remainingMillis);
+			this.coldPeriod.observe(remainingMillis);
 		}
 		finally {
 			this.lock.unlock();
@@ -520,18 +463,7 @@
 		this.suspended = false;
 		this.lastAnnouncementMillis = this.clock.millis();
 		this.onSlotsAnnounced.accept(applied.slots());
-		boolean coldBefore = sameIncarnation && this.lastAnnouncementMillis < this.coldUntilMillis;
-		this.coldUntilMillis = this.lastAnnouncementMillis + applied.remainingColdMillis();
-		// The announcement with which a silent server returns may have been sent before
-		// the silence, so only a later one shows that the server is not cold.
-		this.coldUntilAnnounced = (returns && sameIncarnation)
-				|| (this.coldUntilAnnounced && applied.remainingColdMillis() > 0);
-		if (applied.remainingColdMillis() > 0 && !coldBefore) {
-			this.onSetback.accept(Pace.Cause.COLD);
-		}
-		else if (returns) {
-			this.onSetback.accept(Pace.Cause.RETURNED);
-		}
+		this.coldPeriod.announce(applied.remainingColdMillis(), sameIncarnation, returns);
 		publish();
 	}
 
--- a/node/src/main/java/io/lavenderroad/node/DisplacedServer.java
+++ b/node/src/main/java/io/lavenderroad/node/DisplacedServer.java
@@ -58,13 +58,6 @@
 		this.last = next.leaving() ? next : null;
 	}
 
-	/**
-	 * Forgets the displaced backend server.
-	 */
-	void reset() {
-		this.last = null;
-	}
-
 	/**
 	 * Forgets the displaced backend server if it has left.
 	 * @param backendId id of a backend server that has left
