Say in BackendRegistration when leaving is not final

Cause: the description of the class was that of the version before RunningServer.

Change: the comment.

--- a/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
+++ b/node/src/main/java/io/lavenderroad/node/BackendRegistration.java
@@ -19,11 +19,12 @@
  * A local backend server that registers itself by announcements. It gets no requests
  * before its first announcement, nor after it has announced that it is leaving; leaving
  * takes effect immediately and is final until the backend server starts again. Late
- * announcements of earlier starts are ignored, unless they continue for long after the
- * current ones have stopped. A deregistration ends a start for good, also if this node
- * did not know the backend server. A departure is acknowledged once it is kept outside of
- * this process, and a backend server is used once those that earlier processes kept are
- * known. The lock guards all fields.
+ * announcements are ignored, unless {@link RunningServer} shows that they are not late,
+ * and that an entry of another writer has taken the place of the backend server. A
+ * deregistration ends a start for good, also if this node did not know the backend
+ * server. A departure is acknowledged once it is in force and kept outside of this
+ * process, and a backend server is used once those that earlier processes kept are known.
+ * The lock guards all fields.
  */
 public final class BackendRegistration implements LocalBackend {
 
